--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: setup run test bench capacity soak
+
+setup: .venv/installed
+
+.venv/installed: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements.txt
+	touch $@
+
+run: setup
+	$(BIN)/python scripts/run.py
+
+test: setup
+	$(BIN)/python scripts/check.py
+
+bench: setup
+	$(BIN)/python -m bench
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+soak: setup
+	BAOBAB_HYPOTHESIS=soak $(BIN)/pytest packages
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the path and the cost of decisions."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,69 @@
+"""Send a bounded load of requests over raw connections and time the answers."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+REQUEST_BODY = b'{"hello":1}'
+
+
+@dataclass(frozen=True, slots=True)
+class LoadResult:
+    """Hold what a load came to, with times in seconds."""
+
+    answered: int
+    failed: int
+    seconds: float
+    latencies: list[float]
+
+    @property
+    def per_second(self) -> float:
+        """Return answers per second."""
+        return self.answered / self.seconds
+
+    def quantile(self, part: float) -> float:
+        """Return the latency that a part of answers stay below."""
+        ordered = sorted(self.latencies)
+        return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def make_request(path: str, key: str) -> bytes:
+    """Return the bytes of one request."""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer {key}\r\n"
+        f"Content-Length: {len(REQUEST_BODY)}\r\n\r\n"
+    )
+    return head.encode() + REQUEST_BODY
+
+
+async def run_load(
+    port: int, request: bytes, connections: int, seconds: float, rate: float = 0.0
+) -> LoadResult:
+    """Send for a time, as fast as answers come or at a rate per second."""
+    latencies: list[float] = []
+    failed = 0
+    start = time.perf_counter()
+    end = start + seconds
+
+    async def client(number: int) -> None:
+        nonlocal failed
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        pause = connections / rate if rate else 0.0
+        due = start + pause * number / connections
+        while due < end and time.perf_counter() < end:
+            if rate:
+                await asyncio.sleep(max(0.0, due - time.perf_counter()))
+            sent_at = due if rate else time.perf_counter()
+            due += pause
+            writer.write(request)
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            await reader.readexactly(length)
+            if head.startswith(b"HTTP/1.1 200"):
+                latencies.append(time.perf_counter() - sent_at)
+            else:
+                failed += 1
+        writer.close()
+
+    await asyncio.gather(*(client(number) for number in range(connections)))
+    return LoadResult(len(latencies), failed, time.perf_counter() - start, latencies)
--- /dev/null
+++ b/packages/baobablane-client/baobablane_client/__init__.py
@@ -0,0 +1,1 @@
+"""Let operators publish their register and rules and watch them applied."""
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run an entry instance: carry out what the decisions package decides."""
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -0,0 +1,148 @@
+"""Run all tasks of an entry instance until it is told to stop."""
+
+import asyncio
+import signal
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import uvicorn
+from baobablane_platform import (
+    CONFIG_STREAM,
+    JOURNAL_STREAM,
+    MEMBERSHIP_STREAM,
+    LogClient,
+)
+from starlette.types import ASGIApp
+
+from .edge import make_callers_app, make_operators_app
+from .engine import CallServer, Engine
+from .settings import DaemonSettings
+from .tasks import (
+    DecisionLog,
+    InstanceListTask,
+    LogReaderTask,
+    LogWriterTask,
+    PeerLinkTask,
+    PeerSend,
+    UpstreamClient,
+)
+
+TICK_SECONDS = 0.025
+LEAVE_SECONDS = 5.0
+LEAVE_POLL_SECONDS = 0.05
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the process, which stops its servers itself."""
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+async def run_process(settings: DaemonSettings) -> None:
+    """Serve until SIGTERM or SIGINT, then finish what is in flight."""
+    instance = settings.instance
+    decisions = DecisionLog(instance.id)
+    log = LogClient(str(settings.platform.log_url), instance.id)
+    writer = LogWriterTask(log, settings.timing.commit_seconds)
+    outbox: asyncio.Queue[PeerSend] = asyncio.Queue()
+    engine = Engine(settings, decisions, writer.inbox, outbox)
+    link = PeerLinkTask(
+        str(instance.host), instance.peers_port, settings.peers, engine.inbox
+    )
+    upstreams = UpstreamClient()
+    calls = CallServer(engine, upstreams)
+    listing = InstanceListTask(str(settings.platform.instance_list_url), engine.inbox)
+    wait_seconds = settings.timing.read_wait_seconds
+    readers = [
+        LogReaderTask(log, stream, engine.inbox, wait_seconds)
+        for stream in (CONFIG_STREAM, MEMBERSHIP_STREAM, JOURNAL_STREAM)
+    ]
+    servers = [
+        _make_server(make_callers_app(engine, calls), instance.callers_port, settings),
+        _make_server(make_operators_app(engine), instance.operators_port, settings),
+    ]
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    running = [
+        loop.create_task(coroutine)
+        for coroutine in (
+            engine.run(),
+            writer.run(),
+            link.run(),
+            listing.run(),
+            _tick(engine),
+            _send_peers(link, outbox),
+            *(reader.run() for reader in readers),
+        )
+    ]
+    serving = [loop.create_task(server.serve()) for server in servers]
+    decisions.info("started", incarnation=engine.incarnation)
+    await _wait_for_stop(stop, [*running, *serving])
+    await _drain(engine, calls, settings.timing.stop_seconds)
+    for server in servers:
+        server.should_exit = True
+    await asyncio.gather(*serving, return_exceptions=True)
+    for task in running:
+        task.cancel()
+    await asyncio.gather(*running, return_exceptions=True)
+    await upstreams.close()
+    await log.close()
+    link.close()
+    decisions.info("stopped", incarnation=engine.incarnation)
+
+
+async def _wait_for_stop(
+    stop: asyncio.Event, tasks: list["asyncio.Task[None]"]
+) -> None:
+    stopping = asyncio.create_task(stop.wait())
+    done, _ = await asyncio.wait(
+        [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    stopping.cancel()
+    for task in done - {stopping}:
+        # A task that ends by itself has failed; its error ends the process.
+        task.result()
+
+
+async def _drain(engine: Engine, calls: CallServer, seconds: float) -> None:
+    engine.stopping = True
+    engine.decisions.info("stopping", in_flight=len(engine.dispatcher.requests_by_id))
+    give_up_at = engine.now() + seconds
+    while engine.dispatcher.requests_by_id and engine.now() < give_up_at:
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
+    await calls.flush()
+    engine.duties.leaving = True
+    leave_by = min(give_up_at, engine.now() + LEAVE_SECONDS)
+    while engine.is_member() and engine.now() < leave_by:
+        await asyncio.sleep(LEAVE_POLL_SECONDS)
+
+
+async def _tick(engine: Engine) -> None:
+    while True:
+        engine.tick()
+        await asyncio.sleep(TICK_SECONDS)
+
+
+async def _send_peers(link: PeerLinkTask, outbox: "asyncio.Queue[PeerSend]") -> None:
+    while True:
+        await link.send(await outbox.get())
+
+
+def _make_server(app: ASGIApp, port: int, settings: DaemonSettings) -> uvicorn.Server:
+    config = uvicorn.Config(
+        app,
+        host=str(settings.instance.host),
+        port=port,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        timeout_graceful_shutdown=int(settings.timing.stop_seconds),
+    )
+    return _Server(config)
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/edge/_operators.py
@@ -0,0 +1,64 @@
+"""Serve operators and the balancer's checks over HTTP."""
+
+import hashlib
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+
+import msgspec
+from baobablane.errors import ResultCode
+from prometheus_client import generate_latest
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from ..engine import CallAnswer, Engine, make_status
+from ._callers import to_response
+
+Handler = Callable[[Request], Awaitable[Response]]
+BEARER = "bearer "
+
+
+def make_operators_app(engine: Engine) -> Starlette:
+    """Return the application on the operators' port."""
+    digest = engine.settings.operators.token_digest
+
+    def guarded(handler: Handler) -> Handler:
+        async def check(request: Request) -> Response:
+            given = request.headers.get("authorization", "")[len(BEARER) :]
+            actual = hashlib.sha256(given.encode()).hexdigest()
+            if not hmac.compare_digest(actual, digest):
+                return to_response(CallAnswer("", ResultCode.TOKEN_REFUSED))
+            return await handler(request)
+
+        return check
+
+    async def health(request: Request) -> Response:
+        return PlainTextResponse("ok\n")
+
+    async def ready(request: Request) -> Response:
+        is_ready = engine.is_ready()
+        text = "ready\n" if is_ready else "not ready\n"
+        return PlainTextResponse(text, 200 if is_ready else 503)
+
+    async def metrics(request: Request) -> Response:
+        return Response(generate_latest(engine.registry), media_type="text/plain")
+
+    async def status(request: Request) -> Response:
+        body = msgspec.json.encode(make_status(engine))
+        return Response(body, media_type="application/json")
+
+    async def explain(request: Request) -> Response:
+        found = engine.decisions.explain(request.path_params["name"])
+        return JSONResponse([asdict(decision) for decision in found])
+
+    return Starlette(
+        routes=[
+            Route("/healthz", health),
+            Route("/readyz", ready),
+            Route("/metrics", guarded(metrics)),
+            Route("/v1/status", guarded(status)),
+            Route("/v1/explain/{name}", guarded(explain)),
+        ]
+    )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_call.py
@@ -0,0 +1,34 @@
+"""Define a caller's request and its answer inside the daemon."""
+
+from dataclasses import dataclass
+
+from baobablane.errors import ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class CallOrder:
+    """Hold what a caller asked for."""
+
+    request: str
+    queue: str
+    key: str
+    deadline_seconds: float | None
+    idempotency_key: str
+    # Seconds since the epoch, 0 where the caller gave none.
+    key_expires_at: float
+    content_type: str
+    body: bytes
+    arrived_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """Hold the final answer to a caller."""
+
+    request: str
+    code: ResultCode
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    retry_after_seconds: float = 0.0
+    detail: str = ""
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_make_status.py
@@ -0,0 +1,49 @@
+"""Describe an engine's state to operators."""
+
+from ._engine import Engine
+from ._status import PoolStatus, ServiceStatus, StatusReport, TeamStatus
+
+
+def make_status(engine: Engine) -> StatusReport:
+    """Return what an entry instance knows of itself."""
+    now = engine.now()
+    members = engine.membership.state.active_members()
+    return StatusReport(
+        instance=engine.settings.instance.id,
+        incarnation=engine.incarnation,
+        zone=engine.settings.instance.zone,
+        revision=engine.view.revision,
+        config_next=engine.config.next_offset,
+        membership_next=engine.membership.next_offset,
+        ready=engine.is_ready(),
+        view_age_seconds=round(min(now - engine.lease.confirmed_at, 1e9), 3),
+        members=tuple(sorted(member.instance for member in members)),
+        in_flight_by_upstream={
+            name: count
+            for name in engine.view.instances_by_id
+            if (count := engine.dispatcher.in_flight(name))
+        },
+        teams=tuple(
+            TeamStatus(
+                name,
+                engine.escrow.running[name],
+                engine.escrow.usable(name),
+                team.limit,
+            )
+            for name, team in sorted(engine.view.teams_by_name.items())
+        ),
+        pools=tuple(
+            PoolStatus(
+                name,
+                pool.capacity,
+                pool.running,
+                len(pool.line),
+                round(pool.budget, 3),
+            )
+            for name, pool in sorted(engine.dispatcher.pools.items())
+        ),
+        services=tuple(
+            ServiceStatus(name, *budget.totals(now), round(budget.part_left(now), 4))
+            for name, budget in sorted(engine.budgets.items())
+        ),
+    )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_metrics.py
@@ -0,0 +1,82 @@
+"""Export an engine's state as metrics."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+if TYPE_CHECKING:
+    from ._engine import Engine
+
+Family = GaugeMetricFamily | CounterMetricFamily
+
+
+class EngineCollector(Collector):
+    """Read an engine's state when metrics are asked for."""
+
+    def __init__(self, engine: "Engine") -> None:
+        """Collect from one engine."""
+        self._engine = engine
+
+    def collect(self) -> Iterator[Family]:
+        """Yield all metrics."""
+        yield from self._collect_state()
+        yield from self._collect_services()
+        yield from self._collect_teams()
+        yield from self._collect_pools()
+
+    def _collect_state(self) -> Iterator[Family]:
+        engine = self._engine
+        revision = GaugeMetricFamily(
+            "baobablane_config_revision", "Revision of the configuration in force"
+        )
+        revision.add_metric([], engine.view.revision)
+        yield revision
+        age = GaugeMetricFamily(
+            "baobablane_view_age_seconds", "Time since the view was confirmed"
+        )
+        age.add_metric([], engine.now() - engine.lease.confirmed_at)
+        yield age
+        results = CounterMetricFamily(
+            "baobablane_results", "Final answers by result code", labels=["code"]
+        )
+        for code, count in sorted(engine.results_by_code.items()):
+            results.add_metric([str(code)], count)
+        yield results
+
+    def _collect_services(self) -> Iterator[Family]:
+        left = GaugeMetricFamily(
+            "baobablane_availability_budget_left_ratio",
+            "Part of a service's availability budget that is left",
+            labels=["service"],
+        )
+        for name, budget in sorted(self._engine.budgets.items()):
+            left.add_metric([name], budget.part_left(self._engine.now()))
+        yield left
+
+    def _collect_teams(self) -> Iterator[Family]:
+        running = GaugeMetricFamily(
+            "baobablane_team_running", "Requests of a team running", labels=["team"]
+        )
+        usable = GaugeMetricFamily(
+            "baobablane_team_usable", "Units of a team's limit held", labels=["team"]
+        )
+        for name in sorted(self._engine.view.teams_by_name):
+            running.add_metric([name], self._engine.escrow.running[name])
+            usable.add_metric([name], self._engine.escrow.usable(name))
+        yield running
+        yield usable
+
+    def _collect_pools(self) -> Iterator[Family]:
+        waiting = GaugeMetricFamily(
+            "baobablane_pool_waiting", "Requests that wait for a pool", labels=["pool"]
+        )
+        running = GaugeMetricFamily(
+            "baobablane_pool_running", "Requests that run on a pool", labels=["pool"]
+        )
+        for name, pool in sorted(self._engine.dispatcher.pools.items()):
+            waiting.add_metric([name], len(pool.line))
+            running.add_metric([name], pool.running)
+        yield waiting
+        yield running
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/settings/_model.py
@@ -0,0 +1,68 @@
+"""Validate the daemon's settings."""
+
+from ipaddress import IPv4Address, IPv6Address
+
+from pydantic import BaseModel, ConfigDict, Field, HttpUrl
+
+Z85_KEY = r"^.{40}$"
+
+
+class StrictSettings(BaseModel):
+    """Refuse settings that are not known."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
+
+
+class InstanceSettings(StrictSettings):
+    """Hold the identity and the addresses of this entry instance."""
+
+    id: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+    zone: str = Field(min_length=1)
+    host: IPv4Address | IPv6Address
+    callers_port: int = Field(ge=1, le=65_535)
+    operators_port: int = Field(ge=1, le=65_535)
+    peers_port: int = Field(ge=1, le=65_535)
+
+
+class PlatformSettings(StrictSettings):
+    """Hold where the platform's services are."""
+
+    log_url: HttpUrl
+    instance_list_url: HttpUrl
+    log_retention_seconds: float = Field(default=86_400.0, ge=60)
+
+
+class OperatorSettings(StrictSettings):
+    """Hold what protects the operators' port."""
+
+    token_digest: str = Field(
+        pattern=r"^[0-9a-f]{64}$", description="SHA-256 of the operator token, in hex"
+    )
+
+
+class PeerSettings(StrictSettings):
+    """Hold the CURVE key pair that all entry instances share."""
+
+    curve_public_key: str = Field(pattern=Z85_KEY)
+    curve_secret_key: str = Field(pattern=Z85_KEY, repr=False)
+
+
+class TimingSettings(StrictSettings):
+    """Hold durations in seconds."""
+
+    view_lease_seconds: float = Field(default=4.0, gt=0, le=60)
+    silence_seconds: float = Field(default=10.0, gt=0, le=600)
+    beat_seconds: float = Field(default=0.4, gt=0, le=10)
+    commit_seconds: float = Field(default=0.02, gt=0, le=1)
+    read_wait_seconds: float = Field(default=1.0, gt=0, le=30)
+    stop_seconds: float = Field(default=60.0, gt=0, le=3600)
+
+
+class DaemonSettings(StrictSettings):
+    """Hold all settings of an entry instance."""
+
+    instance: InstanceSettings
+    platform: PlatformSettings
+    operators: OperatorSettings
+    peers: PeerSettings
+    timing: TimingSettings = TimingSettings()
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/settings/_read.py
@@ -0,0 +1,36 @@
+"""Read the daemon's settings file."""
+
+import tomllib
+from pathlib import Path
+
+from baobablane.errors import InputError, InputProblem
+from baobablane.rules import locate
+from pydantic import ValidationError
+
+from ._model import DaemonSettings
+
+
+def read_settings(path: Path) -> DaemonSettings:
+    """Return valid settings, or raise an InputError that names every fault."""
+    try:
+        text = path.read_text(encoding="utf-8")
+        return DaemonSettings.model_validate(tomllib.loads(text))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        problem = InputProblem(str(path), 1, "file", "", str(error))
+        raise InputError([problem]) from error
+    except ValidationError as error:
+        problems = [
+            InputProblem(
+                str(path),
+                locate(text, fault["loc"]),
+                ".".join(str(part) for part in fault["loc"]),
+                _show(fault["loc"], fault["input"]),
+                fault["msg"],
+            )
+            for fault in error.errors()
+        ]
+        raise InputError(problems) from error
+
+
+def _show(location: tuple[int | str, ...], value: object) -> str:
+    return "(hidden)" if "secret" in str(location[-1]) else str(value)[:80]
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_instance_list.py
@@ -0,0 +1,59 @@
+"""Poll the platform's list of instances."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+POLL_SECONDS = 0.5
+TIMEOUT_SECONDS = 2.0
+STATUS_OK = 200
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """Hold one instance as the platform lists it: live, leaving or gone."""
+
+    id: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """Report the instances that are leaving and those that are gone."""
+
+    leaving: frozenset[str]
+    gone: frozenset[str]
+
+
+class InstanceListTask:
+    """Own the connection to the platform's list and report to an inbox."""
+
+    def __init__(self, url: str, inbox: "asyncio.Queue[object]") -> None:
+        """Poll nothing yet."""
+        self._url = f"{url.rstrip('/')}/instances"
+        self._inbox = inbox
+
+    async def run(self) -> None:
+        """Poll until cancelled; a list that can't be read changes nothing."""
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                listed = await self._read(session)
+                if listed is not None:
+                    await self._inbox.put(listed)
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _read(self, session: aiohttp.ClientSession) -> InstancesListed | None:
+        try:
+            async with session.get(self._url) as response:
+                if response.status != STATUS_OK:
+                    return None
+                body = await response.read()
+            instances = msgspec.json.decode(body, type=list[ListedInstance])
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return None
+        return InstancesListed(
+            frozenset(item.id for item in instances if item.state == "leaving"),
+            frozenset(item.id for item in instances if item.state == "gone"),
+        )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_log_writer.py
@@ -0,0 +1,54 @@
+"""Append records to the platform's log in batches."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
+
+from baobablane.errors import LogUnavailableError
+from baobablane_platform import LogClient
+
+
+@dataclass(frozen=True, slots=True)
+class WriteOrder:
+    """Ask for one record to be appended to a stream."""
+
+    stream: str
+    payload: str
+
+
+class LogWriterTask:
+    """Own the appends of this process: one at a time, each as large as it can be."""
+
+    def __init__(self, client: LogClient, commit_seconds: float) -> None:
+        """Gather records for `commit_seconds` before each append."""
+        self._client = client
+        self._commit_seconds = commit_seconds
+        self.inbox: asyncio.Queue[WriteOrder] = asyncio.Queue()
+        self.appends = 0
+        self.records = 0
+
+    async def run(self) -> None:
+        """Append until cancelled."""
+        while True:
+            first = await self.inbox.get()
+            await asyncio.sleep(self._commit_seconds)
+            await self._commit([first, *self._drain()])
+
+    def _drain(self) -> list[WriteOrder]:
+        orders: list[WriteOrder] = []
+        while not self.inbox.empty():
+            orders.append(self.inbox.get_nowait())
+        return orders
+
+    async def _commit(self, orders: list[WriteOrder]) -> None:
+        by_stream: dict[str, list[str]] = defaultdict(list)
+        for order in orders:
+            by_stream[order.stream].append(order.payload)
+        for stream, payloads in by_stream.items():
+            self.appends += 1
+            self.records += len(payloads)
+            try:
+                await self._client.append(stream, payloads)
+            except LogUnavailableError:
+                # Writers learn what became of a record by reading it back.
+                continue
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_peer_link.py
@@ -0,0 +1,105 @@
+"""Exchange messages with the other entry instances."""
+
+import asyncio
+from dataclasses import dataclass
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.utils import z85
+
+from ..settings import PeerSettings
+from ._peer_message import LARGEST_MESSAGE_BYTES, decode_message
+
+SEND_QUEUE_MESSAGES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSend:
+    """Ask for a frame to be sent to an address."""
+
+    host: str
+    port: int
+    frame: bytes
+
+
+class PeerLinkTask:
+    """Own the sockets to peers: one that listens, and one for each peer."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        settings: PeerSettings,
+        inbox: "asyncio.Queue[object]",
+    ) -> None:
+        """Listen on an address; messages received go to `inbox`."""
+        self._inbox = inbox
+        self._settings = settings
+        self._context = zmq.asyncio.Context()
+        self._dealers: dict[tuple[str, int], zmq.asyncio.Socket] = {}
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            domain="*", credentials_provider=self
+        )
+        self._router = self._context.socket(zmq.ROUTER)
+        self._router.curve_server = True
+        self._set_keys(self._router)
+        self._router.bind(f"tcp://{host}:{port}")
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.bad_frames = 0
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Admit only holders of the shared key; called by the authenticator."""
+        return z85.encode(key) == self._settings.curve_public_key.encode()
+
+    async def run(self) -> None:
+        """Receive until cancelled."""
+        while True:
+            frames = await self._router.recv_multipart()
+            self.bytes_received += len(frames[-1])
+            message = decode_message(frames[-1])
+            if message is None:
+                self.bad_frames += 1
+                continue
+            await self._inbox.put(message)
+
+    async def send(self, order: PeerSend) -> None:
+        """Send a frame, or drop it where the peer's queue is full."""
+        dealer = self._dealer(order.host, order.port)
+        try:
+            await dealer.send(order.frame, zmq.NOBLOCK)
+            self.bytes_sent += len(order.frame)
+        except zmq.Again:
+            return
+
+    def keep_only(self, addresses: set[tuple[str, int]]) -> None:
+        """Close the sockets to peers that have left."""
+        for address in self._dealers.keys() - addresses:
+            self._dealers.pop(address).close(linger=0)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        self.keep_only(set())
+        self._router.close(linger=0)
+        self._authenticator.stop()
+        self._context.term()
+
+    def _dealer(self, host: str, port: int) -> zmq.asyncio.Socket:
+        held = self._dealers.get((host, port))
+        if held is not None:
+            return held
+        dealer = self._context.socket(zmq.DEALER)
+        dealer.sndhwm = SEND_QUEUE_MESSAGES
+        dealer.curve_serverkey = self._settings.curve_public_key.encode()
+        self._set_keys(dealer)
+        dealer.connect(f"tcp://{host}:{port}")
+        self._dealers[(host, port)] = dealer
+        return dealer
+
+    def _set_keys(self, socket: zmq.asyncio.Socket) -> None:
+        socket.setsockopt(zmq.MAXMSGSIZE, LARGEST_MESSAGE_BYTES)
+        socket.curve_publickey = self._settings.curve_public_key.encode()
+        socket.curve_secretkey = self._settings.curve_secret_key.encode()
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_upstream_client.py
@@ -0,0 +1,120 @@
+"""Send attempts to upstreams and judge their answers."""
+
+import asyncio
+import hashlib
+from base64 import b64encode
+from dataclasses import dataclass
+
+import aiohttp
+from baobablane.dispatch import AttemptResult
+
+LEASE_MARGIN_SECONDS = 1.0
+STATUS_SERVICE_UNAVAILABLE = 503
+STATUS_FIRST_ERROR = 500
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamCall:
+    """Hold what is sent to an upstream for one attempt."""
+
+    url: str
+    attempt: str
+    team: str
+    idempotency_key: str
+    content_type: str
+    body: bytes
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """Hold what became of an attempt, and the whole answer if it is one."""
+
+    result: AttemptResult
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+class UpstreamClient:
+    """Hold the connections to upstreams."""
+
+    def __init__(self) -> None:
+        """Open no connection yet; must be made inside a running event loop."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    async def send(self, call: UpstreamCall) -> UpstreamAnswer:
+        """Send an attempt and return what is known of it within its time."""
+        headers = {
+            "Attempt-Id": call.attempt,
+            "Lease-Seconds": f"{call.seconds:.3f}",
+            "Content-Type": call.content_type,
+            "Team": call.team,
+        }
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
+        try:
+            async with asyncio.timeout(call.seconds):
+                return await self._exchange(call, headers)
+        except aiohttp.ClientConnectorError:
+            return UpstreamAnswer(AttemptResult.NOT_SENT)
+        except TimeoutError:
+            return UpstreamAnswer(AttemptResult.TIMEOUT)
+        except (aiohttp.ClientError, OSError):
+            return UpstreamAnswer(AttemptResult.CONNECTION_LOST)
+
+    async def stop(self, base_url: str, attempt: str) -> None:
+        """Ask an upstream to stop an attempt; its lease ends it in any case."""
+        timeout = aiohttp.ClientTimeout(total=LEASE_MARGIN_SECONDS)
+        try:
+            async with self._session.delete(
+                f"{base_url}/{attempt}", timeout=timeout
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            return
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _exchange(
+        self, call: UpstreamCall, headers: dict[str, str]
+    ) -> UpstreamAnswer:
+        async with self._session.post(
+            call.url, data=call.body, headers=headers
+        ) as response:
+            body = await response.read()
+            return _judge(call.attempt, response, body)
+
+
+def _judge(
+    attempt: str, response: aiohttp.ClientResponse, body: bytes
+) -> UpstreamAnswer:
+    headers = response.headers
+    state = headers.get("Task-State", "")
+    if response.status == STATUS_SERVICE_UNAVAILABLE and state == "not-started":
+        return UpstreamAnswer(AttemptResult.FULL)
+    if state == "failed":
+        return UpstreamAnswer(AttemptResult.FAILED, response.status)
+    if response.status >= STATUS_FIRST_ERROR:
+        return UpstreamAnswer(AttemptResult.CONNECTION_LOST, response.status)
+    if headers.get("Attempt-Id") != attempt:
+        return UpstreamAnswer(AttemptResult.CROSSED)
+    if not _is_whole(headers.get("Content-Digest", ""), body):
+        return UpstreamAnswer(AttemptResult.TRUNCATED)
+    content_type = headers.get("Content-Type", "application/octet-stream")
+    return UpstreamAnswer(AttemptResult.DONE, response.status, content_type, body)
+
+
+def _is_whole(digest: str, body: bytes) -> bool:
+    if not digest:
+        return False
+    expected = b64encode(hashlib.sha256(body).digest()).decode()
+    return digest == f"sha-256=:{expected}:"
--- /dev/null
+++ b/packages/baobablane-platform/baobablane_platform/_streams.py
@@ -0,0 +1,5 @@
+"""Name the streams of the platform's log."""
+
+CONFIG_STREAM = "config"
+MEMBERSHIP_STREAM = "membership"
+JOURNAL_STREAM = "journal"
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform: its log, its instance list and its executors."""
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/executor.py
@@ -0,0 +1,164 @@
+"""Run tasks for the tests, with switches for an executor's failures."""
+
+import asyncio
+import hashlib
+import time
+from base64 import b64encode
+from enum import StrEnum
+
+import msgspec
+from starlette.types import Receive, Scope, Send
+
+Headers = dict[bytes, bytes]
+
+
+class ExecutorMode(StrEnum):
+    """Name how an executor misbehaves."""
+
+    OK = "ok"
+    FAIL = "fail"
+    CUT = "cut"
+    TRUNCATED = "truncated"
+    CROSSED = "crossed"
+    DOWN = "down"
+
+
+class ExecutorSwitches(msgspec.Struct):
+    """Hold the failures that are switched on."""
+
+    mode: ExecutorMode = ExecutorMode.OK
+    slow_seconds: float = 0.0
+
+
+class TaskOrder(msgspec.Struct):
+    """Hold what a task's body may ask of the stand-in."""
+
+    run_seconds: float = 0.0
+    fail: bool = False
+
+
+class TaskRun(msgspec.Struct):
+    """Record one task that was started."""
+
+    attempt: str
+    key: str
+    team: str
+    started_at: float
+    ended_at: float = 0.0
+
+
+class Executor:
+    """Hold one executor's slots and the tasks that it ran."""
+
+    def __init__(self, name: str, slots: int) -> None:
+        """Start idle."""
+        self.name = name
+        self._slots = slots
+        self._running: dict[str, asyncio.Task[None]] = {}
+        self.runs: list[TaskRun] = []
+        self.switches = ExecutorSwitches()
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve the executor's protocol over HTTP."""
+        body = await _read_body(receive)
+        path = scope["path"]
+        if path == "/v1/tasks" and scope["method"] == "POST":
+            await self._run(dict(scope["headers"]), body, send)
+        elif path.startswith("/v1/tasks/") and scope["method"] == "DELETE":
+            self._stop(path.rpartition("/")[2])
+            await _reply(send, 200, b"{}", [])
+        elif path == "/runs":
+            await _reply(send, 200, msgspec.json.encode(self.runs), [])
+        elif path == "/switches":
+            self.switches = msgspec.json.decode(body, type=ExecutorSwitches)
+            await _reply(send, 200, b"{}", [])
+        else:
+            await _reply(send, 404, b"", [])
+
+    async def _run(self, headers: Headers, body: bytes, send: Send) -> None:
+        mode = self.switches.mode
+        if mode is ExecutorMode.DOWN or len(self._running) >= self._slots:
+            await _reply(send, 503, b"", [(b"task-state", b"not-started")])
+            return
+        attempt = headers[b"attempt-id"].decode()
+        run = TaskRun(
+            attempt,
+            headers.get(b"idempotency-key", b"").decode(),
+            headers.get(b"team", b"").decode(),
+            time.monotonic(),
+        )
+        self.runs.append(run)
+        order = _read_order(body)
+        lease_seconds = float(headers.get(b"lease-seconds", b"60"))
+        seconds = order.run_seconds + self.switches.slow_seconds
+        task = asyncio.create_task(asyncio.sleep(min(seconds, lease_seconds)))
+        self._running[attempt] = task
+        try:
+            if seconds:
+                await asyncio.wait([task])
+        finally:
+            del self._running[attempt]
+            run.ended_at = time.monotonic()
+        failed = order.fail or mode is ExecutorMode.FAIL
+        if failed or task.cancelled() or seconds > lease_seconds:
+            await _reply(send, 500, b"", [(b"task-state", b"failed")])
+            return
+        await self._answer(mode, attempt, body, send)
+
+    async def _answer(
+        self, mode: ExecutorMode, attempt: str, body: bytes, send: Send
+    ) -> None:
+        answer = body or b"{}"
+        if mode is ExecutorMode.CUT:
+            await _cut_reply(send, answer)
+        headers = [
+            (b"attempt-id", attempt.encode()),
+            (b"content-digest", _digest(answer)),
+        ]
+        if mode is ExecutorMode.CROSSED:
+            headers[0] = (b"attempt-id", b"another.1")
+        if mode is ExecutorMode.TRUNCATED:
+            answer = answer[: len(answer) // 2]
+        await _reply(send, 200, answer, headers)
+
+    def _stop(self, attempt: str) -> None:
+        task = self._running.get(attempt)
+        if task is not None:
+            task.cancel()
+
+
+def _digest(body: bytes) -> bytes:
+    return b"sha-256=:" + b64encode(hashlib.sha256(body).digest()) + b":"
+
+
+def _read_order(body: bytes) -> TaskOrder:
+    try:
+        return msgspec.json.decode(body, type=TaskOrder)
+    except msgspec.DecodeError:
+        return TaskOrder()
+
+
+async def _read_body(receive: Receive) -> bytes:
+    parts: list[bytes] = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def _cut_reply(send: Send, body: bytes) -> None:
+    headers = [(b"content-length", str(len(body)).encode())]
+    start = {"type": "http.response.start", "status": 200, "headers": headers}
+    await send(start)
+    # The server closes the connection when an application fails in mid-answer.
+    raise ConnectionAbortedError("the executor's connection is cut")
+
+
+async def _reply(
+    send: Send, status: int, body: bytes, headers: list[tuple[bytes, bytes]]
+) -> None:
+    length = (b"content-length", str(len(body)).encode())
+    start = {"type": "http.response.start", "status": status}
+    await send({**start, "headers": [*headers, length]})
+    await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/instance_list.py
@@ -0,0 +1,57 @@
+"""Serve the stand-in instance list over HTTP, with a lag."""
+
+import time
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """Hold one instance as the platform lists it: live, leaving or gone."""
+
+    id: str
+    state: str
+
+
+class InstanceList:
+    """Hold the instances and when each state becomes visible."""
+
+    def __init__(self, lag_seconds: float) -> None:
+        """Start empty; changes show after `lag_seconds`."""
+        self._lag_seconds = lag_seconds
+        self._visible: dict[str, ListedInstance] = {}
+        self._pending: list[tuple[float, ListedInstance]] = []
+        self._down = False
+        self.app = Starlette(
+            routes=[
+                Route("/instances", self._read, methods=["GET"]),
+                Route("/instances", self._change, methods=["PUT"]),
+                Route("/switches", self._switch, methods=["PUT"]),
+            ]
+        )
+
+    async def _read(self, request: Request) -> Response:
+        if self._down:
+            return Response(status_code=503)
+        self._settle(time.monotonic())
+        body = msgspec.json.encode(list(self._visible.values()))
+        return Response(body, media_type="application/json")
+
+    async def _change(self, request: Request) -> Response:
+        changed = msgspec.json.decode(await request.body(), type=list[ListedInstance])
+        visible_at = time.monotonic() + self._lag_seconds
+        self._pending += [(visible_at, instance) for instance in changed]
+        return JSONResponse({})
+
+    async def _switch(self, request: Request) -> Response:
+        self._down = bool((await request.json()).get("down", False))
+        return JSONResponse({})
+
+    def _settle(self, now: float) -> None:
+        for visible_at, instance in self._pending:
+            if visible_at <= now:
+                self._visible[instance.id] = instance
+        self._pending = [(at, item) for at, item in self._pending if at > now]
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/log_server.py
@@ -0,0 +1,89 @@
+"""Serve the stand-in log over HTTP, with switches for its failures."""
+
+import asyncio
+import time
+from collections import defaultdict
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .log_store import LogStream
+
+
+class LogSwitches(msgspec.Struct):
+    """Hold the failures that are switched on."""
+
+    down: bool = False
+    slow_seconds: float = 0.0
+    lose_answers: bool = False
+    # Clients, by the name that they send, that can neither read nor append.
+    cut_clients: list[str] = []
+
+
+class LogServer:
+    """Hold the streams and the switches."""
+
+    def __init__(self, retention_seconds: float) -> None:
+        """Start with empty streams and all switches off."""
+        self.streams: dict[str, LogStream] = defaultdict(
+            lambda: LogStream(retention_seconds)
+        )
+        self.switches = LogSwitches()
+        self.appends = 0
+        self.app = Starlette(
+            routes=[
+                Route("/streams/{stream}/records", self._append, methods=["POST"]),
+                Route("/streams/{stream}/records", self._read, methods=["GET"]),
+                Route("/streams/{stream}/expire", self._expire, methods=["POST"]),
+                Route("/switches", self._switch, methods=["PUT"]),
+                Route("/stats", self._stats, methods=["GET"]),
+            ]
+        )
+
+    async def _append(self, request: Request) -> Response:
+        body = await request.body()
+        if await self._fails(request):
+            return Response(status_code=503)
+        payloads = msgspec.json.decode(body, type=list[str])
+        stream = self.streams[request.path_params["stream"]]
+        offsets = stream.append(payloads, time.time())
+        self.appends += 1
+        if self.switches.lose_answers:
+            return Response(status_code=504)
+        return JSONResponse({"offsets": offsets})
+
+    async def _read(self, request: Request) -> Response:
+        if await self._fails(request):
+            return Response(status_code=503)
+        start = int(request.query_params.get("from", "0"))
+        wait_seconds = float(request.query_params.get("wait_seconds", "0"))
+        stream = self.streams[request.path_params["stream"]]
+        await stream.wait_for(start, min(wait_seconds, 30.0))
+        if self._is_cut(request):
+            return Response(status_code=503)
+        page = stream.read(start, time.time())
+        return Response(msgspec.json.encode(page), media_type="application/json")
+
+    async def _expire(self, request: Request) -> Response:
+        before = int(request.query_params["before"])
+        self.streams[request.path_params["stream"]].drop_before(before)
+        return JSONResponse({})
+
+    async def _switch(self, request: Request) -> Response:
+        self.switches = msgspec.json.decode(await request.body(), type=LogSwitches)
+        return JSONResponse({})
+
+    async def _stats(self, request: Request) -> Response:
+        return JSONResponse({"appends": self.appends})
+
+    async def _fails(self, request: Request) -> bool:
+        if self.switches.slow_seconds:
+            await asyncio.sleep(self.switches.slow_seconds)
+        return self._is_cut(request)
+
+    def _is_cut(self, request: Request) -> bool:
+        client = request.headers.get("log-client", "")
+        return self.switches.down or client in self.switches.cut_clients
--- /dev/null
+++ b/packages/baobablane/baobablane/__init__.py
@@ -0,0 +1,1 @@
+"""Decide capacity, maintenance, limits and routing for a fleet, without I/O."""
--- /dev/null
+++ b/packages/baobablane/baobablane/config/_codec.py
@@ -0,0 +1,41 @@
+"""Encode and decode the records of the configuration stream."""
+
+import msgspec
+
+from ..log import FoldRules
+from ._change import Checkpoint, ConfigRecord
+from ._fold import ConfigState, Verdict, apply_record, restore_checkpoint
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(ConfigRecord)
+
+
+def encode_record(record: ConfigRecord) -> str:
+    """Return a record as the log stores it."""
+    return _encoder.encode(record).decode()
+
+
+def decode_record(payload: str) -> ConfigRecord | None:
+    """Return a stored record, or None where it is not valid."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError:
+        return None
+
+
+def _checkpoint_offset(record: ConfigRecord) -> int | None:
+    return record.offset if isinstance(record, Checkpoint) else None
+
+
+def _is_newer(first: ConfigState, second: ConfigState) -> bool:
+    return first.revision >= second.revision
+
+
+CONFIG_FOLD: FoldRules[ConfigState, ConfigRecord, Verdict] = FoldRules(
+    empty=ConfigState(),
+    decode=decode_record,
+    apply=apply_record,
+    checkpoint_offset=_checkpoint_offset,
+    restore=restore_checkpoint,
+    is_newer=_is_newer,
+)
--- /dev/null
+++ b/packages/baobablane/baobablane/config/_entry.py
@@ -0,0 +1,149 @@
+"""Define the entries that a configuration consists of."""
+
+from enum import StrEnum
+
+import msgspec
+
+
+class QueueClass(StrEnum):
+    """Order queues by what starts first."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+
+
+class PlacementPhase(StrEnum):
+    """Name the steps of an instance between serving and moving."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    REBOOTING = "rebooting"
+
+
+class WavePhase(StrEnum):
+    """Name the states of a maintenance wave."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    DONE = "done"
+
+
+class Instance(msgspec.Struct, frozen=True, tag="instance"):
+    """Describe one upstream instance of the register."""
+
+    id: str
+    host: str
+    port: int
+    zone: str
+    rack: str
+    pool: str
+    slots: int
+    connections: int
+    cores: float
+    memory_gb: float
+    accelerators: int = 0
+
+
+class Team(msgspec.Struct, frozen=True, tag="team"):
+    """Describe a team's share when the fleet is full and its upper limit."""
+
+    name: str
+    share: float
+    limit: int
+
+
+class Key(msgspec.Struct, frozen=True, tag="key"):
+    """Hold the salted digest of a client key; a withdrawn key stays withdrawn."""
+
+    id: str
+    team: str
+    salt: str
+    digest: str
+    withdrawn: bool = False
+
+
+class Pool(msgspec.Struct, frozen=True, tag="pool"):
+    """Name a pool, the teams that may use it, and whether it is the spare."""
+
+    name: str
+    teams: tuple[str, ...]
+    spare: bool = False
+
+
+class Service(msgspec.Struct, frozen=True, tag="service"):
+    """Describe a service's pool and its availability budget."""
+
+    name: str
+    pool: str
+    availability: float
+    window_seconds: int
+    ready_floor: int
+
+
+class Queue(msgspec.Struct, frozen=True, tag="queue"):
+    """Describe a queue of requests for a service."""
+
+    name: str
+    service: str
+    queue_class: QueueClass
+    open: bool
+    idempotent: bool
+    deferred: bool
+    deadline_seconds: float
+    run_seconds: float
+
+
+class Settings(msgspec.Struct, frozen=True, tag="settings"):
+    """Hold the settings of the whole deployment."""
+
+    entry_instances: int
+    urgent_floor: float
+    reboot_seconds: float
+
+
+class Placement(msgspec.Struct, frozen=True, tag="placement"):
+    """Assign an instance to exactly one pool, with the phase that it is in."""
+
+    instance: str
+    pool: str
+    phase: PlacementPhase
+    wave: str = ""
+    next_pool: str = ""
+
+
+class Wave(msgspec.Struct, frozen=True, tag="wave"):
+    """Record a maintenance wave and the instances that it has yet to visit."""
+
+    name: str
+    phase: WavePhase
+    remaining: tuple[str, ...]
+    reason: str = ""
+
+
+Entry = Instance | Team | Key | Pool | Service | Queue | Settings | Placement | Wave
+
+_TYPE_PREFIXES: dict[type, str] = {
+    Instance: "instance",
+    Team: "team",
+    Key: "key",
+    Pool: "pool",
+    Service: "service",
+    Queue: "queue",
+    Settings: "settings",
+    Placement: "placement",
+    Wave: "wave",
+}
+
+
+def key_of(entry: Entry) -> str:
+    """Return the key that an entry is stored under, as `type/identifier`."""
+    prefix = _TYPE_PREFIXES[type(entry)]
+    match entry:
+        case Instance() | Key():
+            return f"{prefix}/{entry.id}"
+        case Placement():
+            return f"{prefix}/{entry.instance}"
+        case Settings():
+            return prefix
+        case _:
+            return f"{prefix}/{entry.name}"
--- /dev/null
+++ b/packages/baobablane/baobablane/config/_plan.py
@@ -0,0 +1,114 @@
+"""Plan the change that brings a configuration to what operators want."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+import msgspec
+
+from ._change import Change
+from ._entry import Entry, Instance, Key, Placement, PlacementPhase, Wave, key_of
+from ._fold import ConfigState, pool_of
+
+
+class PlanAction(StrEnum):
+    """Name what a plan does to an entry."""
+
+    ADD = "add"
+    CHANGE = "change"
+    REMOVE = "remove"
+    MOVE = "move"
+    KEEP_WITHDRAWN = "keep-withdrawn"
+
+
+@dataclass(frozen=True, slots=True)
+class PlanLine:
+    """Describe one effect of a plan."""
+
+    action: PlanAction
+    key: str
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold a change and a description of each of its effects."""
+
+    change: Change
+    lines: tuple[PlanLine, ...]
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the configuration is already as wanted."""
+        return not (self.change.puts or self.change.deletes)
+
+
+def plan_change(
+    state: ConfigState, wanted: Iterable[Entry], change_id: str, author: str
+) -> Plan:
+    """Return the change from the configuration in force to the wanted entries."""
+    wanted_by_key = {key_of(entry): entry for entry in wanted}
+    puts: list[Entry] = []
+    lines: list[PlanLine] = []
+    for key, entry in wanted_by_key.items():
+        added, line = _eval_entry(state, key, entry)
+        puts += added
+        if line is not None:
+            lines.append(line)
+    deletes = [
+        key
+        for key, held in state.entries_by_key.items()
+        if key not in wanted_by_key and not _is_kept(held.entry, wanted_by_key)
+    ]
+    lines += [PlanLine(PlanAction.REMOVE, key) for key in deletes]
+    touched = [key_of(entry) for entry in puts] + deletes
+    expects = {key: state.revision_of(key) for key in touched}
+    change = Change(change_id, author, expects, tuple(puts), tuple(deletes))
+    return Plan(change, tuple(lines))
+
+
+def _is_kept(entry: Entry, wanted_by_key: dict[str, Entry]) -> bool:
+    match entry:
+        case Placement():
+            return f"instance/{entry.instance}" in wanted_by_key
+        case Key():
+            # A key left out of the rules is removed by `key withdraw` alone.
+            return entry.withdrawn or f"team/{entry.team}" in wanted_by_key
+        case Wave():
+            return True
+        case _:
+            return False
+
+
+def _eval_entry(
+    state: ConfigState, key: str, entry: Entry
+) -> tuple[list[Entry], PlanLine | None]:
+    held = state.entries_by_key.get(key)
+    if held is None:
+        return [entry], PlanLine(PlanAction.ADD, key)
+    if held.entry == entry:
+        return [], None
+    if isinstance(entry, Key) and isinstance(held.entry, Key) and held.entry.withdrawn:
+        return [], PlanLine(PlanAction.KEEP_WITHDRAWN, key)
+    if isinstance(entry, Instance):
+        return _eval_instance(state, key, entry)
+    return [entry], PlanLine(PlanAction.CHANGE, key, _describe(held.entry, entry))
+
+
+def _eval_instance(
+    state: ConfigState, key: str, entry: Instance
+) -> tuple[list[Entry], PlanLine | None]:
+    pool = pool_of(state.entries_by_key, entry.id)
+    held = state.entries_by_key[key].entry
+    asked = held.pool if isinstance(held, Instance) else pool
+    if entry.pool in (pool, asked):
+        return [entry], PlanLine(PlanAction.CHANGE, key, _describe(held, entry))
+    drain = Placement(entry.id, pool, PlacementPhase.DRAINING, next_pool=entry.pool)
+    return [entry, drain], PlanLine(PlanAction.MOVE, key, f"{pool} -> {entry.pool}")
+
+
+def _describe(old: Entry, new: Entry) -> str:
+    before = msgspec.structs.asdict(old)
+    after = msgspec.structs.asdict(new)
+    changed = (name for name in after if before.get(name) != after[name])
+    return ", ".join(f"{name}: {before.get(name)} -> {after[name]}" for name in changed)
--- /dev/null
+++ b/packages/baobablane/baobablane/config/_view.py
@@ -0,0 +1,92 @@
+"""Index the configuration in force for decisions."""
+
+from dataclasses import dataclass, field
+
+from ._entry import (
+    Entry,
+    Instance,
+    Key,
+    Placement,
+    PlacementPhase,
+    Pool,
+    Queue,
+    Service,
+    Settings,
+    Team,
+    Wave,
+)
+from ._fold import ConfigState
+
+DEFAULT_SETTINGS = Settings(entry_instances=9, urgent_floor=0.1, reboot_seconds=60.0)
+
+
+@dataclass(slots=True)
+class ConfigView:
+    """Hold the entries of one revision, by type and key."""
+
+    revision: int
+    instances_by_id: dict[str, Instance] = field(default_factory=dict)
+    teams_by_name: dict[str, Team] = field(default_factory=dict)
+    keys_by_id: dict[str, Key] = field(default_factory=dict)
+    pools_by_name: dict[str, Pool] = field(default_factory=dict)
+    services_by_name: dict[str, Service] = field(default_factory=dict)
+    queues_by_name: dict[str, Queue] = field(default_factory=dict)
+    placements_by_instance: dict[str, Placement] = field(default_factory=dict)
+    waves_by_name: dict[str, Wave] = field(default_factory=dict)
+    settings: Settings = DEFAULT_SETTINGS
+    serving_by_pool: dict[str, tuple[Instance, ...]] = field(default_factory=dict)
+
+    def pool_of_queue(self, queue: Queue) -> str:
+        """Return the pool that serves a queue."""
+        return self.services_by_name[queue.service].pool
+
+    def pool_of(self, instance: str) -> str:
+        """Return the pool that an instance belongs to."""
+        placement = self.placements_by_instance.get(instance)
+        if placement is not None:
+            return placement.pool
+        return self.instances_by_id[instance].pool
+
+    def is_serving(self, instance: str) -> bool:
+        """Return whether an instance may be given new work."""
+        placement = self.placements_by_instance.get(instance)
+        return placement is None or placement.phase is PlacementPhase.SERVING
+
+
+def build_view(state: ConfigState) -> ConfigView:
+    """Return the indexed entries of a configuration state."""
+    view = ConfigView(state.revision)
+    for held in state.entries_by_key.values():
+        _add_entry(view, held.entry)
+    view.serving_by_pool = _group_serving(view)
+    return view
+
+
+def _add_entry(view: ConfigView, entry: Entry) -> None:
+    match entry:
+        case Instance():
+            view.instances_by_id[entry.id] = entry
+        case Team():
+            view.teams_by_name[entry.name] = entry
+        case Key():
+            view.keys_by_id[entry.id] = entry
+        case Pool():
+            view.pools_by_name[entry.name] = entry
+        case Service():
+            view.services_by_name[entry.name] = entry
+        case Queue():
+            view.queues_by_name[entry.name] = entry
+        case Placement():
+            view.placements_by_instance[entry.instance] = entry
+        case Wave():
+            view.waves_by_name[entry.name] = entry
+        case Settings():
+            view.settings = entry
+
+
+def _group_serving(view: ConfigView) -> dict[str, tuple[Instance, ...]]:
+    grouped: dict[str, list[Instance]] = {name: [] for name in view.pools_by_name}
+    for instance in view.instances_by_id.values():
+        if view.is_serving(instance.id):
+            grouped[view.pool_of(instance.id)].append(instance)
+    return {pool: tuple(members) for pool, members in grouped.items()}
--- /dev/null
+++ b/packages/baobablane/baobablane/dispatch/_dispatcher.py
@@ -0,0 +1,461 @@
+"""Decide when and where each request runs."""
+
+import math
+from collections.abc import Collection, Iterator
+from dataclasses import dataclass
+from random import Random
+
+from ..admission import ClassFloor, RunTimeEstimate, Waiting
+from ..config import ConfigView, QueueClass
+from ..errors import ResultCode
+from ..limits import Escrow
+from ..routing import (
+    EjectionPolicy,
+    EjectionTable,
+    RetryBudget,
+    UpstreamState,
+    choose_upstream,
+)
+from ..shares import DemandLine
+from ._attempt import Attempt, AttemptResult
+from ._pool import PoolState
+from ._reason import Reason
+from ._request import OPEN_TEAM, WorkRequest
+from ._step import Finish, Start, Step, Wait
+
+MAY_HAVE_RUN_CODES = {
+    AttemptResult.CONNECTION_LOST: ResultCode.CONNECTION_LOST,
+    AttemptResult.TIMEOUT: ResultCode.TIMEOUT,
+    AttemptResult.CROSSED: ResultCode.ANSWER_CROSSED,
+    AttemptResult.TRUNCATED: ResultCode.ANSWER_TRUNCATED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchPolicy:
+    """Hold the bounds of retries and waiting."""
+
+    most_failures: int = 3
+    retry_ratio: float = 0.2
+    retry_reserve: float = 10.0
+    full_seconds: float = 0.05
+    least_retry_after_seconds: float = 1.0
+    most_retry_after_seconds: float = 60.0
+    ejection: EjectionPolicy = EjectionPolicy()
+
+
+class Dispatcher:
+    """Hold waiting and running requests of one entry instance."""
+
+    def __init__(
+        self, zone: str, escrow: Escrow, random: Random, policy: DispatchPolicy
+    ) -> None:
+        """Start without a configuration."""
+        self._zone = zone
+        self._escrow = escrow
+        self._random = random
+        self._policy = policy
+        self._view = ConfigView(-1)
+        self._pools: dict[str, PoolState] = {}
+        self._upstreams: dict[str, UpstreamState] = {}
+        self._ejections = EjectionTable(policy.ejection)
+        self._run_times: dict[str, RunTimeEstimate] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._connection_part = 1
+        self.requests_by_id: dict[str, WorkRequest] = {}
+
+    @property
+    def pools(self) -> dict[str, PoolState]:
+        """Return the pools by name."""
+        return self._pools
+
+    def apply_config(self, view: ConfigView) -> None:
+        """Take a revision into force; running requests go on where they are."""
+        self._view = view
+        self._connection_part = max(1, view.settings.entry_instances)
+        for name, members in view.serving_by_pool.items():
+            pool = self._pools.get(name) or self._make_pool(name)
+            pool.upstreams = tuple(self._upstream(member.id) for member in members)
+        for name in self._pools.keys() - view.serving_by_pool.keys():
+            self._pools[name].upstreams = ()
+        for name, queue in view.queues_by_name.items():
+            self._run_times.setdefault(name, RunTimeEstimate(queue.run_seconds))
+
+    def set_escrow(self, escrow: Escrow) -> None:
+        """Count new starts in an escrow; running requests keep theirs."""
+        self._escrow = escrow
+
+    def set_leaving(self, instances: Collection[str]) -> None:
+        """Give nothing new to the upstreams that the platform lists as leaving."""
+        self._leaving = frozenset(instances)
+        for upstream in self._upstreams.values():
+            upstream.leaving = upstream.id in self._leaving
+
+    def in_flight(self, upstream: str) -> int:
+        """Return how many requests of this entry instance an upstream has."""
+        held = self._upstreams.get(upstream)
+        return 0 if held is None else held.in_flight
+
+    def submit(self, request: WorkRequest, now: float) -> Step:
+        """Start a request, let it wait, or refuse it at once."""
+        pool = self._pools.get(request.pool)
+        if pool is None or not pool.upstreams:
+            return self._finish_unstarted(
+                request, ResultCode.NO_UPSTREAM, Reason.NO_ROOM
+            )
+        if pool.line.count(request.team) == 0:
+            pool.clock.activate(request.team)
+        start_by = self._start_by(request)
+        wait_seconds = self._expected_wait(pool, request)
+        if now + wait_seconds > start_by:
+            retry_after = now + wait_seconds - start_by
+            return self._finish_unstarted(
+                request, ResultCode.QUEUE_FULL, Reason.POOL_BUDGET, retry_after
+            )
+        self.requests_by_id[request.id] = request
+        waiting = Waiting(request.id, request.team, request.queue.queue_class, start_by)
+        request.waiting = waiting
+        blocked = self._blocked_reason(pool, request.team)
+        if blocked is None and len(pool.line) == 0:
+            started = self._start(pool, request, Reason.IMMEDIATE, now)
+            if started is not None:
+                return started
+        pool.line.add(waiting)
+        return Wait(blocked or Reason.NO_ROOM, start_by)
+
+    def pump(self, now: float) -> Iterator[Start]:
+        """Yield the waiting requests that start now."""
+        for pool in self._pools.values():
+            while len(pool.line):
+                started = self._start_next(pool, now)
+                if started is None:
+                    break
+                yield started
+
+    def abandon(
+        self, request_id: str, code: ResultCode, reason: Reason
+    ) -> Finish | None:
+        """Give up a request that waits; return None if it is not waiting."""
+        request = self.requests_by_id.get(request_id)
+        if request is None or request.waiting is None:
+            return None
+        pool = self._pools[request.pool]
+        if not pool.line.remove(request.waiting):
+            return None
+        del self.requests_by_id[request_id]
+        retry_after = self._expected_wait(pool, request)
+        return self._finish_unstarted(request, code, reason, retry_after)
+
+    def answered(self, attempt: Attempt, result: AttemptResult, now: float) -> Step:
+        """Take an attempt's result and return what to do with its request."""
+        request = self.requests_by_id[attempt.request]
+        pool = self._pools[request.pool]
+        upstream = self._upstreams[attempt.upstream]
+        upstream.in_flight -= 1
+        self._note_health(request, upstream, pool, result, now)
+        step = self._next_step(pool, request, upstream, result, now)
+        if isinstance(step, Finish):
+            self._release(pool, request, result, now)
+            del self.requests_by_id[request.id]
+        return step
+
+    def demand(self) -> list[DemandLine]:
+        """Return the work of every team for every pool at this entry instance."""
+        lines: list[DemandLine] = []
+        for pool in self._pools.values():
+            waiting = pool.line.counts_by_team()
+            names = waiting.keys() | {t for t, n in pool.running_by_team.items() if n}
+            lines.extend(
+                DemandLine(
+                    pool.name,
+                    team,
+                    waiting.get(team, 0),
+                    pool.running_by_team[team],
+                    pool.served_by_team[team],
+                )
+                for team in sorted(names)
+            )
+        return lines
+
+    def waiting_for_limit(self) -> dict[str, int]:
+        """Return the waiting requests of teams that have no unit left here."""
+        waiting: dict[str, int] = {}
+        for pool in self._pools.values():
+            for team, count in pool.line.counts_by_team().items():
+                if team != OPEN_TEAM and self._escrow.available(team) < 1:
+                    waiting[team] = waiting.get(team, 0) + count
+        return waiting
+
+    def share_of(self, team: str) -> float:
+        """Return a team's share, 1 for work without a key."""
+        held = self._view.teams_by_name.get(team)
+        return 1.0 if held is None else held.share
+
+    def _make_pool(self, name: str) -> PoolState:
+        policy = self._policy
+        pool = PoolState(
+            name,
+            ClassFloor(self._view.settings.urgent_floor),
+            RetryBudget(policy.retry_ratio, policy.retry_reserve),
+        )
+        self._pools[name] = pool
+        return pool
+
+    def _upstream(self, instance_id: str) -> UpstreamState:
+        instance = self._view.instances_by_id[instance_id]
+        held = self._upstreams.get(instance_id)
+        if held is None:
+            held = UpstreamState(
+                instance.id, instance.zone, instance.slots, instance.connections
+            )
+            self._upstreams[instance_id] = held
+        held.zone = instance.zone
+        held.slots = instance.slots
+        held.connections = instance.connections
+        held.leaving = instance_id in self._leaving
+        return held
+
+    def _start_by(self, request: WorkRequest) -> float:
+        whole = request.deadline_at - request.arrived_at
+        run_seconds = self._run_times[request.queue.name].quantile(0.5)
+        return request.deadline_at - min(run_seconds, whole / 2)
+
+    def _expected_wait(self, pool: PoolState, request: WorkRequest) -> float:
+        queue_class = request.queue.queue_class
+        ahead = pool.line.count_class(queue_class, request.team)
+        if queue_class is QueueClass.NORMAL:
+            ahead = pool.line.count(request.team)
+        if ahead == 0:
+            return 0.0
+        run_seconds = self._run_times[request.queue.name].quantile(0.5)
+        return ahead * run_seconds / self._own_slots(pool, request.team)
+
+    def _own_slots(self, pool: PoolState, team: str) -> float:
+        shares = pool.shares
+        slots = pool.budget
+        if shares is not None and team in shares.own_by_team:
+            slots = shares.own_by_team[team]
+        if team != OPEN_TEAM:
+            slots = min(slots, self._escrow.usable(team))
+        return max(slots, 0.5)
+
+    def _blocked_reason(self, pool: PoolState, team: str) -> Reason | None:
+        if pool.running >= math.ceil(pool.budget):
+            return Reason.POOL_BUDGET
+        if team != OPEN_TEAM and self._escrow.available(team) < 1:
+            return Reason.TEAM_LIMIT
+        return None
+
+    def _start_next(self, pool: PoolState, now: float) -> Start | None:
+        for queue_class in pool.floor.order():
+            teams = (
+                team
+                for team in pool.line.teams(queue_class)
+                if self._blocked_reason(pool, team) is None
+            )
+            team = pool.clock.next_team(teams)
+            if team is None:
+                continue
+            waiting = pool.line.head(queue_class, team)
+            request = self.requests_by_id[waiting.request]
+            started = self._start(pool, request, Reason.WAITED, now)
+            if started is not None:
+                pool.line.remove(waiting)
+                return started
+        return None
+
+    def _start(
+        self, pool: PoolState, request: WorkRequest, reason: Reason, now: float
+    ) -> Start | None:
+        upstream = self._choose(pool, request, now)
+        if upstream is None:
+            return None
+        if request.team != OPEN_TEAM:
+            if not self._escrow.start(request.team):
+                return None
+            request.escrow = self._escrow
+        run_seconds = self._run_times[request.queue.name].quantile(0.5)
+        request.started_at = now
+        request.charged_seconds = run_seconds
+        pool.running += 1
+        pool.running_by_team[request.team] += 1
+        pool.clock.started(request.team)
+        self._charge(pool, request, run_seconds, now)
+        pool.retries.first_attempt()
+        return self._send(request, upstream, reason, now)
+
+    def _send(
+        self, request: WorkRequest, upstream: UpstreamState, reason: Reason, now: float
+    ) -> Start:
+        upstream.in_flight += 1
+        request.attempts += 1
+        request.upstream = upstream.id
+        self._ejections.sent(upstream.id, now)
+        attempt = Attempt(
+            f"{request.id}.{request.attempts}",
+            request.id,
+            upstream.id,
+            request.attempts,
+        )
+        return Start(attempt, reason, upstream.zone)
+
+    def _choose(
+        self, pool: PoolState, request: WorkRequest, now: float
+    ) -> UpstreamState | None:
+        def is_usable(upstream: UpstreamState) -> bool:
+            cap = max(1, upstream.connections // self._connection_part)
+            if not upstream.has_room(now, cap):
+                return False
+            return not self._ejections.is_ejected(upstream.id, now)
+
+        return choose_upstream(
+            pool.upstreams, self._zone, request.tried, is_usable, self._random
+        )
+
+    def _note_health(
+        self,
+        request: WorkRequest,
+        upstream: UpstreamState,
+        pool: PoolState,
+        result: AttemptResult,
+        now: float,
+    ) -> None:
+        members = tuple(member.id for member in pool.upstreams)
+        match result:
+            case AttemptResult.DONE:
+                self._ejections.succeeded(upstream.id)
+                # Another upstream could run it: the failures were not the request's.
+                for failed in request.failed_on:
+                    self._ejections.failed(failed, members, now)
+            case AttemptResult.FAILED if request.queue.idempotent:
+                self._ejections.dropped(upstream.id)
+                request.failed_on.append(upstream.id)
+            case AttemptResult.FULL:
+                self._ejections.dropped(upstream.id)
+                upstream.full_until = now + self._policy.full_seconds
+            case AttemptResult.CANCELLED | AttemptResult.NOT_RECORDED:
+                self._ejections.dropped(upstream.id)
+            case _:
+                self._ejections.failed(upstream.id, members, now)
+
+    def _next_step(
+        self,
+        pool: PoolState,
+        request: WorkRequest,
+        upstream: UpstreamState,
+        result: AttemptResult,
+        now: float,
+    ) -> Step:
+        match result:
+            case AttemptResult.DONE:
+                return Finish(ResultCode.DONE, Reason.ANSWERED)
+            case AttemptResult.CANCELLED:
+                return Finish(ResultCode.CANCELLED_RUNNING, Reason.CANCELLED)
+            case AttemptResult.NOT_RECORDED:
+                return self._finish_unstarted(
+                    request, ResultCode.LOG_UNAVAILABLE, Reason.UNCONFIRMED
+                )
+            case AttemptResult.FULL | AttemptResult.NOT_SENT:
+                return self._again_unstarted(pool, request, upstream, result, now)
+            case AttemptResult.FAILED:
+                return self._again_failed(pool, request, upstream, now)
+            case _:
+                code = MAY_HAVE_RUN_CODES[result]
+                request.ran = code
+                if not request.queue.idempotent:
+                    return Finish(code, Reason.MAY_HAVE_RUN)
+                return self._retry(pool, request, upstream, code, now)
+
+    def _again_unstarted(
+        self,
+        pool: PoolState,
+        request: WorkRequest,
+        upstream: UpstreamState,
+        result: AttemptResult,
+        now: float,
+    ) -> Step:
+        if result is AttemptResult.NOT_SENT:
+            request.tried.add(upstream.id)
+            if len(request.tried) > self._policy.most_failures:
+                return self._finish_unstarted(
+                    request, ResultCode.NOT_STARTED, Reason.NO_ROOM
+                )
+        chosen = self._choose(pool, request, now)
+        if chosen is not None:
+            return self._send(request, chosen, Reason.RETRY_NOT_STARTED, now)
+        waiting = request.waiting
+        if waiting is None or now >= waiting.start_by:
+            return self._finish_unstarted(
+                request, ResultCode.NOT_STARTED, Reason.NO_ROOM
+            )
+        self._release(pool, request, result, now)
+        request.upstream = ""
+        request.tried = set(request.failed_on)
+        pool.line.add(waiting, at_head=True)
+        return Wait(Reason.NO_ROOM, waiting.start_by)
+
+    def _again_failed(
+        self,
+        pool: PoolState,
+        request: WorkRequest,
+        upstream: UpstreamState,
+        now: float,
+    ) -> Step:
+        request.ran = ResultCode.UPSTREAM_FAILED
+        if not request.queue.idempotent:
+            return Finish(ResultCode.UPSTREAM_FAILED, Reason.FAILED)
+        if len(request.failed_on) >= self._policy.most_failures:
+            return Finish(ResultCode.GIVEN_UP, Reason.POISON)
+        return self._retry(pool, request, upstream, ResultCode.UPSTREAM_FAILED, now)
+
+    def _retry(
+        self,
+        pool: PoolState,
+        request: WorkRequest,
+        upstream: UpstreamState,
+        code: ResultCode,
+        now: float,
+    ) -> Step:
+        request.tried.add(upstream.id)
+        if now >= request.deadline_at:
+            return Finish(code, Reason.DEADLINE)
+        chosen = self._choose(pool, request, now)
+        if chosen is None:
+            return Finish(code, Reason.NO_ROOM)
+        if not pool.retries.take():
+            return Finish(code, Reason.RETRY_BUDGET)
+        return self._send(request, chosen, Reason.RETRY_FAILED, now)
+
+    def _release(
+        self, pool: PoolState, request: WorkRequest, result: AttemptResult, now: float
+    ) -> None:
+        started_at = now if request.started_at is None else request.started_at
+        actual = now - started_at
+        self._charge(pool, request, actual - request.charged_seconds, now)
+        if result is AttemptResult.DONE:
+            self._run_times[request.queue.name].observe(actual)
+        pool.running -= 1
+        pool.running_by_team[request.team] -= 1
+        if request.escrow is not None:
+            request.escrow.finish(request.team)
+            request.escrow = None
+
+    def _charge(
+        self, pool: PoolState, request: WorkRequest, seconds: float, now: float
+    ) -> None:
+        pool.clock.charge(request.team, seconds, self.share_of(request.team))
+        pool.floor.charge(request.queue.queue_class, seconds, now)
+        pool.served_by_team[request.team] += seconds
+
+    def _finish_unstarted(
+        self,
+        request: WorkRequest,
+        code: ResultCode,
+        reason: Reason,
+        retry_after_seconds: float = 0.0,
+    ) -> Finish:
+        if request.ran is not None:
+            return Finish(request.ran, Reason.MAY_HAVE_RUN)
+        policy = self._policy
+        bounded = min(retry_after_seconds, policy.most_retry_after_seconds)
+        return Finish(code, reason, max(bounded, policy.least_retry_after_seconds))
--- /dev/null
+++ b/packages/baobablane/baobablane/errors/__init__.py
@@ -0,0 +1,30 @@
+"""Re-export the result codes and the exception tree."""
+
+from ._error import (
+    BaobablaneError,
+    ConflictError,
+    InputError,
+    InputProblem,
+    LogUnavailableError,
+    NotFoundError,
+    NotInForceError,
+    RefusedError,
+)
+from ._outcome import Outcome
+from ._result_code import ResultCode, ResultDescription, describe, outcome_of
+
+__all__ = [
+    "BaobablaneError",
+    "ConflictError",
+    "InputError",
+    "InputProblem",
+    "LogUnavailableError",
+    "NotFoundError",
+    "NotInForceError",
+    "Outcome",
+    "RefusedError",
+    "ResultCode",
+    "ResultDescription",
+    "describe",
+    "outcome_of",
+]
--- /dev/null
+++ b/packages/baobablane/baobablane/journal/_journal.py
@@ -0,0 +1,87 @@
+"""Fold the journal stream into the state of each idempotency key."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..errors import Outcome, ResultCode, outcome_of
+from ..log import LogRecord
+from ._record import Intent, RecordedOutcome, decode_record
+
+PRUNE_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class KeyState:
+    """Hold the first intent of a key and what became of it."""
+
+    intent: Intent
+    outcome: RecordedOutcome | None = None
+
+    @property
+    def may_be_taken(self) -> bool:
+        """Return whether the intent is known never to have run."""
+        if self.outcome is None:
+            return False
+        return outcome_of(ResultCode(self.outcome.code)) is Outcome.NOT_RUN
+
+
+class Journal:
+    """Hold every key within its validity time, by the log's own clock."""
+
+    # The log's time of each record decides, so that no entry instance's clock can
+    # bring a key back to life.
+
+    def __init__(self, horizon_seconds: float) -> None:
+        """Accept keys that end at most `horizon_seconds` after their intent."""
+        self._horizon_seconds = horizon_seconds
+        self._by_key: dict[str, KeyState] = {}
+        self._next_offset = 0
+        self._pruned_at = 0.0
+
+    def __len__(self) -> int:
+        """Return how many keys are held."""
+        return len(self._by_key)
+
+    def get(self, key: str) -> KeyState | None:
+        """Return a key's state, None where it has no intent."""
+        return self._by_key.get(key)
+
+    def feed(self, records: Sequence[LogRecord]) -> list[Intent | RecordedOutcome]:
+        """Fold records in order and return those that decode."""
+        folded: list[Intent | RecordedOutcome] = []
+        for record in records:
+            if record.offset < self._next_offset:
+                continue
+            self._next_offset = record.offset + 1
+            decoded = decode_record(record.payload)
+            if decoded is not None:
+                self._apply(decoded, record.appended_at)
+                folded.append(decoded)
+            self._prune(record.appended_at)
+        return folded
+
+    def is_first(self, intent: Intent) -> bool:
+        """Return whether an intent that was read back holds its key."""
+        held = self._by_key.get(intent.key)
+        return held is not None and held.intent.id == intent.id
+
+    def _apply(self, record: Intent | RecordedOutcome, appended_at: float) -> None:
+        held = self._by_key.get(record.key)
+        if isinstance(record, Intent):
+            if held is None or (held.may_be_taken and held.intent.id != record.id):
+                self._take(record, appended_at)
+        elif held is not None and held.intent.id == record.intent:
+            held.outcome = held.outcome or record
+
+    def _take(self, intent: Intent, appended_at: float) -> None:
+        left = intent.expires_at - appended_at
+        if 0 < left <= self._horizon_seconds:
+            self._by_key[intent.key] = KeyState(intent)
+
+    def _prune(self, now: float) -> None:
+        if now - self._pruned_at < PRUNE_SECONDS:
+            return
+        self._pruned_at = now
+        ended = [k for k, s in self._by_key.items() if s.intent.expires_at <= now]
+        for key in ended:
+            del self._by_key[key]
--- /dev/null
+++ b/packages/baobablane/baobablane/keys/__init__.py
@@ -0,0 +1,5 @@
+"""Re-export the making and checking of client keys."""
+
+from ._client_key import ClientKey, digest_secret, matches, parse_client_key
+
+__all__ = ["ClientKey", "digest_secret", "matches", "parse_client_key"]
--- /dev/null
+++ b/packages/baobablane/baobablane/limits/_escrow.py
@@ -0,0 +1,214 @@
+"""Count one member's running work against the units that it holds."""
+
+from collections import defaultdict
+from collections.abc import Collection, Mapping
+
+from ._ledger import Ledger, LedgerLine
+from ._units import units_per_team
+
+Pair = tuple[str, str]
+
+
+class Escrow:
+    """Hold one member's units, loans and running counts for every team."""
+
+    # Loans are stated as totals that only grow, so a message that is lost, repeated
+    # or late can hide units for a while but never create any.
+
+    def __init__(self, me: str) -> None:
+        """Start without slots."""
+        self.me = me
+        self.running: dict[str, int] = defaultdict(int)
+        self._limits: dict[str, int] = {}
+        self._slots: frozenset[int] = frozenset()
+        self._base: dict[str, int] = {}
+        self._revision = -1
+        self._lowered_at: dict[str, int] = {}
+        self._lent: dict[Pair, int] = defaultdict(int)
+        self._lent_returned: dict[Pair, int] = defaultdict(int)
+        self._borrowed: dict[Pair, int] = defaultdict(int)
+        self._borrowed_returned: dict[Pair, int] = defaultdict(int)
+        # Units borrowed less units lent, kept for each team as starts read it often.
+        self._balance: dict[str, int] = defaultdict(int)
+        self._gone: set[str] = set()
+        self._wanted_by_peer: dict[str, dict[str, int]] = {}
+
+    def set_limits(self, limits_by_team: Mapping[str, int], revision: int) -> None:
+        """Apply the upper limits of a revision; loans of lowered limits go back."""
+        for team, held in self._limits.items():
+            if limits_by_team.get(team, 0) < held:
+                self._lowered_at[team] = revision
+        self._limits = dict(limits_by_team)
+        self._revision = revision
+        self._base = units_per_team(self._limits, self._slots)
+        self._return_idle(set(self._lowered_at))
+
+    def set_slots(self, slots: Collection[int]) -> None:
+        """Apply the slots that this member owns and is not giving up."""
+        self._slots = frozenset(slots)
+        self._base = units_per_team(self._limits, self._slots)
+
+    def usable(self, team: str) -> int:
+        """Return how many requests of a team may run here now."""
+        return self._base.get(team, 0) + self._balance[team]
+
+    def available(self, team: str) -> int:
+        """Return how many more requests of a team may start here."""
+        return self.usable(team) - self.running[team]
+
+    def start(self, team: str) -> bool:
+        """Count a request as running if a unit is available."""
+        if self.available(team) < 1:
+            return False
+        self.running[team] += 1
+        return True
+
+    def finish(self, team: str) -> None:
+        """Count a request as ended."""
+        if self.running[team] < 1:
+            raise ValueError(f"no request of {team} is running")
+        self.running[team] -= 1
+        if team in self._lowered_at:
+            self._return_idle({team})
+
+    def fits_without(self, slots: Collection[int]) -> bool:
+        """Return whether all running work fits after giving up some slots."""
+        kept = self._slots - frozenset(slots)
+        base = units_per_team(self._limits, kept)
+        return all(
+            self.running[team] <= units + self._balance[team]
+            for team, units in base.items()
+        )
+
+    def is_settled(self) -> bool:
+        """Return whether nothing runs and nothing is lent or borrowed."""
+        running = any(self.running.values())
+        lent = any(self._lent[p] > self._lent_returned[p] for p in list(self._lent))
+        pairs = list(self._borrowed)
+        held = any(self._borrowed[p] > self._borrowed_returned[p] for p in pairs)
+        return not (running or lent or held)
+
+    def lend(self, waiting_by_team: Mapping[str, int]) -> list[str]:
+        """Lend half of what is spare to the peers that want it; return them."""
+        peers: list[str] = []
+        for peer, wanted_by_team in self._wanted_by_peer.items():
+            if peer in self._gone:
+                continue
+            granted = [
+                self._lend_one(peer, team, wanted, waiting_by_team.get(team, 0))
+                for team, wanted in wanted_by_team.items()
+            ]
+            if any(granted):
+                peers.append(peer)
+        return peers
+
+    def return_unwanted(self, waiting_by_team: Mapping[str, int]) -> list[str]:
+        """Give back borrowed units that no waiting request needs; return lenders."""
+        teams = {team for _, team in self._borrowed if not waiting_by_team.get(team)}
+        return self._return_idle(teams)
+
+    def peer_noticed(self, peer: str) -> None:
+        """Stop using what a member under notice has lent."""
+        self._gone.add(peer)
+        for pair in self._borrowed:
+            if pair[0] == peer:
+                self._borrowed_returned[pair] = self._borrowed[pair]
+                self._update_balance(pair[1])
+
+    def peer_lapsed(self, peer: str) -> None:
+        """Take back what was lent to a member whose leases have all lapsed."""
+        self._gone.add(peer)
+        for pair in self._lent:
+            if pair[0] == peer:
+                self._lent_returned[pair] = self._lent[pair]
+                self._update_balance(pair[1])
+
+    def debtors(self) -> list[str]:
+        """Return the peers that hold units lent by this member."""
+        return sorted(
+            {
+                peer
+                for (peer, team), total in self._lent.items()
+                if total > self._lent_returned[(peer, team)]
+            }
+        )
+
+    def ledger_for(self, peer: str, wanted_by_team: Mapping[str, int]) -> Ledger:
+        """Return this member's totals towards a peer."""
+        teams = {t for p, t in self._lent if p == peer}
+        teams |= {t for p, t in self._borrowed if p == peer}
+        lines = tuple(
+            LedgerLine(
+                team,
+                self._lent.get((peer, team), 0),
+                self._borrowed_returned.get((peer, team), 0),
+            )
+            for team in sorted(teams)
+        )
+        return Ledger(self.me, peer, self._revision, lines, dict(wanted_by_team))
+
+    def hear_ledger(self, ledger: Ledger) -> None:
+        """Apply a peer's totals; older totals change nothing."""
+        if ledger.receiver != self.me or ledger.sender in self._gone:
+            return
+        self._wanted_by_peer[ledger.sender] = ledger.wanted_by_team
+        for line in ledger.lines:
+            pair = (ledger.sender, line.team)
+            self._hear_returned(pair, line.returned_total)
+            self._hear_lent(pair, line.lent_total, ledger.revision)
+
+    def _hear_returned(self, pair: Pair, total: int) -> None:
+        if total > self._lent_returned[pair]:
+            self._lent_returned[pair] = total
+            self._update_balance(pair[1])
+
+    def _hear_lent(self, pair: Pair, total: int, revision: int) -> None:
+        added = total - self._borrowed[pair]
+        if added <= 0:
+            return
+        self._borrowed[pair] = total
+        # The lender may have counted on a higher limit than the one in force.
+        if revision < self._lowered_at.get(pair[1], -1):
+            self._borrowed_returned[pair] += added
+        self._update_balance(pair[1])
+
+    def _lend_one(self, peer: str, team: str, wanted: int, waiting: int) -> bool:
+        # Only own units are lent on: each loan has one lender as its root.
+        own = self._base.get(team, 0) - self._outstanding(team) - self.running[team]
+        spare = min(own, self.available(team)) - waiting
+        granted = min(wanted, (spare + 1) // 2)
+        if granted < 1:
+            return False
+        self._lent[(peer, team)] += granted
+        self._update_balance(team)
+        return True
+
+    def _return_idle(self, teams: Collection[str]) -> list[str]:
+        lenders: list[str] = []
+        for pair in self._borrowed:
+            if pair[1] not in teams:
+                continue
+            held = self._borrowed[pair] - self._borrowed_returned[pair]
+            idle = min(held, max(0, self.available(pair[1])))
+            if idle > 0:
+                self._borrowed_returned[pair] += idle
+                self._update_balance(pair[1])
+                lenders.append(pair[0])
+        return lenders
+
+    def _update_balance(self, team: str) -> None:
+        self._balance[team] = self._held(team) - self._outstanding(team)
+
+    def _outstanding(self, team: str) -> int:
+        return sum(
+            total - self._lent_returned[pair]
+            for pair, total in self._lent.items()
+            if pair[1] == team
+        )
+
+    def _held(self, team: str) -> int:
+        return sum(
+            total - self._borrowed_returned[pair]
+            for pair, total in self._borrowed.items()
+            if pair[1] == team
+        )
--- /dev/null
+++ b/packages/baobablane/baobablane/limits/_units.py
@@ -0,0 +1,30 @@
+"""Divide a team's upper limit over the slots that members own."""
+
+import zlib
+from collections.abc import Collection, Mapping
+
+from ..membership import SLOT_COUNT
+
+# Coprime to SLOT_COUNT, so consecutive units fall on distant slots.
+UNIT_STRIDE = 149
+
+
+def base_units(team: str, limit: int, slots: Collection[int]) -> int:
+    """Return how many units of a team's limit lie on the given slots."""
+    if limit < 0:
+        raise ValueError(f"limit of {team} must not be negative, not {limit}")
+    whole, rest = divmod(limit, SLOT_COUNT)
+    start = zlib.crc32(team.encode()) % SLOT_COUNT
+    on_rest = sum(
+        (start + unit * UNIT_STRIDE) % SLOT_COUNT in slots for unit in range(rest)
+    )
+    return whole * len(slots) + on_rest
+
+
+def units_per_team(
+    limits_by_team: Mapping[str, int], slots: Collection[int]
+) -> dict[str, int]:
+    """Return the units of every team's limit that lie on the given slots."""
+    return {
+        team: base_units(team, limit, slots) for team, limit in limits_by_team.items()
+    }
--- /dev/null
+++ b/packages/baobablane/baobablane/log/__init__.py
@@ -0,0 +1,6 @@
+"""Re-export the log's record and the anchoring of a fold in a limited log."""
+
+from ._anchor import AnchoredFold, FoldRules
+from ._record import LogPage, LogRecord
+
+__all__ = ["AnchoredFold", "FoldRules", "LogPage", "LogRecord"]
--- /dev/null
+++ b/packages/baobablane/baobablane/membership/_view_lease.py
@@ -0,0 +1,73 @@
+"""Decide how long an instance may act on what it last read."""
+
+from dataclasses import dataclass
+
+from ._quorum import quorum_size
+
+
+@dataclass(frozen=True, slots=True)
+class PeerPosition:
+    """Hold what a peer had read when it answered a message of this instance."""
+
+    instance: str
+    # Monotonic time, in seconds, at which this instance sent that message.
+    asked_at: float
+    config_next: int
+    membership_next: int
+
+
+class ViewLease:
+    """Hold the times at which the view was last known to be current."""
+
+    def __init__(self, lease_seconds: float, entry_instances: int) -> None:
+        """Start without a confirmed view."""
+        self._lease_seconds = lease_seconds
+        self.entry_instances = entry_instances
+        self._config_read_at = float("-inf")
+        self._membership_read_at = float("-inf")
+        self._peers_by_instance: dict[str, PeerPosition] = {}
+        self._confirmed_by_peers_at = float("-inf")
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return the monotonic time, in seconds, that the view was current at."""
+        by_log = min(self._config_read_at, self._membership_read_at)
+        return max(by_log, self._confirmed_by_peers_at)
+
+    def is_confirmed(self, now: float) -> bool:
+        """Return whether the view may still be acted on."""
+        return now - self.confirmed_at <= self._lease_seconds
+
+    def config_read(self, asked_at: float) -> None:
+        """Note a read of the whole configuration stream, asked for at a time."""
+        self._config_read_at = max(self._config_read_at, asked_at)
+
+    def membership_read(self, asked_at: float) -> None:
+        """Note a read of the whole membership stream, asked for at a time."""
+        self._membership_read_at = max(self._membership_read_at, asked_at)
+
+    def peer_heard(
+        self, position: PeerPosition, config_next: int, membership_next: int
+    ) -> None:
+        """Note a peer's answer; a majority with nothing newer confirms the view."""
+        held = self._peers_by_instance.get(position.instance)
+        if held is not None and held.asked_at > position.asked_at:
+            return
+        self._peers_by_instance[position.instance] = position
+        needed = quorum_size(self.entry_instances) - 1
+        stamps = sorted(
+            (
+                peer.asked_at
+                for peer in self._peers_by_instance.values()
+                if peer.config_next <= config_next
+                and peer.membership_next <= membership_next
+            ),
+            reverse=True,
+        )
+        if 0 < needed <= len(stamps):
+            confirmed = stamps[needed - 1]
+            self._confirmed_by_peers_at = max(self._confirmed_by_peers_at, confirmed)
+
+    def forget_peer(self, instance: str) -> None:
+        """Drop what a peer said, as its incarnation has ended."""
+        self._peers_by_instance.pop(instance, None)
--- /dev/null
+++ b/packages/baobablane/baobablane/routing/__init__.py
@@ -0,0 +1,14 @@
+"""Re-export the choice of upstreams, their ejection, and retry budgets."""
+
+from ._budget import RetryBudget
+from ._choose import choose_upstream
+from ._ejection import EjectionPolicy, EjectionTable
+from ._upstream import UpstreamState
+
+__all__ = [
+    "EjectionPolicy",
+    "EjectionTable",
+    "RetryBudget",
+    "UpstreamState",
+    "choose_upstream",
+]
--- /dev/null
+++ b/packages/baobablane/baobablane/routing/_budget.py
@@ -0,0 +1,24 @@
+"""Bound retries to a part of first attempts."""
+
+
+class RetryBudget:
+    """Hold tokens that first attempts earn and retries spend."""
+
+    def __init__(self, ratio: float, reserve: float) -> None:
+        """Start with `reserve` tokens; each first attempt earns `ratio`."""
+        if not 0 <= ratio <= 1:
+            raise ValueError(f"ratio must lie between 0 and 1, not {ratio}")
+        self._ratio = ratio
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def first_attempt(self) -> None:
+        """Earn a part of a retry, up to the reserve."""
+        self._tokens = min(self._reserve, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Spend a retry if there is one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/packages/baobablane/baobablane/rules/_load.py
@@ -0,0 +1,128 @@
+"""Read a rules file and an asset register into configuration entries."""
+
+import tomllib
+from pathlib import Path
+
+from pydantic import ValidationError
+
+from ..config import (
+    Entry,
+    Key,
+    Pool,
+    Queue,
+    Service,
+    Settings,
+    Team,
+    key_of,
+    reference_problems,
+)
+from ..errors import InputError, InputProblem
+from ..register import read_register
+from ._locate import locate
+from ._model import RulesModel, TeamModel
+
+
+def load_input(rules_path: Path, register_path: Path) -> list[Entry]:
+    """Return all entries, or raise an InputError that names every fault."""
+    problems: list[InputProblem] = []
+    text = _read(rules_path, problems)
+    rules = _parse_rules(rules_path, text, problems)
+    register_text = _read(register_path, problems)
+    if rules is None or problems:
+        raise InputError(problems)
+    columns = rules.register_columns.model_dump()
+    instances = read_register(str(register_path), register_text, columns, problems)
+    located: list[tuple[Entry, str, int]] = [
+        (entry, str(rules_path), line) for entry, line in _rule_entries(rules, text)
+    ]
+    located += [(entry, str(register_path), line) for entry, line in instances]
+    problems += _find_duplicates(located)
+    problems += _find_missing(located)
+    if problems:
+        raise InputError(problems)
+    return [entry for entry, _, _ in located]
+
+
+def _read(path: Path, problems: list[InputProblem]) -> str:
+    try:
+        return path.read_text(encoding="utf-8-sig")
+    except (OSError, UnicodeDecodeError) as error:
+        problems.append(InputProblem(str(path), 0, "file", "", str(error)))
+        return ""
+
+
+def _parse_rules(
+    path: Path, text: str, problems: list[InputProblem]
+) -> RulesModel | None:
+    try:
+        return RulesModel.model_validate(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        found = "".join(
+            c for c in str(error).partition("line ")[2] if c.isdigit() or c == ","
+        )
+        line = int(found.split(",")[0] or 0)
+        problems.append(InputProblem(str(path), line, "syntax", "", str(error)))
+    except ValidationError as error:
+        for fault in error.errors():
+            problems.append(
+                InputProblem(
+                    str(path),
+                    locate(text, fault["loc"]),
+                    ".".join(str(part) for part in fault["loc"]),
+                    str(fault["input"])[:80],
+                    fault["msg"],
+                )
+            )
+    return None
+
+
+def _rule_entries(rules: RulesModel, text: str) -> list[tuple[Entry, int]]:
+    deployment = rules.deployment
+    settings = Settings(
+        deployment.entry_instances, deployment.urgent_floor, deployment.reboot_seconds
+    )
+    located: list[tuple[Entry, int]] = [(settings, locate(text, ["deployment"]))]
+    for index, pool in enumerate(rules.pools):
+        entry = Pool(pool.name, pool.teams, pool.spare)
+        located.append((entry, locate(text, ["pools", index])))
+    for index, service in enumerate(rules.services):
+        entry_service = Service(**service.model_dump())
+        located.append((entry_service, locate(text, ["services", index])))
+    for index, queue in enumerate(rules.queues):
+        entry_queue = Queue(**queue.model_dump())
+        located.append((entry_queue, locate(text, ["queues", index])))
+    for index, team in enumerate(rules.teams):
+        line = locate(text, ["teams", index])
+        located += [(entry, line) for entry in _team_entries(team)]
+    return located
+
+
+def _team_entries(team: TeamModel) -> list[Entry]:
+    entries: list[Entry] = [Team(team.name, team.share, team.limit)]
+    entries += [Key(key.id, team.name, key.salt, key.digest) for key in team.keys]
+    return entries
+
+
+def _find_duplicates(located: list[tuple[Entry, str, int]]) -> list[InputProblem]:
+    lines_by_key: dict[str, int] = {}
+    problems: list[InputProblem] = []
+    for entry, file, line in located:
+        key = key_of(entry)
+        if key in lines_by_key:
+            reason = f"already defined at line {lines_by_key[key]}"
+            problems.append(InputProblem(file, line, key, key, reason))
+        lines_by_key.setdefault(key, line)
+    return problems
+
+
+def _find_missing(located: list[tuple[Entry, str, int]]) -> list[InputProblem]:
+    places = {key_of(entry): (file, line) for entry, file, line in located}
+    entries = {key_of(entry): entry for entry, _, _ in located}
+    problems: list[InputProblem] = []
+    for text in reference_problems(entries):
+        key, _, rest = text.partition(" ")
+        file, line = places[key]
+        problems.append(
+            InputProblem(file, line, key, rest.split()[1].rstrip(","), rest)
+        )
+    return problems
--- /dev/null
+++ b/packages/baobablane/baobablane/rules/_model.py
@@ -0,0 +1,101 @@
+"""Validate what operators write in the rules file."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..config import QueueClass
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+
+
+class StrictModel(BaseModel):
+    """Refuse keys that are not known."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class DeploymentModel(StrictModel):
+    """Hold the settings of the whole deployment."""
+
+    # The most entry instances that ever run at one time.
+    entry_instances: int = Field(ge=1, le=64)
+    urgent_floor: float = Field(default=0.1, ge=0, lt=0.5)
+    reboot_seconds: float = Field(default=60.0, gt=0, le=3600)
+
+
+class RegisterModel(StrictModel):
+    """Map the columns of the asset register's export."""
+
+    id: str = "id"
+    host: str = "host"
+    port: str = "port"
+    zone: str = "zone"
+    rack: str = "rack"
+    pool: str = "pool"
+    slots: str = "slots"
+    connections: str = "connections"
+    cores: str = "cores"
+    memory_gb: str = "memory_gb"
+    accelerators: str = ""
+
+
+class PoolModel(StrictModel):
+    """Hold a pool."""
+
+    name: Name
+    teams: tuple[Name, ...]
+    spare: bool = False
+
+
+class ServiceModel(StrictModel):
+    """Hold a service and its availability budget."""
+
+    name: Name
+    pool: Name
+    availability: float = Field(gt=0, lt=1)
+    window_seconds: int = Field(default=86_400, ge=60)
+    ready_floor: int = Field(ge=0)
+
+
+class QueueModel(StrictModel):
+    """Hold a queue."""
+
+    name: Name
+    service: Name
+    queue_class: QueueClass = Field(alias="class")
+    open: bool = False
+    idempotent: bool
+    deferred: bool = False
+    deadline_seconds: float = Field(gt=0, le=3600)
+    run_seconds: float = Field(gt=0, le=3600)
+
+
+class KeyModel(StrictModel):
+    """Hold the published part of a client key."""
+
+    id: str = Field(pattern=r"^[a-z0-9]{4,32}$")
+    salt: str = Field(pattern=r"^[0-9a-f]{16,64}$")
+    digest: str = Field(pattern=r"^[0-9a-f]{64}$")
+
+
+class TeamModel(StrictModel):
+    """Hold a team."""
+
+    name: Name
+    share: float = Field(gt=0, le=1000)
+    limit: int = Field(ge=0, le=1_000_000)
+    keys: tuple[KeyModel, ...] = ()
+
+
+class RulesModel(StrictModel):
+    """Hold the whole rules file."""
+
+    deployment: DeploymentModel
+    register_columns: RegisterModel = Field(
+        default_factory=RegisterModel, alias="register"
+    )
+    pools: tuple[PoolModel, ...]
+    services: tuple[ServiceModel, ...]
+    queues: tuple[QueueModel, ...]
+    teams: tuple[TeamModel, ...]
--- /dev/null
+++ b/packages/conftest.py
@@ -0,0 +1,23 @@
+"""Choose how hypothesis searches: the same way in CI, with fresh seeds in a soak."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+RELAXED = [HealthCheck.too_slow, HealthCheck.data_too_large]
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    max_examples=100,
+    suppress_health_check=RELAXED,
+)
+settings.register_profile(
+    "soak",
+    deadline=None,
+    max_examples=5000,
+    print_blob=True,
+    suppress_health_check=RELAXED,
+)
+settings.load_profile(os.environ.get("BAOBAB_HYPOTHESIS", "ci"))
--- /dev/null
+++ b/scripts/check.py
@@ -0,0 +1,70 @@
+"""Run every check that CI runs, and print how many passed."""
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+BIN = Path(sys.executable).parent
+PACKAGES = (
+    "baobablane",
+    "baobablane-platform",
+    "baobablane-daemon",
+    "baobablane-client",
+    "baobablane-standin",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Name a check and its command."""
+
+    name: str
+    command: tuple[str, ...]
+
+
+def read_known_red() -> list[str]:
+    """Return the tests that KNOWN-RED.txt lists, from its lines `test: ID`."""
+    path = ROOT / "KNOWN-RED.txt"
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [
+        line.partition(":")[2].strip() for line in lines if line.startswith("test:")
+    ]
+
+
+def make_checks(known_red: list[str]) -> list[Check]:
+    """Return the checks in the order in which they run."""
+    sources = [f"packages/{name}/{name.replace('-', '_')}" for name in PACKAGES]
+    deselect = [f"--deselect={test}" for test in known_red if "::" in test]
+    return [
+        Check("format", ("ruff", "format", "--check", ".")),
+        Check("lint", ("ruff", "check", ".")),
+        Check("types", ("mypy", *sources)),
+        Check("tests", ("pytest", "packages", *deselect)),
+        Check("scenarios", ("behave", "--format=progress", "--tags=not @known-red")),
+    ]
+
+
+def main() -> int:
+    """Run all checks, even after one has failed."""
+    known_red = read_known_red()
+    for test in known_red:
+        print(f"known red, passed over: {test}", flush=True)
+    failed: list[str] = []
+    checks = make_checks(known_red)
+    for check in checks:
+        print(f"== {check.name}", flush=True)
+        command = [str(BIN / check.command[0]), *check.command[1:]]
+        if subprocess.run(command, cwd=ROOT, check=False).returncode:
+            failed.append(check.name)
+    for name in failed:
+        print(f"failed: {name}")
+    print(f"{len(checks) - len(failed)} passed, {len(failed)} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
