Plan drains, moves and waves; share pools by exchanged demand

Cause: upstreams could be drained by hand only, and fair shares had no measurement. The first one showed a team starved for whole seconds: each entry instance charged its peers' service to its own clock, so a team ahead there pushed the level at which others joined.

Change: whole slots of a team's max-min share are divided over entry instances by rounding a running total, so all parts add up; a local clock weighted by the own part shares out the rest. A planner at the first member heard advances moves and waves by records that name what they build on; a drain ends when every member that may still have work there reports none.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,12 @@
 """Run all measurements."""
 
 from .decisions import measure_decisions
+from .fairness import measure_fairness
 from .path import measure_path
+from .rollout import measure_rollout
 
 if __name__ == "__main__":
     measure_decisions()
+    measure_fairness()
     measure_path()
+    measure_rollout()
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -102,7 +102,7 @@
     pools = [f"pool-{number}" for number in range(size.pools)]
     names = [f"team-{number}" for number in range(size.teams)]
     # Each team asks for two pools through each entry instance.
-    table = DemandTable()
+    table = DemandTable("entry-20")
     own: dict[str, dict[str, int]] = {pool: {} for pool in pools}
     lines: list[DemandLine] = []
     for sender in range(size.entry_instances):
@@ -121,7 +121,8 @@
         table.report("entry-0", lines, 0.0)
         for pool in pools:
             others = table.by_team(pool)
-            compute_pool_shares(500.0, own[pool], others, weights, limits, 45)
+            before = table.by_team_before(pool)
+            compute_pool_shares(500.0, own[pool], others, before, weights, limits, 45)
 
     return time_of(share)
 
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -17,7 +17,14 @@
 from starlette.types import ASGIApp
 
 from .edge import make_callers_app, make_operators_app
-from .engine import AtMostOnce, CallServer, DeferredJobs, Engine, RequestRunner
+from .engine import (
+    AtMostOnce,
+    CallServer,
+    DeferredJobs,
+    Engine,
+    PlannerTask,
+    RequestRunner,
+)
 from .settings import DaemonSettings
 from .tasks import (
     DecisionLog,
@@ -60,6 +67,7 @@
     runner = RequestRunner(engine, upstreams, at_most_once)
     jobs = DeferredJobs(engine, runner)
     calls = CallServer(engine, runner, at_most_once, jobs)
+    planner = PlannerTask(engine)
     engine.on_cancel = calls.cancel_for_peer
     engine.on_deferred_page = jobs.handle_page
     listing = InstanceListTask(str(settings.platform.instance_list_url), engine.inbox)
@@ -86,6 +94,7 @@
             link.run(),
             decisions.run(),
             jobs.run(),
+            planner.run(),
             listing.run(),
             _tick(engine),
             _send_peers(link, outbox),
--- a/packages/baobablane-daemon/baobablane_daemon/engine/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/__init__.py
@@ -5,6 +5,7 @@
 from ._deferred import DeferredJobs
 from ._engine import Engine
 from ._make_status import make_status
+from ._planner_task import PlannerTask
 from ._run import RequestRunner
 from ._serve import CallServer
 from ._status import StatusReport
@@ -16,6 +17,7 @@
     "CallServer",
     "DeferredJobs",
     "Engine",
+    "PlannerTask",
     "RequestRunner",
     "StatusReport",
     "make_status",
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
@@ -27,6 +27,7 @@
     Step,
 )
 from baobablane.errors import ResultCode
+from baobablane.fleet import DrainReport
 from baobablane.journal import Intent, Journal, RecordedOutcome
 from baobablane.journal import encode_record as encode_journal_record
 from baobablane.log import AnchoredFold
@@ -103,8 +104,10 @@
         self._numbers = itertools.count(1)
         self._voided: dict[str, Intent] = {}
         self._echoes: dict[str, float] = {}
-        self._demands = DemandTable()
-        self._last_served: dict[tuple[str, str, str], float] = {}
+        self.drain_reports: dict[str, DrainReport] = {}
+        # Upstreams that the platform lists as leaving or gone.
+        self.listed_out: frozenset[str] = frozenset()
+        self._demands = DemandTable(settings.instance.id)
         self._beat_at = float("-inf")
         self._shared_at = float("-inf")
         self._duties_at = float("-inf")
@@ -164,6 +167,26 @@
         for start in self.dispatcher.pump(self.now()):
             self._hand_over(start)
 
+    def draining_in_flight(self) -> dict[str, int]:
+        """Return the work in flight here on upstreams that get nothing new."""
+        placements = self.view.placements_by_instance
+        counts = {
+            name: self.dispatcher.in_flight(name)
+            for name in placements
+            if not self.view.is_serving(name)
+        }
+        return {name: count for name, count in counts.items() if count}
+
+    def demand_by_pool(self) -> dict[str, float]:
+        """Return the slots that the work of all entry instances asks for."""
+        totals = {
+            name: float(sum(self._demands.by_team(name).values()))
+            for name in self.dispatcher.pools
+        }
+        for line in self.dispatcher.demand():
+            totals[line.pool] += line.waiting + line.running
+        return totals
+
     def pump_soon(self) -> None:
         """Start waiting requests once the caller has begun to wait."""
         asyncio.get_running_loop().call_soon(self.pump)
@@ -217,7 +240,8 @@
             case StateReply():
                 self._adopt_state(message)
             case InstancesListed():
-                self.dispatcher.set_leaving(message.leaving | message.gone)
+                self.listed_out = message.leaving | message.gone
+                self.dispatcher.set_leaving(self.listed_out)
                 self.cluster.tracker.terminated(set(message.gone))
             case Cancel():
                 self.on_cancel(message.request, message.team)
@@ -319,6 +343,7 @@
         waiting = self.dispatcher.waiting_for_limit()
         self.cluster.trade(waiting, now)
         demand = tuple(self.dispatcher.demand())
+        draining = self.draining_in_flight()
         instance = self.settings.instance
         for peer in self.cluster.peers():
             beat = Beat(
@@ -333,6 +358,7 @@
                 revision=self.view.revision,
                 demand=demand,
                 ledger=self.cluster.escrow.ledger_for(peer.incarnation, waiting),
+                draining=draining,
             )
             self._send(peer.address.host, peer.address.peer_port, encode_message(beat))
 
@@ -351,20 +377,12 @@
             beat.ledger,
         )
         if self.cluster.hear(hearing, self.config.next_offset, now):
-            self._demands.report(beat.sender, beat.demand, now)
-            self._charge_peer(beat)
+            self.drain_reports[beat.sender] = DrainReport(
+                beat.revision, now, beat.draining
+            )
+            self._demands.report(beat.instance, beat.demand, now)
         self._fetch_if_behind(beat, now)
 
-    def _charge_peer(self, beat: Beat) -> None:
-        for line in beat.demand:
-            key = (beat.sender, line.pool, line.team)
-            gained = line.served_total - self._last_served.get(key, 0.0)
-            self._last_served[key] = line.served_total
-            pool = self.dispatcher.pools.get(line.pool)
-            if pool is not None:
-                share = self.dispatcher.share_of(line.team)
-                pool.clock.charge(line.team, gained, share)
-
     def _fetch_if_behind(self, beat: Beat, now: float) -> None:
         ahead = (
             beat.config_next > self.config.next_offset
@@ -418,7 +436,13 @@
                 team: self.dispatcher.share_of(team) for team in {*mine, *theirs}
             }
             pool.shares = compute_pool_shares(
-                pool.capacity, mine, theirs, weights, limits, max(1, heard)
+                pool.capacity,
+                mine,
+                theirs,
+                self._demands.by_team_before(name),
+                weights,
+                limits,
+                max(1, heard),
             )
 
     def _hand_over(self, start: Start) -> None:
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_planner_task.py
@@ -0,0 +1,90 @@
+"""Carry out moves and maintenance waves, at one entry instance at a time."""
+
+import asyncio
+from secrets import token_hex
+
+from baobablane.config import Change, Placement, encode_record
+from baobablane.fleet import (
+    DrainReport,
+    FleetEvidence,
+    PlannedStep,
+    is_drained,
+    plan_steps,
+)
+from baobablane_platform import CONFIG_STREAM
+
+from ..tasks import Decision
+from ._engine import Engine
+
+PLAN_SECONDS = 1.0
+REPORT_SECONDS = 2.0
+
+
+class PlannerTask:
+    """Hold since when each placement has been in force here."""
+
+    def __init__(self, engine: Engine) -> None:
+        """Plan on an engine's state."""
+        self._engine = engine
+        self._since: dict[str, tuple[int, float]] = {}
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            await asyncio.sleep(PLAN_SECONDS)
+            engine = self._engine
+            self._note_phases()
+            # Without a confirmed view, as in a log outage, nothing advances.
+            may_plan = engine.may_run_team_work() and not engine.stopping
+            if may_plan and engine.cluster.is_first_heard(engine.now()):
+                self._plan()
+
+    def _plan(self) -> None:
+        engine = self._engine
+        for step in plan_steps(engine.config.state, engine.view, self._evidence()):
+            self._publish(step)
+
+    def _evidence(self) -> FleetEvidence:
+        engine = self._engine
+        now = engine.now()
+        return FleetEvidence(
+            failed=frozenset(engine.listed_out | engine.dispatcher.ejected(now)),
+            is_drained=self._is_drained,
+            seconds_in_phase=self._seconds_in_phase,
+            budget_left_by_service={
+                name: budget.part_left(now) for name, budget in engine.budgets.items()
+            },
+            demand_by_pool=engine.demand_by_pool(),
+        )
+
+    def _is_drained(self, upstream: str, revision: int) -> bool:
+        engine = self._engine
+        now = engine.now()
+        own = DrainReport(engine.view.revision, now, engine.draining_in_flight())
+        reports = {**engine.drain_reports, engine.incarnation: own}
+        oldest = now - REPORT_SECONDS
+        return is_drained(upstream, revision, engine.cluster.state, reports, oldest)
+
+    def _note_phases(self) -> None:
+        engine = self._engine
+        for name in engine.view.placements_by_instance:
+            revision = engine.config.state.revision_of(f"placement/{name}")
+            if self._since.get(name, (-1, 0.0))[0] != revision:
+                self._since[name] = (revision, engine.now())
+
+    def _seconds_in_phase(self, upstream: str) -> float:
+        since = self._since.get(upstream)
+        return 0.0 if since is None else self._engine.now() - since[1]
+
+    def _publish(self, step: PlannedStep) -> None:
+        engine = self._engine
+        change = Change(
+            f"{engine.incarnation}.{token_hex(6)}",
+            engine.incarnation,
+            step.expects,
+            (step.entry,),
+        )
+        engine.write(CONFIG_STREAM, encode_record(change))
+        upstream = step.entry.instance if isinstance(step.entry, Placement) else ""
+        decision = Decision("placed", upstream=upstream, reason=step.reason)
+        engine.decisions.write(decision)
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_peer_message.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_peer_message.py
@@ -24,6 +24,8 @@
     revision: int
     demand: tuple[DemandLine, ...]
     ledger: Ledger
+    # Work in flight on upstreams that get nothing new.
+    draining: dict[str, int] = {}
 
 
 class FetchState(msgspec.Struct, frozen=True, array_like=True, tag="f"):
--- a/packages/baobablane/baobablane/admission/_waiting_line.py
+++ b/packages/baobablane/baobablane/admission/_waiting_line.py
@@ -55,6 +55,10 @@
         """Yield the teams that wait in a class."""
         return iter(self._lines[queue_class])
 
+    def all_teams(self) -> set[str]:
+        """Return the teams that wait in any class."""
+        return {team for teams in self._lines.values() for team in teams}
+
     def count(self, team: str) -> int:
         """Return how many requests of a team wait, over all classes."""
         lines = (teams.get(team) for teams in self._lines.values())
@@ -67,8 +71,7 @@
 
     def counts_by_team(self) -> dict[str, int]:
         """Return how many requests wait for each team."""
-        names = {team for teams in self._lines.values() for team in teams}
-        return {team: self.count(team) for team in names}
+        return {team: self.count(team) for team in self.all_teams()}
 
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/packages/baobablane/baobablane/dispatch/_dispatcher.py
+++ b/packages/baobablane/baobablane/dispatch/_dispatcher.py
@@ -109,6 +109,12 @@
         held = self._upstreams.get(upstream)
         return 0 if held is None else held.in_flight
 
+    def ejected(self, now: float) -> set[str]:
+        """Return the upstreams that fail more than their peers."""
+        return {
+            name for name in self._upstreams if self._ejections.is_ejected(name, now)
+        }
+
     def submit(self, request: WorkRequest, now: float) -> Step:
         """Start a request, let it wait, or refuse it at once."""
         pool = self._pools.get(request.pool)
@@ -117,7 +123,7 @@
                 request, ResultCode.NO_UPSTREAM, Reason.NO_ROOM
             )
         if pool.line.count(request.team) == 0:
-            pool.clock.activate(request.team)
+            pool.clock.activate(request.team, pool.line.all_teams())
         start_by = self._start_by(request)
         wait_seconds = self._expected_wait(pool, request)
         if now + wait_seconds > start_by:
@@ -270,7 +276,7 @@
                 for team in pool.line.teams(queue_class)
                 if self._blocked_reason(pool, team) is None
             )
-            team = pool.clock.next_team(teams)
+            team = self._next_team(pool, list(teams))
             if team is None:
                 continue
             waiting = pool.line.head(queue_class, team)
@@ -459,10 +465,21 @@
     def _charge(
         self, pool: PoolState, request: WorkRequest, seconds: float, now: float
     ) -> None:
-        pool.clock.charge(request.team, seconds, self.share_of(request.team))
+        pool.clock.charge(request.team, seconds, self._weight(pool, request.team))
         pool.floor.charge(request.queue.queue_class, seconds, now)
         pool.served_by_team[request.team] += seconds
 
+    def _next_team(self, pool: PoolState, teams: list[str]) -> str | None:
+        slots = pool.shares.own_slots if pool.shares else {}
+        # Whole slots are kept for their teams; the clock shares out the rest.
+        below = [t for t in teams if pool.running_by_team[t] < slots.get(t, 0)]
+        return pool.clock.next_team(below or teams)
+
+    def _weight(self, pool: PoolState, team: str) -> float:
+        # What the team may have here of its share, by all entry instances' demand.
+        part = pool.shares.own_by_team.get(team, 0.0) if pool.shares else 0.0
+        return part if part > 0 else self.share_of(team)
+
     def _finish_unstarted(
         self,
         request: WorkRequest,
--- /dev/null
+++ b/packages/baobablane/baobablane/fleet/tests/test_planner.py
@@ -0,0 +1,232 @@
+"""Test moves and waves against failures, in virtual time."""
+
+from baobablane.config import (
+    Change,
+    ConfigState,
+    Instance,
+    Placement,
+    PlacementPhase,
+    Pool,
+    Service,
+    Settings,
+    Wave,
+    WavePhase,
+    apply_record,
+    build_view,
+    key_of,
+    pool_of,
+)
+from baobablane.fleet import DrainReport, FleetEvidence, is_drained, plan_steps
+from baobablane.membership import (
+    Join,
+    MemberAddress,
+    MembershipState,
+    Notice,
+    NoticeGround,
+    Reclaim,
+)
+from baobablane.membership import apply_record as apply_member_record
+from hypothesis import given
+from hypothesis import strategies as st
+
+POOLS = ("p0", "p1", "spare")
+FLOOR = 4
+REBOOT_SECONDS = 60.0
+
+
+class Fleet:
+    """Hold a configuration and what happens to its upstreams."""
+
+    def __init__(self):
+        """Start three pools of six, in racks of four across three zones."""
+        self.state = ConfigState()
+        self.offset = 0
+        self.now = 0.0
+        self.failed: set[str] = set()
+        self.busy: set[str] = set()
+        self.entered: dict[str, float] = {}
+        self.budget = {"s0": 1.0}
+        entries = [Settings(3, 0.1, REBOOT_SECONDS)]
+        entries += [Pool(name, (), name == "spare") for name in POOLS]
+        entries += [Service(f"s{n}", p, 0.99, 60, FLOOR) for n, p in enumerate(POOLS)]
+        for number in range(18):
+            zone = "abc"[number % 3]
+            rack = f"{zone}{number // 3 // 4}"
+            name = f"w{number:02d}"
+            pool = POOLS[number // 6]
+            entries.append(Instance(name, "h", 1, zone, rack, pool, 8, 64, 1, 1))
+        self.put(*entries)
+
+    def put(self, *entries, expects=None):
+        """Publish entries."""
+        if expects is None:
+            expects = {key_of(e): self.state.revision_of(key_of(e)) for e in entries}
+        change = Change(f"c{self.offset}", "t", expects, tuple(entries))
+        self.state, verdict = apply_record(self.state, self.offset, change)
+        self.offset += 1
+        for entry in entries:
+            if isinstance(entry, Placement) and verdict.accepted:
+                self.entered[entry.instance] = self.now
+        return verdict
+
+    def plan(self):
+        """Return the steps that may be taken now."""
+        evidence = FleetEvidence(
+            frozenset(self.failed),
+            lambda name, revision: name not in self.busy,
+            lambda name: self.now - self.entered[name],
+            self.budget,
+        )
+        return plan_steps(self.state, build_view(self.state), evidence)
+
+    def step(self):
+        """Take the steps that may be taken now."""
+        for planned in self.plan():
+            self.put(planned.entry, expects=planned.expects)
+        self.now += 10.0
+
+    def ready(self, pool):
+        """Return the upstreams of a pool that may get work and do not fail."""
+        members = build_view(self.state).serving_by_pool[pool]
+        return [instance for instance in members if instance.id not in self.failed]
+
+    def start_wave(self):
+        """Start a wave over every instance."""
+        names = tuple(sorted(build_view(self.state).instances_by_id))
+        self.put(Wave("w", WavePhase.RUNNING, names))
+
+    def wave(self):
+        """Return the wave."""
+        return build_view(self.state).waves_by_name["w"]
+
+
+class TestWave:
+    """Test that a wave visits everything and never goes below a floor."""
+
+    def test_wave_visits_every_instance_and_ends(self):
+        fleet = Fleet()
+        fleet.start_wave()
+        rebooted = set()
+        for _ in range(400):
+            fleet.step()
+            view = build_view(fleet.state)
+            for placement in view.placements_by_instance.values():
+                if placement.phase is PlacementPhase.REBOOTING:
+                    rebooted.add(placement.instance)
+            assert all(len(fleet.ready(pool)) >= FLOOR for pool in POOLS)
+        assert fleet.wave().phase is WavePhase.DONE
+        assert len(rebooted) == 18
+
+    @given(st.lists(st.tuples(st.integers(0, 17), st.booleans()), max_size=40))
+    def test_wave_takes_nothing_below_the_floor(self, events):
+        fleet = Fleet()
+        fleet.start_wave()
+        for number, is_failure in events:
+            name = f"w{number:02d}"
+            (fleet.failed.add if is_failure else fleet.failed.discard)(name)
+            before = {pool: len(fleet.ready(pool)) for pool in POOLS}
+            fleet.step()
+            for pool in POOLS:
+                after = len(fleet.ready(pool))
+                assert after >= min(before[pool], FLOOR)
+
+    def test_busy_upstream_is_not_rebooted(self):
+        fleet = Fleet()
+        fleet.busy = {f"w{n:02d}" for n in range(18)}
+        fleet.start_wave()
+        for _ in range(20):
+            fleet.step()
+        phases = {
+            p.phase for p in build_view(fleet.state).placements_by_instance.values()
+        }
+        assert phases == {PlacementPhase.DRAINING}
+
+    def test_correlated_failure_pauses_the_wave(self):
+        fleet = Fleet()
+        fleet.start_wave()
+        fleet.step()
+        view = build_view(fleet.state)
+        rack = [
+            i.id
+            for i in view.instances_by_id.values()
+            if i.rack == "b0" and view.is_serving(i.id)
+        ]
+        fleet.failed.update(rack[:2])
+        fleet.step()
+        assert fleet.wave().phase is WavePhase.PAUSED
+        assert fleet.wave().reason == "2 upstreams of rack b0 fail"
+
+    def test_spent_budget_pauses_the_wave(self):
+        fleet = Fleet()
+        fleet.budget["s0"] = 0.1
+        fleet.start_wave()
+        fleet.step()
+        assert fleet.wave().phase is WavePhase.PAUSED
+
+    def test_two_planners_change_nothing_twice(self):
+        fleet = Fleet()
+        fleet.start_wave()
+        first, second = fleet.plan(), fleet.plan()
+        assert all(fleet.put(s.entry, expects=s.expects).accepted for s in first)
+        assert not any(fleet.put(s.entry, expects=s.expects).accepted for s in second)
+
+
+class TestMove:
+    """Test moves between pools."""
+
+    def test_move_drains_then_reassigns(self):
+        fleet = Fleet()
+        fleet.busy = {"w12"}
+        move = Placement("w12", "spare", PlacementPhase.DRAINING, next_pool="p0")
+        fleet.put(move)
+        fleet.step()
+        assert pool_of(fleet.state.entries_by_key, "w12") == "spare"
+        fleet.busy.clear()
+        fleet.step()
+        assert pool_of(fleet.state.entries_by_key, "w12") == "p0"
+        assert len(fleet.ready("p0")) == 7
+
+    def test_racing_movers(self):
+        fleet = Fleet()
+        expects = {"placement/w12": -1}
+        one = Placement("w12", "spare", PlacementPhase.DRAINING, next_pool="p0")
+        two = Placement("w12", "spare", PlacementPhase.DRAINING, next_pool="p1")
+        assert fleet.put(one, expects=expects).accepted
+        assert not fleet.put(two, expects=expects).accepted
+
+
+class TestDrain:
+    """Test that a drain waits for every member that may have work there."""
+
+    def members(self):
+        """Return two members."""
+        state = MembershipState()
+        for offset, name in enumerate("ab"):
+            join = Join(f"j{name}", name, name, MemberAddress("h", 1, 2, "z"))
+            state, _ = apply_member_record(state, offset, join)
+        return state
+
+    def test_all_report_none(self):
+        reports = {name: DrainReport(5, 10.0) for name in "ab"}
+        assert is_drained("w", 5, self.members(), reports, 9.0)
+
+    def test_one_has_work(self):
+        reports = {"a": DrainReport(5, 10.0), "b": DrainReport(5, 10.0, {"w": 1})}
+        assert not is_drained("w", 5, self.members(), reports, 9.0)
+
+    def test_one_has_not_read_the_drain(self):
+        reports = {"a": DrainReport(5, 10.0), "b": DrainReport(4, 10.0)}
+        assert not is_drained("w", 5, self.members(), reports, 9.0)
+
+    def test_one_is_silent(self):
+        reports = {"a": DrainReport(5, 10.0), "b": DrainReport(5, 8.0)}
+        assert not is_drained("w", 5, self.members(), reports, 9.0)
+
+    def test_silent_member_counts_until_it_has_lapsed(self):
+        reports = {"a": DrainReport(5, 10.0)}
+        state = self.members()
+        notice = Notice("n", "b", 1, NoticeGround.SUSPECTED)
+        state, _ = apply_member_record(state, 2, notice)
+        assert not is_drained("w", 5, state, reports, 9.0)
+        state, _ = apply_member_record(state, 3, Reclaim("r", "b", 2))
+        assert is_drained("w", 5, state, reports, 9.0)
--- a/packages/baobablane/baobablane/shares/_fair_clock.py
+++ b/packages/baobablane/baobablane/shares/_fair_clock.py
@@ -12,13 +12,15 @@
         self._times: dict[str, float] = defaultdict(float)
         self._system_time = 0.0
 
-    def activate(self, team: str) -> None:
-        """Forfeit the service that a team did not ask for while it was idle."""
-        self._times[team] = max(self._times[team], self._system_time)
+    def activate(self, team: str, waiting: Iterable[str]) -> None:
+        """Let a team that was idle start level with the last of those that wait."""
+        times = (self._times[other] for other in waiting)
+        level = min(times, default=self._system_time)
+        self._times[team] = max(self._times[team], level)
 
-    def charge(self, team: str, slot_seconds: float, share: float) -> None:
-        """Advance a team by slot-seconds over its share."""
-        self._times[team] += slot_seconds / share
+    def charge(self, team: str, slot_seconds: float, weight: float) -> None:
+        """Advance a team by slot-seconds over its weight."""
+        self._times[team] += slot_seconds / weight
 
     def next_team(self, teams: Iterable[str]) -> str | None:
         """Return the team that is furthest behind, None where there is none."""
@@ -26,7 +28,7 @@
 
     def started(self, team: str) -> None:
         """Note that a team's request starts."""
-        self._system_time = max(self._system_time, self._times[team])
+        self._system_time = self._times[team]
 
     def _order(self, team: str) -> tuple[float, str]:
         return self._times[team], team
--- a/packages/baobablane/baobablane/shares/_pool_shares.py
+++ b/packages/baobablane/baobablane/shares/_pool_shares.py
@@ -13,6 +13,8 @@
     capacity: float
     by_team: Mapping[str, float] = field(default_factory=dict)
     own_by_team: Mapping[str, float] = field(default_factory=dict)
+    # Whole slots of each team's share that fall to this instance.
+    own_slots: Mapping[str, int] = field(default_factory=dict)
     own_budget: float = 0.0
 
 
@@ -20,6 +22,7 @@
     capacity: float,
     own_demand: Mapping[str, int],
     other_demand: Mapping[str, int],
+    before_demand: Mapping[str, int],
     weights: Mapping[str, float],
     limits: Mapping[str, int],
     entry_instances: int,
@@ -39,7 +42,25 @@
         for team, demand in own_demand.items()
         if demand > 0
     }
+    own_slots = {
+        team: _whole_slots(
+            int(by_team[team]), before_demand.get(team, 0), demand, total_demand[team]
+        )
+        for team, demand in own_demand.items()
+        if demand > 0
+    }
     # What no team asks for now is left to whoever is asked next.
     idle = max(0.0, capacity - sum(by_team.values()))
-    budget = sum(own_by_team.values()) + idle / max(1, entry_instances)
-    return PoolShares(capacity, by_team, own_by_team, budget)
+    before = sum(
+        by_team[team] * demand / total_demand[team]
+        for team, demand in before_demand.items()
+    )
+    upto = before + sum(own_by_team.values())
+    budget = round(upto) - round(before) + idle / max(1, entry_instances)
+    return PoolShares(capacity, by_team, own_by_team, own_slots, budget)
+
+
+def _whole_slots(slots: int, before: int, own: int, total: int) -> int:
+    # Rounding the running total makes the parts of all instances add up exactly.
+    upto = min(before + own, total)
+    return slots * upto // total - slots * min(before, total) // total
--- /dev/null
+++ b/packages/baobablane/baobablane/shares/tests/test_shares.py
@@ -0,0 +1,103 @@
+"""Test the division of a pool among teams and entry instances."""
+
+import pytest
+from baobablane.shares import (
+    DemandLine,
+    DemandTable,
+    FairClock,
+    compute_pool_shares,
+    weighted_max_min,
+)
+from hypothesis import given
+from hypothesis import strategies as st
+
+teams = st.dictionaries(
+    st.sampled_from("abcdef"), st.tuples(st.integers(0, 100), st.integers(1, 9))
+)
+
+
+class TestMaxMin:
+    """Test what makes an allocation max-min fair."""
+
+    @given(st.floats(0, 200), teams)
+    def test_allocation_is_fair(self, capacity, asked):
+        demands = {name: float(demand) for name, (demand, _) in asked.items()}
+        weights = {name: float(weight) for name, (_, weight) in asked.items()}
+        given_out = weighted_max_min(capacity, demands, weights)
+        assert sum(given_out.values()) <= capacity + 1e-6
+        levels = {name: given_out[name] / weights[name] for name in given_out}
+        for name, amount in given_out.items():
+            assert amount <= demands[name] + 1e-9
+            if amount < demands[name] - 1e-6:
+                assert levels[name] >= max(levels.values()) - 1e-6
+                assert sum(given_out.values()) >= capacity - 1e-6
+
+    def test_bad_weight_is_named(self):
+        with pytest.raises(ValueError, match="weight 0 of a"):
+            weighted_max_min(1.0, {"a": 1.0}, {"a": 0})
+
+
+class TestPoolShares:
+    """Test that the parts of all entry instances make up the whole."""
+
+    @given(
+        st.integers(1, 100),
+        st.lists(
+            st.dictionaries(st.sampled_from("abc"), st.integers(0, 30)),
+            min_size=1,
+            max_size=5,
+        ),
+    )
+    def test_parts_add_up(self, capacity, demand_by_entry):
+        parts = []
+        for me, own in enumerate(demand_by_entry):
+            table = DemandTable(f"e{me}")
+            for other, demand in enumerate(demand_by_entry):
+                if other != me:
+                    lines = [DemandLine("p", t, n, 0, 0.0) for t, n in demand.items()]
+                    table.report(f"e{other}", lines, 0.0)
+            parts.append(
+                compute_pool_shares(
+                    capacity,
+                    own,
+                    table.by_team("p"),
+                    table.by_team_before("p"),
+                    dict.fromkeys("abc", 1.0),
+                    {},
+                    len(demand_by_entry),
+                )
+            )
+        assert sum(part.own_budget for part in parts) == pytest.approx(capacity)
+        for team in "abc":
+            whole = sum(part.own_slots.get(team, 0) for part in parts)
+            assert whole == int(parts[0].by_team.get(team, 0))
+
+
+class TestDemandTable:
+    """Test reports that are replaced and that expire."""
+
+    def test_last_report_counts(self):
+        table = DemandTable("b")
+        table.report("a", [DemandLine("p", "t", 3, 1, 0.0)], 0.0)
+        table.report("a", [DemandLine("p", "t", 1, 1, 0.0)], 1.0)
+        assert table.by_team("p") == {"t": 2}
+        assert table.by_team_before("p") == {"t": 2}
+        table.expire(2.0)
+        assert table.by_team("p") == {}
+
+
+class TestFairClock:
+    """Test the order of teams."""
+
+    def test_idle_team_gains_no_credit(self):
+        clock = FairClock()
+        clock.charge("busy", 100.0, 1.0)
+        clock.activate("idle", ["busy"])
+        clock.charge("idle", 1.0, 1.0)
+        assert clock.next_team(["busy", "idle"]) == "busy"
+
+    def test_weight_slows_the_clock(self):
+        clock = FairClock()
+        clock.charge("heavy", 4.0, 4.0)
+        clock.charge("light", 2.0, 1.0)
+        assert clock.next_team(["heavy", "light"]) == "heavy"
