Let budgets add up with the whole slots that they hold

Cause: an entry instance's budget was rounded apart from its whole slots, so some held more whole slots than budget and others idle budget.

Change: a budget is the sum of whole slots, and a part of the remainder by the same rounding of a running total.

--- a/packages/baobablane/baobablane/shares/_pool_shares.py
+++ b/packages/baobablane/baobablane/shares/_pool_shares.py
@@ -49,14 +49,17 @@
         for team, demand in own_demand.items()
         if demand > 0
     }
+    # What whole slots leave over is split over instances by all teams' demand.
+    rest = round(sum(by_team.values()) - sum(int(share) for share in by_team.values()))
+    extra = _whole_slots(
+        rest,
+        sum(before_demand.values()),
+        sum(own_demand.values()),
+        max(1, sum(total_demand.values())),
+    )
     # What no team asks for now is left to whoever is asked next.
     idle = max(0.0, capacity - sum(by_team.values()))
-    before = sum(
-        by_team[team] * demand / total_demand[team]
-        for team, demand in before_demand.items()
-    )
-    upto = before + sum(own_by_team.values())
-    budget = round(upto) - round(before) + idle / max(1, entry_instances)
+    budget = sum(own_slots.values()) + extra + idle / max(1, entry_instances)
     return PoolShares(capacity, by_team, own_by_team, own_slots, budget)
 
 
