--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,164 @@
+"""Measure the slopes that docs/CAPACITY.md is worked out from."""
+
+import os
+import re
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import median
+
+from baobablane.config import (
+    ABSENT,
+    Change,
+    Instance,
+    Team,
+    build_view,
+    encode_record,
+    make_checkpoint,
+)
+from baobablane.journal import Intent
+from baobablane.journal import encode_record as encode_intent
+from baobablane.limits import Escrow, Ledger
+from baobablane.membership import SLOT_COUNT
+from baobablane.shares import DemandLine
+from baobablane_daemon.tasks import Beat, decode_message, encode_message
+from baobablane_standin.free_ports import find_fleet_ports
+from baobablane_standin.local_fleet import OPERATOR_TOKEN, LocalFleet, http
+
+from .fleet_view import first_state, make_entries, publish
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "fundacion"
+SIZES = ((30, 5, 6, 9), (550, 9, 38, 12), (1100, 17, 75, 23), (2200, 34, 150, 45))
+MEMBER_COUNTS = (3, 6, 9)
+WATCH_SECONDS = 10.0
+ROUNDS = 7
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Hold a process's totals."""
+
+    cpu_seconds: float
+    memory_bytes: int
+    bytes_by_name: dict[str, float]
+
+
+def main() -> None:
+    """Print every measured point and slope."""
+    _measure_state()
+    _measure_beats()
+    _measure_records()
+    _measure_daemons()
+
+
+def _measure_state() -> None:
+    print("state in memory and cost of one configuration change")
+    for instances, pools, teams, entries in SIZES:
+        tracemalloc.start()
+        state = first_state(make_entries(instances, pools, teams, entries))
+        view = build_view(state)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        change = [Team("team-1", 2.0, 300)]
+        seconds = _time(lambda s=state, c=change: build_view(publish(c, s, 1)))
+        size = len(encode_record(make_checkpoint(state, 0, "c")))
+        print(f"  {instances} instances, {pools} pools, {teams} teams: ", end="")
+        print(f"{held / 1e6:.2f} MB, change {seconds * 1e3:.2f} ms, ", end="")
+        print(f"checkpoint {size / 1e3:.0f} KB, revision {view.revision}")
+
+
+def _measure_beats() -> None:
+    print("one heartbeat: bytes, and microseconds to encode and to decode")
+    for lines in (0, 5, 20, 80, 300):
+        demand = tuple(
+            DemandLine(f"pool-{n % 34}", f"team-{n % 150}", 3, 2, 1234.5)
+            for n in range(lines)
+        )
+        ledger = Ledger("entry-10-0a1b2c3d", "entry-20-0a1b2c3d", 123456, (), {})
+        beat = Beat(
+            "entry-10-0a1b2c3d",
+            "entry-10",
+            "10.0.0.1",
+            8200,
+            123456.789012,
+            123456.789012,
+            123456,
+            12345,
+            123456,
+            demand,
+            ledger,
+        )
+        frame = encode_message(beat)
+        wrote = _time(lambda b=beat: encode_message(b))
+        read = _time(lambda f=frame: decode_message(f))
+        cost = f"{wrote * 1e6:.1f}, {read * 1e6:.1f}"
+        print(f"  {lines} demand lines: {len(frame)} B, {cost}")
+
+
+def _measure_records() -> None:
+    team = Change("change-0123456789abcdef", "ana", {"team/t": 5}, (Team("t", 1, 9),))
+    row = Instance("w-1", "10.0.0.1", 80, "zone-1", "rack-1", "pool-1", 8, 64, 32, 64)
+    new = Change("change-0123456789abcdef", "ana", {"instance/w-1": ABSENT}, (row,))
+    intent = Intent(
+        "entry-1-0a1b2c3d-12.intent", "k" * 32, "f" * 32, "entry-1-0a1b2c3d", 1e9
+    )
+    print("records: ", end="")
+    print(f"team change {len(encode_record(team))} B, ", end="")
+    print(f"instance change {len(encode_record(new))} B, ", end="")
+    print(f"intent {len(encode_intent(intent))} B")
+    escrow = Escrow("me")
+    limits = {f"team-{n}": 400 for n in range(150)}
+    escrow.set_limits(limits, 0)
+    seconds = _time(lambda: escrow.set_slots(range(SLOT_COUNT)))
+    print(f"units of 150 teams over new slots: {seconds * 1e3:.2f} ms")
+
+
+def _measure_daemons() -> None:
+    print("one daemon at rest")
+    for members in MEMBER_COUNTS:
+        with LocalFleet(entries=members, ports=find_fleet_ports()) as fleet:
+            fleet.apply(EXAMPLE)
+            for index in range(members):
+                fleet.wait_ready(index)
+            before = _read(fleet)
+            time.sleep(WATCH_SECONDS)
+            after = _read(fleet)
+        cpu = (after.cpu_seconds - before.cpu_seconds) / WATCH_SECONDS
+        print(f"  {members} members: {cpu * 100:.1f}% of a core, ", end="")
+        print(f"{after.memory_bytes / 1e6:.0f} MB, ", end="")
+        print(
+            ", ".join(
+                f"{name} {(total - before.bytes_by_name[name]) / WATCH_SECONDS:.0f}/s"
+                for name, total in after.bytes_by_name.items()
+            )
+        )
+
+
+def _read(fleet: LocalFleet) -> Reading:
+    pid = fleet.processes["entry-0"].pid
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+    text = http(
+        "GET", f"{fleet.operators_url(0)}/metrics", headers=headers
+    ).body.decode()
+    found = re.findall(r"^baobablane_((?:peer|log)_\w+)_total (\S+)$", text, re.M)
+    totals = {name: float(value) for name, value in found}
+    return Reading(ticks / os.sysconf("SC_CLK_TCK"), pages * PAGE_BYTES, totals)
+
+
+def _time(action: Callable[[], object]) -> float:
+    times: list[float] = []
+    for _ in range(ROUNDS):
+        started_at = time.perf_counter()
+        action()
+        times.append(time.perf_counter() - started_at)
+    return median(times)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/baobablane-client/baobablane_client/main.py
+++ b/packages/baobablane-client/baobablane_client/main.py
@@ -19,7 +19,7 @@
 def main() -> None:
     """Run the command line; errors give their result code and an exit status."""
     try:
-        fire.Fire(Commands, name="baobab")
+        fire.Fire(Commands(), name="baobab")
     except BaobablaneError as error:
         print(f"error {int(error.code)}: {error}", file=sys.stderr)
         sys.exit(EXIT_STATUS_BY_CODE.get(error.code, 1))
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -24,6 +24,7 @@
     Engine,
     PlannerTask,
     RequestRunner,
+    Traffic,
 )
 from .settings import DaemonSettings
 from .tasks import (
@@ -68,6 +69,14 @@
     jobs = DeferredJobs(engine, runner)
     calls = CallServer(engine, runner, at_most_once, jobs)
     planner = PlannerTask(engine)
+    engine.traffic = lambda: Traffic(
+        link.bytes_sent,
+        link.bytes_received,
+        link.bad_frames,
+        log.bytes_read,
+        writer.appends,
+        writer.records,
+    )
     engine.on_cancel = calls.cancel_for_peer
     engine.on_deferred_page = jobs.handle_page
     listing = InstanceListTask(str(settings.platform.instance_list_url), engine.inbox)
--- a/packages/baobablane-daemon/baobablane_daemon/engine/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/__init__.py
@@ -9,6 +9,7 @@
 from ._run import RequestRunner
 from ._serve import CallServer
 from ._status import StatusReport
+from ._traffic import Traffic
 
 __all__ = [
     "AtMostOnce",
@@ -20,5 +21,6 @@
     "PlannerTask",
     "RequestRunner",
     "StatusReport",
+    "Traffic",
     "make_status",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
@@ -57,6 +57,7 @@
     encode_message,
 )
 from ._metrics import EngineCollector
+from ._traffic import Traffic
 from ._waiters import Waiters
 
 CHECKPOINT_PARTS_OF_RETENTION = 3
@@ -99,6 +100,7 @@
         # Other parts of the process that handle what the engine only receives.
         self.on_cancel: Callable[[str, str], None] = lambda request, team: None
         self.on_deferred_page: Callable[[PageRead], None] = lambda read: None
+        self.traffic: Callable[[], Traffic] = Traffic
         self._writer_inbox = writer_inbox
         self._peer_outbox = peer_outbox
         self._numbers = itertools.count(1)
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_metrics.py
@@ -1,6 +1,7 @@
 """Export an engine's state as metrics."""
 
 from collections.abc import Iterator
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
@@ -25,6 +26,14 @@
         yield from self._collect_services()
         yield from self._collect_teams()
         yield from self._collect_pools()
+        yield from self._collect_traffic()
+
+    def _collect_traffic(self) -> Iterator[Family]:
+        for name, total in asdict(self._engine.traffic()).items():
+            text = f"Total of {name.replace('_', ' ')}"
+            family = CounterMetricFamily(f"baobablane_{name}", text)
+            family.add_metric([], total)
+            yield family
 
     def _collect_state(self) -> Iterator[Family]:
         engine = self._engine
--- a/packages/baobablane-daemon/baobablane_daemon/main.py
+++ b/packages/baobablane-daemon/baobablane_daemon/main.py
@@ -39,4 +39,4 @@
     arguments = sys.argv[1:]
     if arguments and arguments[0].startswith("--config"):
         arguments = ["run", *arguments]
-    fire.Fire(DaemonCommands, command=arguments, name="baobabd")
+    fire.Fire(DaemonCommands(), command=arguments, name="baobabd")
--- a/packages/baobablane/baobablane/errors/_result_code.py
+++ b/packages/baobablane/baobablane/errors/_result_code.py
@@ -26,7 +26,6 @@
     NOT_READY = 209
     LOG_UNAVAILABLE = 210
     IDEMPOTENCY_KEY_MISSING = 211
-    KEY_VALIDITY_PASSED = 212
     CANCELLED = 213
     STOPPING = 214
     BODY_TOO_LARGE = 215
@@ -42,6 +41,8 @@
     CANCELLED_RUNNING = 305
     ACCEPTANCE_UNKNOWN = 306
     ANSWER_NOT_KEPT = 307
+    # An earlier request with the key may have run while it was valid.
+    KEY_VALIDITY_PASSED = 308
     INPUT_INVALID = 400
     CHANGE_CONFLICT = 401
     OPERATOR_LOG_UNAVAILABLE = 402
