Leave room for urgent work; end waves that lose an instance; replay a run

Ruled out: stopping long tasks for urgent ones, as nothing says that upstreams can go on with them elsewhere.

Change: work that runs for over 1.4 s and is not urgent leaves a quarter (urgent_reserve) of a pool with urgent queues; an instance not back after three reboots stays out and the wave goes on; the log's failure refuses at once.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -112,7 +112,12 @@
     escrow = Escrow("me")
     limits = {f"team-{n}": 400 for n in range(150)}
     escrow.set_limits(limits, 0)
-    seconds = _time(lambda: escrow.set_slots(range(SLOT_COUNT)))
+
+    def change_slots() -> None:
+        escrow.set_slots(())
+        escrow.set_slots(range(SLOT_COUNT))
+
+    seconds = _time(change_slots) / 2
     print(f"units of 150 teams over new slots: {seconds * 1e3:.2f} ms")
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_at_most_once.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_at_most_once.py
@@ -51,6 +51,8 @@
         if left > retention / 2:
             detail = f"Idempotency-Expires is more than {retention / 2:.0f} s ahead"
             raise RefusedError(ResultCode.BAD_REQUEST, detail)
+        if self._engine.journal_is_failing:
+            raise RefusedError(ResultCode.LOG_UNAVAILABLE, "", LOG_RETRY_SECONDS)
         if not self._engine.journal_is_read:
             raise RefusedError(ResultCode.NOT_READY, "", LOG_RETRY_SECONDS)
 
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
@@ -87,6 +87,7 @@
         retention = settings.platform.log_retention_seconds
         self.journal = Journal(retention / HORIZON_PARTS_OF_RETENTION)
         self.journal_is_read = False
+        self.journal_is_failing = False
         self.view = ConfigView(-1)
         self.config_verdicts: Waiters[Verdict] = Waiters()
         self.journal_reads: Waiters[bool] = Waiters()
@@ -247,6 +248,8 @@
                 self.cluster.tracker.terminated(set(message.gone))
             case Cancel():
                 self.on_cancel(message.request, message.team)
+            case ReadFailed(stream="journal"):
+                self.journal_is_failing = True
             case ReadFailed():
                 pass
 
@@ -269,6 +272,7 @@
                 self.on_deferred_page(read)
 
     def _journal_read(self, read: PageRead) -> None:
+        self.journal_is_failing = False
         for record in self.journal.feed(read.page.records):
             if isinstance(record, RecordedOutcome):
                 self._voided.pop(record.intent, None)
--- a/packages/baobablane/baobablane/config/_entry.py
+++ b/packages/baobablane/baobablane/config/_entry.py
@@ -99,6 +99,8 @@
     entry_instances: int
     urgent_floor: float
     reboot_seconds: float
+    # Part of a pool with urgent queues that long work of other queues leaves free.
+    urgent_reserve: float = 0.25
 
 
 class Placement(msgspec.Struct, frozen=True, tag="placement"):
--- a/packages/baobablane/baobablane/dispatch/_dispatcher.py
+++ b/packages/baobablane/baobablane/dispatch/_dispatcher.py
@@ -23,6 +23,9 @@
 from ._request import OPEN_TEAM, WorkRequest
 from ._step import Finish, Start, Step, Wait
 
+# Work that runs for longer may keep urgent work from starting in time.
+URGENT_START_SECONDS = 1.4
+
 MAY_HAVE_RUN_CODES = {
     AttemptResult.CONNECTION_LOST: ResultCode.CONNECTION_LOST,
     AttemptResult.TIMEOUT: ResultCode.TIMEOUT,
@@ -84,6 +87,13 @@
             pool.set_upstreams(upstreams, self._zone)
         for name in self._pools.keys() - view.serving_by_pool.keys():
             self._pools[name].set_upstreams((), self._zone)
+        urgent = {
+            view.pool_of_queue(queue)
+            for queue in view.queues_by_name.values()
+            if queue.queue_class is QueueClass.URGENT
+        }
+        for name, pool in self._pools.items():
+            pool.has_urgent_queues = name in urgent
         for name, queue in view.queues_by_name.items():
             self._run_times.setdefault(name, RunTimeEstimate(queue.run_seconds))
 
@@ -135,7 +145,7 @@
         waiting = Waiting(request.id, request.team, request.queue.queue_class, start_by)
         request.waiting = waiting
         blocked = self._blocked_reason(pool, request.team)
-        if blocked is None and len(pool.line) == 0:
+        if blocked is None and len(pool.line) == 0 and self._fits(pool, request):
             started = self._start(pool, request, Reason.IMMEDIATE, now)
             if started is not None:
                 return started
@@ -269,6 +279,18 @@
             return Reason.TEAM_LIMIT
         return None
 
+    def _fits(self, pool: PoolState, request: WorkRequest) -> bool:
+        if not pool.has_urgent_queues or not self._is_long(request):
+            return True
+        part = 1 - self._view.settings.urgent_reserve
+        return pool.running_long < max(1, int(pool.budget * part))
+
+    def _is_long(self, request: WorkRequest) -> bool:
+        if request.queue.queue_class is QueueClass.URGENT:
+            return False
+        run_seconds = self._run_times[request.queue.name].quantile(0.5)
+        return run_seconds > URGENT_START_SECONDS
+
     def _start_next(self, pool: PoolState, now: float) -> Start | None:
         for queue_class in pool.floor.order():
             teams = (
@@ -281,6 +303,8 @@
                 continue
             waiting = pool.line.head(queue_class, team)
             request = self.requests_by_id[waiting.request]
+            if not self._fits(pool, request):
+                continue
             started = self._start(pool, request, Reason.WAITED, now)
             if started is not None:
                 pool.line.remove(waiting)
@@ -300,6 +324,8 @@
         run_seconds = self._run_times[request.queue.name].quantile(0.5)
         request.started_at = now
         request.charged_seconds = run_seconds
+        request.is_long = self._is_long(request)
+        pool.running_long += request.is_long
         pool.running += 1
         pool.running_by_team[request.team] += 1
         pool.clock.started(request.team)
@@ -457,6 +483,8 @@
         if result is AttemptResult.DONE:
             self._run_times[request.queue.name].observe(actual)
         pool.running -= 1
+        pool.running_long -= request.is_long
+        request.is_long = False
         pool.running_by_team[request.team] -= 1
         if request.escrow is not None:
             request.escrow.finish(request.team)
--- a/packages/baobablane/baobablane/dispatch/_pool.py
+++ b/packages/baobablane/baobablane/dispatch/_pool.py
@@ -24,6 +24,9 @@
     # Slots of the upstreams that may get new work.
     capacity: int = 0
     running: int = 0
+    # Running work that is neither urgent nor short.
+    running_long: int = 0
+    has_urgent_queues: bool = False
     running_by_team: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     served_by_team: dict[str, float] = field(default_factory=lambda: defaultdict(float))
 
--- a/packages/baobablane/baobablane/dispatch/_request.py
+++ b/packages/baobablane/baobablane/dispatch/_request.py
@@ -29,6 +29,7 @@
     waiting: Waiting | None = None
     started_at: float | None = None
     charged_seconds: float = 0.0
+    is_long: bool = False
     upstream: str = ""
     # The result of the latest attempt that ran or may have run.
     ran: ResultCode | None = None
--- a/packages/baobablane/baobablane/dispatch/tests/test_dispatcher.py
+++ b/packages/baobablane/baobablane/dispatch/tests/test_dispatcher.py
@@ -254,3 +254,18 @@
         total = sum(served.values())
         assert served["q"] > 0.8 * total
         assert served["rest"] >= 0.08 * total
+
+    def test_long_work_leaves_room_for_urgent_work(self):
+        rebuild = Queue("rest", "s", QueueClass.NORMAL, False, True, False, 600.0, 60.0)
+        urgent = make_queue()
+        dispatcher, _ = make_dispatcher(queues=[urgent, rebuild])
+        for number in range(100):
+            request = make_request(f"rebuild-{number}", rebuild, seconds=600.0)
+            dispatcher.submit(request, 0.0)
+        assert dispatcher.pools["p"].running == 36
+        steps = [dispatcher.submit(make_request(n, now=1.0), 1.0) for n in range(12)]
+        # They wait behind the rebuilds in line, but start with the next pump.
+        assert all(isinstance(step, (Start, Wait)) for step in steps)
+        started = {start.attempt.request for start in dispatcher.pump(1.0)}
+        started |= {s.attempt.request for s in steps if isinstance(s, Start)}
+        assert started == {f"r{n}" for n in range(12)}
--- a/packages/baobablane/baobablane/fleet/_planner.py
+++ b/packages/baobablane/baobablane/fleet/_planner.py
@@ -20,6 +20,8 @@
 # Failures outside the wave, in one rack, that are taken to be correlated.
 CORRELATED_FAILURES = 2
 LEAST_BUDGET_LEFT = 0.25
+# Lengths of a reboot after which an instance is taken not to come back.
+REBOOTS_WAITED_FOR = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,10 @@
         is_back = evidence.seconds_in_phase(name) >= view.settings.reboot_seconds
         if is_back and name not in evidence.failed:
             return Placement(name, placement.pool, PlacementPhase.SERVING)
+        patience = view.settings.reboot_seconds * REBOOTS_WAITED_FOR
+        if placement.wave and evidence.seconds_in_phase(name) >= patience:
+            # It stays out, as a failure, and the wave goes on without it.
+            return msgspec.structs.replace(placement, wave="")
     return None
 
 
--- a/packages/baobablane/baobablane/fleet/tests/test_planner.py
+++ b/packages/baobablane/baobablane/fleet/tests/test_planner.py
@@ -163,6 +163,17 @@
         fleet.step()
         assert fleet.wave().phase is WavePhase.PAUSED
 
+    def test_instance_that_does_not_come_back_does_not_stop_the_wave(self):
+        fleet = Fleet()
+        fleet.failed = {"w06"}
+        fleet.start_wave()
+        for _ in range(400):
+            fleet.step()
+        assert fleet.wave().phase is WavePhase.DONE
+        view = build_view(fleet.state)
+        assert not view.is_serving("w06")
+        assert len(fleet.ready("p1")) == 5
+
     def test_two_planners_change_nothing_twice(self):
         fleet = Fleet()
         fleet.start_wave()
--- a/packages/baobablane/baobablane/limits/_escrow.py
+++ b/packages/baobablane/baobablane/limits/_escrow.py
@@ -45,7 +45,10 @@
 
     def set_slots(self, slots: Collection[int]) -> None:
         """Apply the slots that this member owns and is not giving up."""
-        self._slots = frozenset(slots)
+        owned = frozenset(slots)
+        if owned == self._slots:
+            return
+        self._slots = owned
         self._base = units_per_team(self._limits, self._slots)
 
     def usable(self, team: str) -> int:
--- a/packages/baobablane/baobablane/rules/_load.py
+++ b/packages/baobablane/baobablane/rules/_load.py
@@ -78,9 +78,7 @@
 
 def _rule_entries(rules: RulesModel, text: str) -> list[tuple[Entry, int]]:
     deployment = rules.deployment
-    settings = Settings(
-        deployment.entry_instances, deployment.urgent_floor, deployment.reboot_seconds
-    )
+    settings = Settings(**deployment.model_dump())
     located: list[tuple[Entry, int]] = [(settings, locate(text, ["deployment"]))]
     for index, pool in enumerate(rules.pools):
         entry = Pool(pool.name, pool.teams, pool.spare)
--- a/packages/baobablane/baobablane/rules/_model.py
+++ b/packages/baobablane/baobablane/rules/_model.py
@@ -22,6 +22,7 @@
     entry_instances: int = Field(ge=1, le=64)
     urgent_floor: float = Field(default=0.1, ge=0, lt=0.5)
     reboot_seconds: float = Field(default=60.0, gt=0, le=3600)
+    urgent_reserve: float = Field(default=0.25, ge=0, lt=1)
 
 
 class RegisterModel(StrictModel):
--- /dev/null
+++ b/scripts/record_trace.py
@@ -0,0 +1,62 @@
+"""Record the streams of a run under failures, with the outcome that it came to."""
+
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+from baobablane.log import AnchoredFold, LogPage, LogRecord
+from baobablane.membership import MEMBERSHIP_FOLD
+from baobablane_standin.free_ports import find_fleet_ports
+from baobablane_standin.local_fleet import LocalFleet, http
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "fundacion"
+STREAMS = ("config", "membership")
+
+
+def main() -> None:
+    """Run a fleet through failures and write its streams to a folder."""
+    folder = Path(sys.argv[1])
+    folder.mkdir(parents=True, exist_ok=True)
+    with LocalFleet(ports=find_fleet_ports()) as fleet:
+        fleet.apply(EXAMPLE)
+        _wait_ready(fleet)
+        fleet.switch(fleet.log_url, lose_answers=True)
+        fleet.baobab("key", "withdraw", "rochademo")
+        fleet.switch(fleet.log_url)
+        fleet.baobab("drain", "w-01")
+        fleet.signal("entry-1", signal.SIGKILL)
+        fleet.processes["entry-1"].wait()
+        fleet.start_entry(1)
+        _wait_ready(fleet)
+        fleet.signal("entry-2", signal.SIGTERM)
+        fleet.processes["entry-2"].wait()
+        fleet.wait_for(lambda: _is_settled(fleet), "an owner of every slot")
+        for stream in STREAMS:
+            _write(fleet, stream, folder)
+
+
+def _wait_ready(fleet: LocalFleet) -> None:
+    for index in range(fleet.entries):
+        fleet.wait_ready(index)
+
+
+def _is_settled(fleet: LocalFleet) -> bool:
+    fold = AnchoredFold(MEMBERSHIP_FOLD)
+    fold.feed(_read(fleet, "membership"))
+    return not fold.state.free_slots()
+
+
+def _read(fleet: LocalFleet, stream: str) -> tuple[LogRecord, ...]:
+    url = f"{fleet.log_url}/streams/{stream}/records?from=0"
+    return msgspec.json.decode(http("GET", url).body, type=LogPage).records
+
+
+def _write(fleet: LocalFleet, stream: str, folder: Path) -> None:
+    encoded = (msgspec.json.encode(record) for record in _read(fleet, stream))
+    lines = (line.decode() + "\n" for line in encoded)
+    (folder / f"{stream}.jsonl").write_text("".join(lines))
+
+
+if __name__ == "__main__":
+    main()
