Part peers' messages and checkpoints from the engine; forget ended loans

Ruled out: clearing loans by age, as a live member may hold one for long.

Change: files of their own for peers' messages and checkpoints, no behaviour changed there; loans with a member under notice, or lapsed, are dropped.

--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_checkpoints.py
@@ -0,0 +1,52 @@
+"""Repeat what is in force before the log's older records expire."""
+
+from typing import TYPE_CHECKING
+
+from baobablane.config import encode_record, make_checkpoint
+from baobablane.membership import encode_record as encode_member_record
+from baobablane.membership import make_checkpoint as make_member_checkpoint
+from baobablane_platform import CONFIG_STREAM, MEMBERSHIP_STREAM
+
+if TYPE_CHECKING:
+    from ._engine import Engine
+
+CHECKPOINTS_PER_RETENTION = 3
+
+
+class CheckpointWriter:
+    """Hold when each stream was last checkpointed, as far as is known here."""
+
+    def __init__(self, engine: "Engine") -> None:
+        """Write checkpoints of an engine's folds."""
+        self._engine = engine
+        # The log's time, in seconds since the epoch.
+        self._last: dict[str, float] = {}
+
+    def note_oldest(self, stream: str, appended_at: float) -> None:
+        """Note the oldest record read of a stream."""
+        self._last.setdefault(stream, appended_at)
+
+    def write_due(self, wall: float) -> None:
+        """Write the checkpoints that are due at a time since the epoch."""
+        retention = self._engine.settings.platform.log_retention_seconds
+        oldest = wall - retention / CHECKPOINTS_PER_RETENTION
+        record_id = f"{self._engine.incarnation}.checkpoint.{int(wall)}"
+        if self._last.get(CONFIG_STREAM, wall) < oldest:
+            self._last[CONFIG_STREAM] = wall
+            self._write_config(record_id)
+        if self._last.get(MEMBERSHIP_STREAM, wall) < oldest:
+            self._last[MEMBERSHIP_STREAM] = wall
+            self._write_membership(record_id)
+
+    def _write_config(self, record_id: str) -> None:
+        fold = self._engine.config
+        if fold.anchored:
+            record = make_checkpoint(fold.state, fold.next_offset - 1, record_id)
+            self._engine.write(CONFIG_STREAM, encode_record(record))
+
+    def _write_membership(self, record_id: str) -> None:
+        fold = self._engine.cluster.fold
+        if fold.anchored:
+            upto = fold.next_offset - 1
+            record = make_member_checkpoint(fold.state, upto, record_id)
+            self._engine.write(MEMBERSHIP_STREAM, encode_member_record(record))
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_peer_exchange.py
@@ -0,0 +1,133 @@
+"""Exchange heartbeats, state and cancellations with the other entry instances."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from baobablane.cluster import Hearing
+from baobablane.config import CONFIG_FOLD, encode_record, make_checkpoint
+from baobablane.fleet import DrainReport
+from baobablane.membership import MEMBERSHIP_FOLD
+from baobablane.membership import encode_record as encode_member_record
+from baobablane.membership import make_checkpoint as make_member_checkpoint
+
+from ..tasks import (
+    Beat,
+    Cancel,
+    FetchState,
+    PeerSend,
+    StateReply,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    from ._engine import Engine
+
+FETCH_SECONDS = 0.5
+
+
+class PeerExchange:
+    """Hold what peers were last heard to say."""
+
+    def __init__(self, engine: "Engine", outbox: "asyncio.Queue[PeerSend]") -> None:
+        """Send through `outbox` what concerns an engine."""
+        self._engine = engine
+        self._outbox = outbox
+        self._echoes: dict[str, float] = {}
+        self._fetched_at = float("-inf")
+        self.drain_reports: dict[str, DrainReport] = {}
+
+    def send_beats(self, now: float) -> None:
+        """Send a heartbeat to every other active member."""
+        if not self._engine.cluster.state.is_active(self._engine.incarnation):
+            return
+        waiting = self._engine.dispatcher.waiting_for_limit()
+        self._engine.cluster.trade(waiting, now)
+        demand = tuple(self._engine.dispatcher.demand())
+        draining = self._engine.draining_in_flight()
+        instance = self._engine.settings.instance
+        escrow = self._engine.cluster.escrow
+        for peer in self._engine.cluster.peers():
+            beat = Beat(
+                sender=self._engine.incarnation,
+                instance=instance.id,
+                host=str(instance.host),
+                port=instance.peers_port,
+                sent_at=now,
+                echoed_at=self._echoes.get(peer.incarnation, float("-inf")),
+                config_next=self._engine.config.next_offset,
+                membership_next=self._engine.cluster.fold.next_offset,
+                revision=self._engine.view.revision,
+                demand=demand,
+                ledger=escrow.ledger_for(peer.incarnation, waiting),
+                draining=draining,
+            )
+            self._send(peer.address.host, peer.address.peer_port, encode_message(beat))
+
+    def _send(self, host: str, port: int, frame: bytes) -> None:
+        self._outbox.put_nowait(PeerSend(host, port, frame))
+
+    def hear_beat(self, beat: Beat) -> None:
+        """Take a peer's heartbeat; fetch its state if it has read further."""
+        now = self._engine.now()
+        self._echoes[beat.sender] = beat.sent_at
+        hearing = Hearing(
+            beat.sender,
+            beat.instance,
+            beat.echoed_at if self._engine.config.anchored else float("-inf"),
+            beat.config_next,
+            beat.membership_next,
+            beat.ledger,
+        )
+        if self._engine.cluster.hear(hearing, self._engine.config.next_offset, now):
+            self.drain_reports[beat.sender] = DrainReport(
+                beat.revision, now, beat.draining
+            )
+            self._engine.demands.report(beat.instance, beat.demand, now)
+        self._fetch_if_behind(beat, now)
+
+    def _fetch_if_behind(self, beat: Beat, now: float) -> None:
+        ahead = (
+            beat.config_next > self._engine.config.next_offset
+            or beat.membership_next > self._engine.cluster.fold.next_offset
+        )
+        if not ahead or now - self._fetched_at < FETCH_SECONDS:
+            return
+        self._fetched_at = now
+        instance = self._engine.settings.instance
+        me = self._engine.incarnation
+        message = FetchState(me, str(instance.host), instance.peers_port)
+        self._send(beat.host, beat.port, encode_message(message))
+
+    def reply_state(self, message: FetchState) -> None:
+        """Send the folds of this instance to a peer that is behind."""
+        if not (self._engine.config.anchored and self._engine.cluster.fold.anchored):
+            return
+        config_next = self._engine.config.next_offset
+        member_next = self._engine.cluster.fold.next_offset
+        config = make_checkpoint(self._engine.config.state, config_next - 1, "peer")
+        state = self._engine.cluster.state
+        membership = make_member_checkpoint(state, member_next - 1, "peer")
+        reply = StateReply(
+            self._engine.incarnation,
+            config_next,
+            encode_record(config),
+            member_next,
+            encode_member_record(membership),
+        )
+        self._send(message.host, message.port, encode_message(reply))
+
+    def adopt_state(self, reply: StateReply) -> None:
+        """Take a peer's folds where they are newer."""
+        config = CONFIG_FOLD.decode(reply.config)
+        if config is not None and self._engine.config.adopt(config, reply.config_next):
+            self._engine.config_changed([])
+        membership = MEMBERSHIP_FOLD.decode(reply.membership)
+        if membership is not None:
+            self._engine.cluster.adopt(membership, reply.membership_next)
+            self._engine.follow_escrow()
+
+    def send_cancel(self, request: str, team: str) -> None:
+        """Pass a caller's cancellation on to all peers."""
+        frame = encode_message(Cancel(self._engine.incarnation, request, team))
+        for peer in self._engine.cluster.peers():
+            self._send(peer.address.host, peer.address.peer_port, frame)
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_planner_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_planner_task.py
@@ -61,7 +61,7 @@
         engine = self._engine
         now = engine.now()
         own = DrainReport(engine.view.revision, now, engine.draining_in_flight())
-        reports = {**engine.drain_reports, engine.incarnation: own}
+        reports = {**engine.peers.drain_reports, engine.incarnation: own}
         oldest = now - REPORT_SECONDS
         return is_drained(upstream, revision, engine.cluster.state, reports, oldest)
 
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_serve.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_serve.py
@@ -146,7 +146,7 @@
         except RefusedError as refused:
             return self._refusal(order, refused)
         if not self._runner.cancel(order.request, team):
-            self._engine.send_cancel(order.request, team)
+            self._engine.peers.send_cancel(order.request, team)
         return CallAnswer(order.request, ResultCode.CANCEL_PASSED_ON)
 
     def cancel_for_peer(self, request: str, team: str) -> None:
--- a/packages/baobablane/baobablane/limits/_escrow.py
+++ b/packages/baobablane/baobablane/limits/_escrow.py
@@ -113,18 +113,18 @@
     def peer_noticed(self, peer: str) -> None:
         """Stop using what a member under notice has lent."""
         self._gone.add(peer)
-        for pair in self._borrowed:
-            if pair[0] == peer:
-                self._borrowed_returned[pair] = self._borrowed[pair]
-                self._update_balance(pair[1])
+        for pair in [pair for pair in self._borrowed if pair[0] == peer]:
+            del self._borrowed[pair]
+            self._borrowed_returned.pop(pair, None)
+            self._update_balance(pair[1])
 
     def peer_lapsed(self, peer: str) -> None:
         """Take back what was lent to a member whose leases have all lapsed."""
         self._gone.add(peer)
-        for pair in self._lent:
-            if pair[0] == peer:
-                self._lent_returned[pair] = self._lent[pair]
-                self._update_balance(pair[1])
+        for pair in [pair for pair in self._lent if pair[0] == peer]:
+            del self._lent[pair]
+            self._lent_returned.pop(pair, None)
+            self._update_balance(pair[1])
 
     def debtors(self) -> list[str]:
         """Return the peers that hold units lent by this member."""
