Show placements, ejections and slots as metrics; run the examples of a page

Cause: operators could not see from metrics which upstreams are out; no example of the decisions was run; streams were named by literals in the engine.

Ruled out: examples in doc comments, which the house style keeps to one line.

Received over entitled, queue wait and moves are still missing as metrics.

--- a/features/path.feature
+++ b/features/path.feature
@@ -12,3 +12,4 @@
     When somebody without a key sends "hello" to queue "transport-feeds" through entry 1
     Then the answer is "hello" with result 0 and outcome "done"
     And each routing decision is one JSON line with its request, upstream, zone and reason
+    And the operators' port of entry 0 shows metrics with the token and refuses without
--- a/features/steps/calls.py
+++ b/features/steps/calls.py
@@ -2,7 +2,7 @@
 
 import json
 
-from baobablane_standin.local_fleet import http
+from baobablane_standin.local_fleet import OPERATOR_TOKEN, http
 from behave import given, then, when
 
 
@@ -74,3 +74,19 @@
         assert decision["upstream"]
         assert decision["zone"]
         assert decision["reason"]
+
+
+@then(
+    "the operators' port of entry {index:d} shows metrics with the token "
+    "and refuses without"
+)
+def check_metrics(context, index):
+    """Read the metrics with and without the operator token."""
+    url = f"{context.fleet.operators_url(index)}/metrics"
+    refused = http("GET", url)
+    assert refused.status == 401, refused
+    shown = http("GET", url, headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"})
+    assert shown.status == 200
+    text = shown.body.decode()
+    assert 'baobablane_results_total{code="0"} 1.0' in text, text
+    assert 'baobablane_pool_slots{pool="publishing"} 48.0' in text, text
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
@@ -34,7 +34,7 @@
 )
 from baobablane.membership import encode_record as encode_member_record
 from baobablane.shares import DemandTable, compute_pool_shares
-from baobablane_platform import JOURNAL_STREAM, MEMBERSHIP_STREAM
+from baobablane_platform import CONFIG_STREAM, JOURNAL_STREAM, MEMBERSHIP_STREAM
 from prometheus_client import CollectorRegistry
 
 from ..settings import DaemonSettings
@@ -218,8 +218,8 @@
 
     def _handle(self, message: object) -> None:
         match message:
-            case PageRead(stream=stream):
-                self._handle_page(message, stream)
+            case PageRead():
+                self._handle_page(message)
             case Beat():
                 self.peers.hear_beat(message)
             case FetchState():
@@ -232,28 +232,29 @@
                 self.cluster.tracker.terminated(set(message.gone))
             case Cancel():
                 self.on_cancel(message.request, message.team)
-            case ReadFailed(stream="journal"):
-                self.journal_is_failing = True
             case ReadFailed():
-                pass
+                if message.stream == JOURNAL_STREAM:
+                    self.journal_is_failing = True
 
-    def _handle_page(self, read: PageRead, stream: str) -> None:
+    def _handle_page(self, read: PageRead) -> None:
         page = read.page
         if page.records:
-            self._checkpoints.note_oldest(stream, page.records[0].appended_at)
-        match stream:
-            case "config":
-                self.config.skip_to(page.first_offset)
-                self.config_changed(self.config.feed(page.records))
-                if self.config.is_caught_up(page.next_offset):
-                    self.cluster.lease.config_read(read.asked_at)
-            case "membership":
-                self.cluster.read_page(page, read.asked_at)
-                self.follow_escrow()
-            case "journal":
-                self._journal_read(read)
-            case _:
-                self.on_deferred_page(read)
+            self._checkpoints.note_oldest(read.stream, page.records[0].appended_at)
+        if read.stream == CONFIG_STREAM:
+            self._config_read(read)
+        elif read.stream == MEMBERSHIP_STREAM:
+            self.cluster.read_page(page, read.asked_at)
+            self.follow_escrow()
+        elif read.stream == JOURNAL_STREAM:
+            self._journal_read(read)
+        else:
+            self.on_deferred_page(read)
+
+    def _config_read(self, read: PageRead) -> None:
+        self.config.skip_to(read.page.first_offset)
+        self.config_changed(self.config.feed(read.page.records))
+        if self.config.is_caught_up(read.page.next_offset):
+            self.cluster.lease.config_read(read.asked_at)
 
     def _journal_read(self, read: PageRead) -> None:
         self.journal_is_failing = False
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_metrics.py
@@ -1,9 +1,11 @@
 """Export an engine's state as metrics."""
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 
+from baobablane.config import PlacementPhase
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.registry import Collector
 
@@ -47,6 +49,21 @@
         )
         age.add_metric([], engine.now() - engine.cluster.lease.confirmed_at)
         yield age
+        ejected = GaugeMetricFamily(
+            "baobablane_upstreams_ejected", "Upstreams that fail more than their peers"
+        )
+        ejected.add_metric([], len(engine.dispatcher.ejected(engine.now())))
+        yield ejected
+        out = GaugeMetricFamily(
+            "baobablane_instances_out",
+            "Instances that get nothing new, by phase",
+            labels=["phase"],
+        )
+        placements = engine.view.placements_by_instance.values()
+        phases = Counter(placement.phase.value for placement in placements)
+        for phase in (PlacementPhase.DRAINING, PlacementPhase.REBOOTING):
+            out.add_metric([phase.value], phases[phase.value])
+        yield out
         results = CounterMetricFamily(
             "baobablane_results", "Final answers by result code", labels=["code"]
         )
@@ -84,8 +101,13 @@
         running = GaugeMetricFamily(
             "baobablane_pool_running", "Requests that run on a pool", labels=["pool"]
         )
+        capacity = GaugeMetricFamily(
+            "baobablane_pool_slots", "Slots of a pool that get work", labels=["pool"]
+        )
         for name, pool in sorted(self._engine.dispatcher.pools.items()):
+            capacity.add_metric([name], pool.capacity)
             waiting.add_metric([name], len(pool.line))
             running.add_metric([name], pool.running)
+        yield capacity
         yield waiting
         yield running
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -43,7 +43,7 @@
         Check("format", ("ruff", "format", "--check", ".")),
         Check("lint", ("ruff", "check", ".")),
         Check("types", ("mypy", *sources)),
-        Check("tests", ("pytest", "packages", "bench", *deselect)),
+        Check("tests", ("pytest", "packages", "bench", "docs", *deselect)),
         Check("scenarios", ("behave", "--format=progress", "--tags=not @known-red")),
     ]
 
