Judge attempts apart from what is done about them

Ruled out: moving the sends as well, as they need the pool and the upstreams.

Change: judge() says finished, unstarted or repeatable; the dispatcher acts on it. No behaviour changed.

--- a/packages/baobablane/baobablane/dispatch/_dispatcher.py
+++ b/packages/baobablane/baobablane/dispatch/_dispatcher.py
@@ -18,17 +18,11 @@
 from ._request import OPEN_TEAM, WorkRequest
 from ._step import Finish, Start, Step, Wait
 from ._upstream_table import UpstreamTable
+from ._verdict import Repeatable, Unstarted, judge
 
 # Work that runs for longer may keep urgent work from starting in time.
 URGENT_START_SECONDS = 1.4
 
-MAY_HAVE_RUN_CODES = {
-    AttemptResult.CONNECTION_LOST: ResultCode.CONNECTION_LOST,
-    AttemptResult.TIMEOUT: ResultCode.TIMEOUT,
-    AttemptResult.CROSSED: ResultCode.ANSWER_CROSSED,
-    AttemptResult.TRUNCATED: ResultCode.ANSWER_TRUNCATED,
-}
-
 
 @dataclass(frozen=True, slots=True)
 class DispatchPolicy:
@@ -307,25 +301,18 @@
         result: AttemptResult,
         now: float,
     ) -> Step:
-        match result:
-            case AttemptResult.DONE:
-                return Finish(ResultCode.DONE, Reason.ANSWERED)
-            case AttemptResult.CANCELLED:
-                return Finish(ResultCode.CANCELLED_RUNNING, Reason.CANCELLED)
-            case AttemptResult.NOT_RECORDED:
+        verdict = judge(request, result, self._policy.most_failures)
+        match verdict:
+            case Finish():
+                return verdict
+            case Repeatable():
+                return self._retry(pool, request, upstream, verdict.code, now)
+            case Unstarted() if result is AttemptResult.NOT_RECORDED:
                 return self._finish_unstarted(
                     request, ResultCode.LOG_UNAVAILABLE, Reason.UNCONFIRMED
                 )
-            case AttemptResult.FULL | AttemptResult.NOT_SENT:
+            case Unstarted():
                 return self._again_unstarted(pool, request, upstream, result, now)
-            case AttemptResult.FAILED:
-                return self._again_failed(pool, request, upstream, now)
-            case _:
-                code = MAY_HAVE_RUN_CODES[result]
-                request.ran = code
-                if not request.queue.idempotent:
-                    return Finish(code, Reason.MAY_HAVE_RUN)
-                return self._retry(pool, request, upstream, code, now)
 
     def _again_unstarted(
         self,
@@ -355,20 +342,6 @@
         pool.line.add(waiting, at_head=True)
         return Wait(Reason.NO_ROOM, waiting.start_by)
 
-    def _again_failed(
-        self,
-        pool: PoolState,
-        request: WorkRequest,
-        upstream: UpstreamState,
-        now: float,
-    ) -> Step:
-        request.ran = ResultCode.UPSTREAM_FAILED
-        if not request.queue.idempotent:
-            return Finish(ResultCode.UPSTREAM_FAILED, Reason.FAILED)
-        if len(request.failed_on) >= self._policy.most_failures:
-            return Finish(ResultCode.GIVEN_UP, Reason.POISON)
-        return self._retry(pool, request, upstream, ResultCode.UPSTREAM_FAILED, now)
-
     def _retry(
         self,
         pool: PoolState,
