Let one codec serve all four streams

Cause: encoding a record and decoding one that may be invalid stood four times.

Ruled out: one decoder for all streams, as each stream takes its own records only.

Change: encode_payload and decode_payload beside the log's record; no behaviour changed.

--- a/packages/baobablane/baobablane/config/_codec.py
+++ b/packages/baobablane/baobablane/config/_codec.py
@@ -2,25 +2,21 @@
 
 import msgspec
 
-from ..log import FoldRules
+from ..log import FoldRules, decode_payload, encode_payload
 from ._change import Checkpoint, ConfigRecord
 from ._fold import ConfigState, Verdict, apply_record, restore_checkpoint
 
-_encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(ConfigRecord)
 
 
 def encode_record(record: ConfigRecord) -> str:
     """Return a record as the log stores it."""
-    return _encoder.encode(record).decode()
+    return encode_payload(record)
 
 
 def decode_record(payload: str) -> ConfigRecord | None:
     """Return a stored record, or None where it is not valid."""
-    try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError:
-        return None
+    return decode_payload(_decoder, payload)
 
 
 def _checkpoint_offset(record: ConfigRecord) -> int | None:
--- a/packages/baobablane/baobablane/deferred/_record.py
+++ b/packages/baobablane/baobablane/deferred/_record.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..log import decode_payload, encode_payload
+
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
     """Keep a job until it is finished."""
@@ -45,18 +47,14 @@
 
 DeferredRecord = Accepted | Claimed | Finished | Carried
 
-_encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(DeferredRecord)
 
 
 def encode_record(record: DeferredRecord) -> str:
     """Return a record as the log stores it."""
-    return _encoder.encode(record).decode()
+    return encode_payload(record)
 
 
 def decode_record(payload: str) -> DeferredRecord | None:
     """Return a stored record, or None where it is not valid."""
-    try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError:
-        return None
+    return decode_payload(_decoder, payload)
--- a/packages/baobablane/baobablane/journal/_record.py
+++ b/packages/baobablane/baobablane/journal/_record.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..log import decode_payload, encode_payload
+
 
 class Intent(msgspec.Struct, frozen=True, tag="intent"):
     """Announce that a request with an idempotency key is about to be sent."""
@@ -28,18 +30,14 @@
 
 JournalRecord = Intent | RecordedOutcome
 
-_encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(JournalRecord)
 
 
 def encode_record(record: JournalRecord) -> str:
     """Return a record as the log stores it."""
-    return _encoder.encode(record).decode()
+    return encode_payload(record)
 
 
 def decode_record(payload: str) -> JournalRecord | None:
     """Return a stored record, or None where it is not valid."""
-    try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError:
-        return None
+    return decode_payload(_decoder, payload)
--- a/packages/baobablane/baobablane/membership/_codec.py
+++ b/packages/baobablane/baobablane/membership/_codec.py
@@ -2,25 +2,21 @@
 
 import msgspec
 
-from ..log import FoldRules
+from ..log import FoldRules, decode_payload, encode_payload
 from ._fold import MembershipState, MemberVerdict, apply_record, restore_checkpoint
 from ._record import MembershipCheckpoint, MembershipRecord
 
-_encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(MembershipRecord)
 
 
 def encode_record(record: MembershipRecord) -> str:
     """Return a record as the log stores it."""
-    return _encoder.encode(record).decode()
+    return encode_payload(record)
 
 
 def decode_record(payload: str) -> MembershipRecord | None:
     """Return a stored record, or None where it is not valid."""
-    try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError:
-        return None
+    return decode_payload(_decoder, payload)
 
 
 def _checkpoint_offset(record: MembershipRecord) -> int | None:
