--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 setup: .venv/installed
 
-.venv/installed: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+.venv/installed: constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -r requirements.txt
 	touch $@
--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,19 @@
+"""Run an entry instance from a checkout, without installing the packages."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+# The root itself is left out: its folder `platform` would be found as a package.
+sys.path[:0] = [
+    str(ROOT / "packages" / "baobablane"),
+    str(ROOT / "packages" / "baobablane-daemon"),
+    str(ROOT / "platform"),
+]
+
+from baobablane_daemon import run_on_platform  # noqa: E402
+from baobablane_platform import settings_path  # noqa: E402
+
+if __name__ == "__main__":
+    asyncio.run(run_on_platform(settings_path()))
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -0,0 +1,140 @@
+"""Run an entry instance on the users' platform until it is told to stop."""
+
+import asyncio
+import gc
+import signal
+import time
+from pathlib import Path
+
+import uvicorn
+from baobablane_platform import (
+    CallerActions,
+    ProcessSettings,
+    StoreClient,
+    make_platform_app,
+    read_process_settings,
+)
+from starlette.types import ASGIApp
+
+from ._quiet_server import QuietServer
+from .jobs import Acceptor, JobActions, Views
+from .owner import GroupMember, Owner
+from .tasks import DecisionLog
+
+GARBAGE_THRESHOLD = 20_000
+# The balancer looks elsewhere after two checks of a second each.
+BALANCER_SECONDS = 2.3
+# Left of the grace for the servers to finish what they have read.
+FINISH_SECONDS = 2.0
+KEEP_ALIVE_SECONDS = 60
+
+
+async def run_on_platform(settings_path: Path) -> None:
+    """Serve until SIGTERM or SIGINT, then finish what is in flight."""
+    settings = read_process_settings(settings_path)
+    log = DecisionLog(settings.instance)
+    store = StoreClient(settings.store_address)
+    views = Views(store, log)
+    acceptor = Acceptor(store)
+    # A new name for each start: an earlier one may still be a member for a while.
+    member = GroupMember(store, log, f"{settings.instance}-{time.time_ns()}")
+    actions = JobActions(settings, views, acceptor, log)
+    app = make_platform_app(
+        CallerActions(
+            actions.is_ready,
+            actions.configuration,
+            actions.submit,
+            actions.state,
+            actions.cancel,
+            actions.pending_count,
+        )
+    )
+    addresses = {settings.callers_address, settings.ready_address}
+    servers = [_make_server(app, address) for address in sorted(addresses)]
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: _reload(settings_path, settings, log)
+    )
+    running = [
+        loop.create_task(work)
+        for work in (
+            log.run(),
+            views.run(),
+            acceptor.run(),
+            member.run(),
+            _run_owner(store, views, member, log),
+        )
+    ]
+    serving = [loop.create_task(server.serve()) for server in servers]
+    log.info("started", zone=settings.zone, callers=settings.callers_address)
+    await _wait_for_stop(stop, [*running, *serving])
+    log.info("stopping")
+    actions.is_stopping = True
+    # Its last join ends first, so that the store does not take it in again.
+    running[3].cancel()
+    await member.step_down("stopping")
+    await asyncio.sleep(BALANCER_SECONDS)
+    for server in servers:
+        server.should_exit = True
+    await asyncio.wait(serving, timeout=FINISH_SECONDS)
+    for task in [*running, *serving]:
+        task.cancel()
+    await asyncio.gather(*running, *serving, return_exceptions=True)
+    await store.close()
+    log.info("stopped")
+
+
+async def _run_owner(
+    store: StoreClient, views: Views, member: GroupMember, log: DecisionLog
+) -> None:
+    while True:
+        changed = member.changed
+        if member.epoch is not None:
+            await Owner(store, views, member, log, member.epoch).run()
+        else:
+            await changed.wait()
+
+
+async def _wait_for_stop(
+    stop: asyncio.Event, tasks: list["asyncio.Task[None]"]
+) -> None:
+    stopping = asyncio.create_task(stop.wait())
+    done, _ = await asyncio.wait(
+        [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    stopping.cancel()
+    for task in done - {stopping}:
+        # A task that ends by itself has failed; its error ends the process.
+        task.result()
+
+
+def _reload(path: Path, settings: ProcessSettings, log: DecisionLog) -> None:
+    changed = read_process_settings(path) != settings
+    # Addresses and bounds hold for the life of a process.
+    log.info("settings-read-again", changed=changed)
+
+
+def _make_server(app: ASGIApp, address: str) -> uvicorn.Server:
+    host, _, port = address.rpartition(":")
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        timeout_graceful_shutdown=int(FINISH_SECONDS),
+    )
+    return QuietServer(config)
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -3,8 +3,6 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 import uvicorn
 from baobablane_platform import (
@@ -16,6 +14,7 @@
 )
 from starlette.types import ASGIApp
 
+from ._quiet_server import QuietServer
 from .edge import make_callers_app, make_operators_app
 from .engine import (
     AtMostOnce,
@@ -44,14 +43,6 @@
 LEAVE_POLL_SECONDS = 0.05
 
 
-class _Server(uvicorn.Server):
-    """Leave signals to the process, which stops its servers itself."""
-
-    @contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
-
-
 async def run_process(settings: DaemonSettings) -> None:
     """Serve until SIGTERM or SIGINT, then finish what is in flight."""
     instance = settings.instance
@@ -177,4 +168,4 @@
         proxy_headers=False,
         timeout_graceful_shutdown=int(settings.timing.stop_seconds),
     )
-    return _Server(config)
+    return QuietServer(config)
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -0,0 +1,17 @@
+"""Re-export what every entry instance does with jobs."""
+
+from ._acceptor import Acceptor
+from ._actions import JobActions
+from ._clock import boot_seconds, unix_ms
+from ._topic_tail import TopicTail
+from ._views import PROGRESS_TOPIC, Views
+
+__all__ = [
+    "PROGRESS_TOPIC",
+    "Acceptor",
+    "JobActions",
+    "TopicTail",
+    "Views",
+    "boot_seconds",
+    "unix_ms",
+]
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -0,0 +1,131 @@
+"""Decide what becomes of each caller's request."""
+
+from baobablane.deployment import Configuration, Queue
+from baobablane.errors import RefusedError, ResultCode
+from baobablane.jobs import Job, JobState, encode_job
+from baobablane_platform import (
+    KeyedRecord,
+    ProcessSettings,
+    StoreError,
+    StoreRefusedError,
+)
+
+from ..tasks import Decision, DecisionLog
+from ._acceptor import Acceptor
+from ._views import CANCEL_PREFIX, Views
+
+# Time between reading the view's age and answering, and the clock's error.
+KEY_MARGIN_SECONDS = 0.8
+# An unconfirmed view of this age shows a lost store, as reads are confirmed at least
+# every 0.8 s.
+READY_AGE_SECONDS = 2.5
+# The store or this instance's path to it is disturbed for seconds at least.
+RETRY_AFTER_SECONDS = 1.0
+
+
+class JobActions:
+    """Answer callers from the views, and write what they hand in."""
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        views: Views,
+        acceptor: Acceptor,
+        log: DecisionLog,
+    ) -> None:
+        """Start taking requests as soon as the views are read."""
+        self._oldest_key_view = settings.limits.key_withdrawal - KEY_MARGIN_SECONDS
+        self._views = views
+        self._acceptor = acceptor
+        self._log = log
+        self.is_stopping = False
+
+    def is_ready(self) -> bool:
+        """Return whether new callers should be sent here."""
+        return (
+            not self.is_stopping
+            and self._views.configuration is not None
+            and self._views.operator_tail.age() < READY_AGE_SECONDS
+        )
+
+    def configuration(self, is_for_keys: bool) -> Configuration:
+        """Return the configuration in force, or raise RefusedError."""
+        configuration = self._views.configuration
+        if configuration is None:
+            raise RefusedError(ResultCode.NOT_READY, "", RETRY_AFTER_SECONDS)
+        age = self._views.operator_tail.age()
+        if is_for_keys and age > self._oldest_key_view:
+            detail = f"the keys' view is {age:.1f} s old"
+            raise RefusedError(
+                ResultCode.VIEW_NOT_CONFIRMED, detail, RETRY_AFTER_SECONDS
+            )
+        return configuration
+
+    async def submit(self, job: Job, queue: Queue) -> None:
+        """Store a job unless it is known, or raise RefusedError."""
+        if job.id in self._views.table.jobs_by_id:
+            self._decide("job-known", job, queue.name)
+            return
+        try:
+            await self._acceptor.write(KeyedRecord(job.id, encode_job(job)))
+        except StoreRefusedError as error:
+            self._decide("job-refused", job, queue.name, str(error))
+            raise RefusedError(
+                ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
+            ) from error
+        except StoreError as error:
+            self._decide("job-unsure", job, queue.name, str(error))
+            raise RefusedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
+        if self._views.table.accept(job):
+            self._views.on_change(job.id)
+        self._decide("job-accepted", job, queue.name)
+
+    async def state(self, job_id: str) -> JobState | None:
+        """Return a job's state, or None if it is certainly not known."""
+        state = self._views.table.state(job_id)
+        if state is None:
+            await self._catch_up()
+            state = self._views.table.state(job_id)
+        return state
+
+    async def cancel(self, job_id: str) -> JobState | None:
+        """Store a cancellation; return None if the job is certainly not known."""
+        state = await self.state(job_id)
+        if state is None or state.is_final():
+            return state
+        try:
+            await self._acceptor.write(KeyedRecord(CANCEL_PREFIX + job_id, b"1"))
+        except StoreRefusedError as error:
+            raise RefusedError(
+                ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
+            ) from error
+        except StoreError as error:
+            raise RefusedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
+        if self._views.table.cancel(job_id):
+            self._views.on_change(job_id)
+        self._log.write(Decision("job-cancelled", request=job_id))
+        return JobState.CANCELLED
+
+    def pending_count(self, queue: str) -> int:
+        """Return how many of a queue's jobs have not started."""
+        return self._views.table.pending_count(queue)
+
+    async def _catch_up(self) -> None:
+        try:
+            await self._views.jobs_tail.catch_up()
+        except StoreError as error:
+            raise RefusedError(
+                ResultCode.VIEW_NOT_CONFIRMED, "", RETRY_AFTER_SECONDS
+            ) from error
+
+    def _decide(self, event: str, job: Job, queue: str, reason: str = "") -> None:
+        self._log.write(
+            Decision(
+                event,
+                request=job.id,
+                team=job.account,
+                queue=queue,
+                reason=reason,
+                seconds=self._views.jobs_tail.age(),
+            )
+        )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -0,0 +1,111 @@
+"""Follow one partition of a keyed topic."""
+
+import asyncio
+from collections.abc import Callable
+
+from baobablane_platform import (
+    KeyedRecord,
+    StoreClient,
+    StoreError,
+    StoreExpiredError,
+    decode_record,
+)
+
+from ..tasks import DecisionLog
+from ._clock import boot_seconds
+
+# A read that finds nothing answers after this, and so confirms the view; a silent
+# connection shows within this and the read's time-out.
+WAIT_MS = 700
+RETRY_SECONDS = 0.1
+
+
+class TopicTail:
+    """Own the reads of a partition; each record is handed on once, in order."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        log: DecisionLog,
+        topic: str,
+        on_record: Callable[[KeyedRecord], None],
+    ) -> None:
+        """Follow partition 0, the only one of topics that are not split."""
+        self._store = store
+        self._log = log
+        self._topic = topic
+        self._on_record = on_record
+        self._next: int | None = None
+        self._is_reachable = True
+        # When the latest read that reached the end was asked for; -inf before that.
+        self.confirmed_at = float("-inf")
+
+    def age(self) -> float:
+        """Return for how many seconds the view is unconfirmed."""
+        return boot_seconds() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self._read(WAIT_MS)
+            except StoreError as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def catch_up(self) -> None:
+        """Read all that is there now, or raise a StoreError."""
+        asked_at = boot_seconds()
+        while self.confirmed_at < asked_at:
+            await self._read(0)
+
+    async def _read(self, wait_ms: int) -> None:
+        if self._next is None:
+            await self._read_newest()
+        start = self._next
+        if start is None:
+            return
+        asked_at = boot_seconds()
+        try:
+            page = await self._store.read(self._topic, 0, start, wait_ms)
+        except StoreExpiredError:
+            self._log.info("topic-read-anew", topic=self._topic, offset=start)
+            self._next = None
+            return
+        for number, content in enumerate(page.contents, start):
+            if self._next is not None and number >= self._next:
+                self._next = number + 1
+                self._apply(content)
+        if self._next is not None and self._next >= page.end:
+            self.confirmed_at = max(self.confirmed_at, asked_at)
+        if not self._is_reachable:
+            self._is_reachable = True
+            self._log.info("store-regained", topic=self._topic)
+
+    async def _read_newest(self) -> None:
+        after: str | None = None
+        end: int | None = None
+        while True:
+            page = await self._store.newest(self._topic, 0, after)
+            # Pages are no snapshot: what came since the first is read again.
+            end = page.end if end is None else end
+            for record in page.records:
+                self._on_record(record)
+            after = page.next_after
+            if after is None:
+                break
+        if self._next is None:
+            self._next = end
+
+    def _apply(self, content: bytes) -> None:
+        try:
+            record = decode_record(content)
+        except (IndexError, UnicodeError) as error:
+            self._log.info("record-skipped", topic=self._topic, reason=repr(error))
+            return
+        self._on_record(record)
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self._is_reachable:
+            self._is_reachable = False
+            self._log.info("store-lost", topic=self._topic, reason=str(error))
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -0,0 +1,100 @@
+"""Hold what this entry instance has read from the store."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from baobablane.deployment import Configuration, Wave
+from baobablane.jobs import JobTable, decode_job, decode_progress
+from baobablane_platform import (
+    CONFIGURATION_KEY,
+    OPERATOR_TOPIC,
+    WAVE_KEY_PREFIX,
+    KeyedRecord,
+    StoreClient,
+    decode_configuration,
+    decode_wave,
+)
+
+from ..tasks import DecisionLog
+from ._topic_tail import TopicTail
+
+# Written by any entry instance: jobs as they were accepted, and cancellations.
+JOBS_TOPIC = "keyed.jobs"
+# Written by the owner only: how far jobs are.
+PROGRESS_TOPIC = "keyed.progress"
+CANCEL_PREFIX = "cancel/"
+
+
+class Views:
+    """Hold the configuration, the waves and the table of jobs, and follow them."""
+
+    def __init__(self, store: StoreClient, log: DecisionLog) -> None:
+        """Start without a configuration; nothing is read yet."""
+        self._log = log
+        self.configuration: Configuration | None = None
+        self.waves: dict[int, Wave] = {}
+        self.table = JobTable()
+        self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
+        self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job)
+        self.progress_tail = TopicTail(store, log, PROGRESS_TOPIC, self._on_progress)
+        # Called with a job's id, or an empty string after other changes.
+        self.on_change: Callable[[str], None] = lambda job_id: None
+
+    async def run(self) -> None:
+        """Follow all topics until cancelled."""
+        await asyncio.gather(
+            self.operator_tail.run(), self.jobs_tail.run(), self.progress_tail.run()
+        )
+
+    async def catch_up(self) -> None:
+        """Read all that is there now, or raise a StoreError."""
+        await asyncio.gather(
+            self.operator_tail.catch_up(),
+            self.jobs_tail.catch_up(),
+            self.progress_tail.catch_up(),
+        )
+
+    def _on_operator(self, record: KeyedRecord) -> None:
+        try:
+            if record.key == CONFIGURATION_KEY and record.value:
+                self._apply_configuration(decode_configuration(record.value))
+            elif record.key.startswith(WAVE_KEY_PREFIX) and record.value:
+                wave = decode_wave(record.value)
+                self.waves[wave.number] = wave
+                self._log.info("wave-read", wave=wave.number, size=len(wave.instances))
+        except msgspec.DecodeError as error:
+            self._log.info("record-skipped", key=record.key, reason=str(error))
+            return
+        self.on_change("")
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        if self.configuration and configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        self._log.info("configuration-in-force", version=configuration.version)
+
+    def _on_job(self, record: KeyedRecord) -> None:
+        if record.key.startswith(CANCEL_PREFIX):
+            job_id = record.key.removeprefix(CANCEL_PREFIX)
+            if record.value and self.table.cancel(job_id):
+                self.on_change(job_id)
+            return
+        if record.value is None:
+            self.table.forget(record.key)
+            return
+        try:
+            job = decode_job(record.value)
+        except msgspec.DecodeError as error:
+            self._log.info("record-skipped", key=record.key, reason=str(error))
+            return
+        if self.table.accept(job):
+            self.on_change(job.id)
+
+    def _on_progress(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            return
+        try:
+            self.table.set_progress(record.key, decode_progress(record.value))
+        except msgspec.DecodeError as error:
+            self._log.info("record-skipped", key=record.key, reason=str(error))
--- a/packages/baobablane-daemon/baobablane_daemon/main.py
+++ b/packages/baobablane-daemon/baobablane_daemon/main.py
@@ -6,7 +6,9 @@
 
 import fire
 from baobablane.errors import InputError
+from baobablane_platform import settings_path
 
+from ._platform_process import run_on_platform
 from ._process import run_process
 from .settings import DaemonSettings, read_settings
 
@@ -20,6 +22,10 @@
         """Run an entry instance with the settings in the file CONFIG."""
         asyncio.run(run_process(_read(config)))
 
+    def platform(self) -> None:
+        """Run an entry instance with the settings that the platform gives."""
+        asyncio.run(run_on_platform(settings_path()))
+
     def check(self, config: str) -> None:
         """Check the settings in the file CONFIG and print every fault."""
         settings = _read(config)
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -0,0 +1,277 @@
+"""Own the placement of all tasks while the store names this process the owner."""
+
+import asyncio
+from collections.abc import Coroutine
+
+import msgspec
+from baobablane.scheduling import (
+    Scheduler,
+    SchedulingBounds,
+    StartOrder,
+    StartResult,
+    StopOrder,
+)
+from baobablane_platform import (
+    UPSTREAM_TOPIC,
+    KeyedRecord,
+    StoreClient,
+    StoreError,
+    StoreFencedError,
+    StoreSequenceError,
+    UpstreamFencedError,
+    UpstreamOrders,
+    decode_upstream_entry,
+)
+
+from ..jobs import TopicTail, Views, boot_seconds, unix_ms
+from ..tasks import Decision, DecisionLog
+from ._membership import GroupMember
+from ._progress_writer import ProgressWriter
+from ._upstream_watch import UpstreamWatch
+
+# Due times and lapsed leases are looked at this often when nothing else happens.
+TICK_SECONDS = 0.1
+TAKE_OVER_RETRY_SECONDS = 0.1
+
+
+class Owner:
+    """Own the scheduler from a take-over until the ownership ends."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        views: Views,
+        member: GroupMember,
+        log: DecisionLog,
+        epoch: int,
+    ) -> None:
+        """Act under an epoch, which is also the fencing token of all orders."""
+        self._store = store
+        self._views = views
+        self._member = member
+        self._log = log
+        self._epoch = epoch
+        self._scheduler = Scheduler(SchedulingBounds())
+        self._writer = ProgressWriter(store, epoch)
+        self._orders = UpstreamOrders()
+        self._watches: dict[str, UpstreamWatch] = {}
+        self._wake = asyncio.Event()
+        self._changed_jobs: list[str] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def run(self) -> None:
+        """Place tasks until the ownership ends or is taken away."""
+        try:
+            await self._take_over()
+            while self._member.epoch == self._epoch:
+                await self._round()
+                await self._wait()
+        except (StoreFencedError, StoreSequenceError, UpstreamFencedError) as error:
+            await self._member.step_down(f"fenced: {error}")
+        finally:
+            self._views.on_change = lambda job_id: None
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._orders.close()
+
+    async def _take_over(self) -> None:
+        await self._writer.fence()
+        while True:
+            try:
+                await self._views.catch_up()
+                break
+            except StoreError as error:
+                self._log.info("take-over-waits", reason=str(error))
+                await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
+        tail = TopicTail(self._store, self._log, UPSTREAM_TOPIC, self._on_upstream)
+        while True:
+            try:
+                await tail.catch_up()
+                break
+            except StoreError as error:
+                self._log.info("take-over-waits", reason=str(error))
+                await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
+        self._views.on_change = self._on_change
+        self._apply_configuration()
+        now = boot_seconds()
+        table = self._views.table
+        for job in table.jobs_by_id.values():
+            progress = table.progress_by_id.get(job.id)
+            if progress is not None and progress.state.is_final():
+                continue
+            self._scheduler.add_job(job, progress, now)
+            if job.id in table.cancelled:
+                self._scheduler.cancel_job(job.id)
+        self._log.info(
+            "taken-over",
+            epoch=self._epoch,
+            jobs=len(self._scheduler.state.jobs),
+            upstreams=len(self._scheduler.state.upstreams),
+        )
+        self._start(tail.run())
+
+    async def _round(self) -> None:
+        self._take_changes()
+        now = boot_seconds()
+        self._scheduler.expire_unlisted(now)
+        for upstream_id in self._scheduler.state.upstreams:
+            self._watch(upstream_id)
+        for stop in self._scheduler.stops(now):
+            self._start(self._send_stop(stop))
+        starts = self._scheduler.plan(now, unix_ms())
+        changed = self._scheduler.take_dirty()
+        applied = {
+            upstream.id: upstream.applied_end
+            for upstream in self._scheduler.state.upstreams.values()
+        }
+        self._log_events()
+        if changed:
+            await self._writer.write(changed)
+            for job_id, progress in changed.items():
+                self._views.table.set_progress(job_id, progress)
+        self._note_recorded(applied)
+        self._scheduler.retire()
+        for start in starts:
+            self._start(self._send_start(start))
+
+    def _note_recorded(self, applied: dict[str, int]) -> None:
+        for upstream_id, number in applied.items():
+            upstream = self._scheduler.state.upstreams.get(upstream_id)
+            watch = self._watches.get(upstream_id)
+            if upstream is None or watch is None or number <= upstream.recorded_end:
+                continue
+            # A new incarnation counts its ends anew.
+            upstream.recorded_end = min(number, upstream.applied_end)
+            watch.recorded.set()
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_SECONDS):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+        if self._failure.done():
+            self._failure.result()
+
+    def _take_changes(self) -> None:
+        self._apply_configuration()
+        jobs, self._changed_jobs = self._changed_jobs, []
+        now = boot_seconds()
+        table = self._views.table
+        for job_id in jobs:
+            job = table.jobs_by_id.get(job_id)
+            progress = table.progress_by_id.get(job_id)
+            if job is None or (progress and progress.state.is_final()):
+                continue
+            self._scheduler.add_job(job, progress, now)
+            if job_id in table.cancelled:
+                self._scheduler.cancel_job(job_id)
+
+    def _apply_configuration(self) -> None:
+        configuration = self._views.configuration
+        if configuration is not None:
+            self._scheduler.set_configuration(configuration)
+
+    def _on_change(self, job_id: str) -> None:
+        if job_id:
+            self._changed_jobs.append(job_id)
+        self._wake.set()
+
+    def _on_upstream(self, record: KeyedRecord) -> None:
+        now = boot_seconds()
+        if record.value is None:
+            self._scheduler.upstream_unlisted(record.key)
+            self._log.info("upstream-unlisted", upstream=record.key)
+        else:
+            try:
+                entry = decode_upstream_entry(record.key, record.value)
+            except msgspec.DecodeError as error:
+                self._log.info("entry-skipped", key=record.key, reason=str(error))
+                return
+            self._scheduler.upstream_listed(entry, now)
+        self._wake.set()
+
+    def _watch(self, upstream_id: str) -> None:
+        if upstream_id in self._watches:
+            return
+        watch = UpstreamWatch(
+            upstream_id,
+            self._epoch,
+            self._scheduler,
+            self._orders,
+            self._log,
+            self._wake.set,
+        )
+        self._watches[upstream_id] = watch
+        self._start(self._run_watch(watch, upstream_id))
+
+    async def _run_watch(self, watch: UpstreamWatch, upstream_id: str) -> None:
+        try:
+            await watch.run()
+        finally:
+            self._watches.pop(upstream_id, None)
+
+    async def _send_start(self, order: StartOrder) -> None:
+        result = await self._try_start(order)
+        self._scheduler.start_answered(order, result, boot_seconds())
+        if result is not StartResult.STARTED:
+            self._wake.set()
+
+    async def _try_start(self, order: StartOrder) -> StartResult:
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        watch = self._watches.get(order.upstream)
+        job_run = self._scheduler.state.jobs.get(order.task.job)
+        if (
+            upstream is None
+            or watch is None
+            or job_run is None
+            or job_run.state.is_final()
+            or upstream.entry.incarnation != order.incarnation
+        ):
+            return StartResult.LATE
+        deadline_ms = watch.extend_lease()
+        if deadline_ms is None:
+            return StartResult.LATE
+        result = await self._orders.start(
+            upstream.entry, order, self._epoch, deadline_ms
+        )
+        if result is StartResult.FENCED:
+            raise UpstreamFencedError(order.upstream)
+        return result
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        if upstream is None:
+            return
+        if await self._orders.stop(upstream.entry, order, self._epoch):
+            self._scheduler.stop_answered(order, boot_seconds())
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None and not self._failure.done():
+            self._failure.set_exception(error)
+            self._wake.set()
+
+    def _log_events(self) -> None:
+        for event in self._scheduler.take_events():
+            self._log.write(
+                Decision(
+                    event.event,
+                    request=event.job,
+                    attempt=f"{event.task}#{event.run}" if event.task else "",
+                    upstream=event.upstream,
+                    reason=event.reason,
+                    seconds=event.age,
+                )
+            )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -0,0 +1,112 @@
+"""Renew an upstream's leases and hear what it runs."""
+
+import asyncio
+from collections.abc import Callable
+
+from baobablane.scheduling import HoldReport, LeaseBound, Scheduler
+from baobablane_platform import UpstreamOrders, UpstreamSilentError
+
+from ..jobs import boot_seconds
+from ..tasks import DecisionLog
+
+# Outlasts the take-over from a killed owner: 1.8 s until the store names another,
+# 0.4 s until it asks, and its first calls.
+LEASE_SECONDS = 4.5
+# A look at an upstream has its price; ends are answered at once all the same.
+WAIT_MS = 900
+RETRY_SECONDS = 0.15
+# While ends can't be recorded, leases are renewed at this pace.
+UNRECORDED_SECONDS = 0.8
+
+
+class UpstreamWatch:
+    """Own the calls that hold one upstream's leases."""
+
+    def __init__(
+        self,
+        upstream_id: str,
+        token: int,
+        scheduler: Scheduler,
+        orders: UpstreamOrders,
+        log: DecisionLog,
+        on_report: Callable[[], None],
+    ) -> None:
+        """Call with the owner's fencing token."""
+        self._id = upstream_id
+        self._token = token
+        self._scheduler = scheduler
+        self._orders = orders
+        self._log = log
+        self._on_report = on_report
+        self.recorded = asyncio.Event()
+        self._was_answering = False
+
+    async def run(self) -> None:
+        """Hold the upstream until it is gone; UpstreamFencedError ends the owner."""
+        while self._id in self._scheduler.state.upstreams:
+            try:
+                await self._call()
+            except UpstreamSilentError as error:
+                self._note_silence(str(error))
+                await asyncio.sleep(RETRY_SECONDS)
+
+    def extend_lease(self) -> int | None:
+        """Return a deadline for the next order, or None while its clock is unknown."""
+        upstream = self._scheduler.state.upstreams.get(self._id)
+        if upstream is None or upstream.lease is None:
+            return None
+        return upstream.lease.extend(boot_seconds(), LEASE_SECONDS)
+
+    async def _call(self) -> None:
+        upstream = self._scheduler.state.upstreams[self._id]
+        entry = upstream.entry
+        if not entry.address:
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        unrecorded = upstream.applied_end > upstream.recorded_end
+        wait_ms = 0 if unrecorded or upstream.lease is None else WAIT_MS
+        asked_at = boot_seconds()
+        report = await self._orders.hold(
+            entry, self._token, self.extend_lease(), upstream.recorded_end, wait_ms
+        )
+        self._apply(report, asked_at)
+        upstream_after = self._scheduler.state.upstreams.get(self._id)
+        if (
+            upstream_after is not None
+            and upstream_after.applied_end > upstream_after.recorded_end
+        ):
+            await self._wait_recorded()
+
+    def _apply(self, report: HoldReport, asked_at: float) -> None:
+        now = boot_seconds()
+        self._scheduler.heard(self._id, report, asked_at, now)
+        upstream = self._scheduler.state.upstreams[self._id]
+        if upstream.lease is None:
+            upstream.lease = LeaseBound(now, report.clock_ms)
+        else:
+            upstream.lease.hear(now, report.clock_ms)
+        if not self._was_answering:
+            self._was_answering = True
+            self._log.info("upstream-regained", upstream=self._id)
+        self._on_report()
+
+    async def _wait_recorded(self) -> None:
+        try:
+            async with asyncio.timeout(UNRECORDED_SECONDS):
+                await self.recorded.wait()
+        except TimeoutError:
+            self._log.info("ends-unrecorded", upstream=self._id)
+        self.recorded.clear()
+
+    def _note_silence(self, reason: str) -> None:
+        now = boot_seconds()
+        self._scheduler.unheard(self._id, now)
+        if self._was_answering:
+            self._was_answering = False
+            self._log.info("upstream-lost", upstream=self._id, reason=reason)
+        upstream = self._scheduler.state.upstreams.get(self._id)
+        if upstream is None or upstream.is_listed:
+            return
+        if now >= upstream.surely_empty_at(self._scheduler.state.bounds.unheard):
+            self._scheduler.upstream_ended(self._id, "gone")
+        self._on_report()
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
@@ -14,7 +14,7 @@
 FLUSH_SECONDS = 0.1
 
 
-class Decision(msgspec.Struct, frozen=True):
+class Decision(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold one decision as it is logged."""
 
     event: str
@@ -38,8 +38,8 @@
     # the decision.
 
     def __init__(self, instance: str) -> None:
-        """Log to standard error."""
-        handler = logging.StreamHandler(sys.stderr)
+        """Log to standard output."""
+        handler = logging.StreamHandler(sys.stdout)
         handler.setFormatter(
             JsonFormatter(
                 "%(message)s", timestamp=True, static_fields={"instance": instance}
@@ -49,7 +49,7 @@
         self._logger.handlers = [handler]
         self._logger.propagate = False
         self._logger.setLevel(logging.INFO)
-        self._stream: BinaryIO = sys.stderr.buffer
+        self._stream: BinaryIO = sys.stdout.buffer
         self._latest: deque[Decision] = deque(maxlen=EXPLAINABLE_DECISIONS)
         self._unwritten: list[Decision] = []
         self._encoder = msgspec.json.Encoder()
--- /dev/null
+++ b/packages/baobablane/baobablane/deployment/_resources.py
@@ -0,0 +1,47 @@
+"""Add and compare processor time, memory and accelerators."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Hold thousandths of a core, megabytes of memory and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        """Return the sum."""
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        """Return the difference, which may be negative."""
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Return whether no part is larger than the room."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.gpus <= room.gpus
+        )
+
+    def fits_under_cap(self, cap: "Resources") -> bool:
+        """Return whether no part is over a cap, in which 0 means no limit."""
+        return (
+            (not cap.cpu_millis or self.cpu_millis <= cap.cpu_millis)
+            and (not cap.memory_mb or self.memory_mb <= cap.memory_mb)
+            and (not cap.gpus or self.gpus <= cap.gpus)
+        )
+
+
+NO_RESOURCES = Resources()
--- /dev/null
+++ b/packages/baobablane/baobablane/jobs/__init__.py
@@ -0,0 +1,25 @@
+"""Re-export jobs, their tasks and how far they are."""
+
+from ._codec import decode_job, decode_progress, encode_job, encode_progress
+from ._job import Job
+from ._job_state import JobState
+from ._job_table import JobTable
+from ._progress import JobProgress
+from ._step import Step
+from ._task import Task, TaskState
+from ._task_id import TaskId
+
+__all__ = [
+    "Job",
+    "JobProgress",
+    "JobState",
+    "JobTable",
+    "Step",
+    "Task",
+    "TaskId",
+    "TaskState",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+]
--- /dev/null
+++ b/packages/baobablane/baobablane/jobs/_job_table.py
@@ -0,0 +1,75 @@
+"""Hold what the store says of all jobs."""
+
+from collections.abc import Iterator
+
+from ._job import Job
+from ._job_state import JobState
+from ._progress import JobProgress
+
+
+class JobTable:
+    """Fold the records of jobs, cancellations and progress, in any order."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs_by_id: dict[str, Job] = {}
+        self.progress_by_id: dict[str, JobProgress] = {}
+        self.cancelled: set[str] = set()
+        self._pending_by_queue: dict[str, set[str]] = {}
+
+    def accept(self, job: Job) -> bool:
+        """Add a job and return whether it is new; a repetition changes nothing."""
+        if job.id in self.jobs_by_id:
+            return False
+        self.jobs_by_id[job.id] = job
+        if not job.is_timed():
+            self._pending_by_queue.setdefault(job.queue, set()).add(job.id)
+            self._settle_pending(job.id)
+        return True
+
+    def cancel(self, job_id: str) -> bool:
+        """Note a cancellation and return whether it is new."""
+        if job_id in self.cancelled:
+            return False
+        self.cancelled.add(job_id)
+        self._settle_pending(job_id)
+        return True
+
+    def set_progress(self, job_id: str, progress: JobProgress) -> None:
+        """Replace a job's progress."""
+        self.progress_by_id[job_id] = progress
+        self._settle_pending(job_id)
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job whose record was dropped."""
+        job = self.jobs_by_id.pop(job_id, None)
+        self.progress_by_id.pop(job_id, None)
+        self.cancelled.discard(job_id)
+        if job is not None:
+            self._pending_by_queue.get(job.queue, set()).discard(job_id)
+
+    def state(self, job_id: str) -> JobState | None:
+        """Return a job's state, or None for one that is not known."""
+        if job_id not in self.jobs_by_id:
+            return None
+        progress = self.progress_by_id.get(job_id)
+        state = progress.state if progress else JobState.PENDING
+        if job_id in self.cancelled and not state.is_final():
+            return JobState.CANCELLED
+        return state
+
+    def pending_count(self, queue: str) -> int:
+        """Return how many of a queue's jobs no task has started of."""
+        return len(self._pending_by_queue.get(queue, ()))
+
+    def unfinished(self) -> Iterator[Job]:
+        """Yield the jobs that are not in a final state."""
+        for job_id, job in self.jobs_by_id.items():
+            state = self.state(job_id)
+            if state is not None and not state.is_final():
+                yield job
+
+    def _settle_pending(self, job_id: str) -> None:
+        job = self.jobs_by_id.get(job_id)
+        if job is not None and self.state(job_id) is not JobState.PENDING:
+            self._pending_by_queue.get(job.queue, set()).discard(job_id)
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -0,0 +1,23 @@
+"""Re-export how tasks are placed on upstreams, watched and ended."""
+
+from ._bounds import SchedulingBounds
+from ._lease_bound import LeaseBound
+from ._load import PoolLoad
+from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
+from ._report import EndedRun, EndReason, HoldReport, RunningRow
+from ._scheduler import Scheduler
+
+__all__ = [
+    "EndReason",
+    "EndedRun",
+    "HoldReport",
+    "LeaseBound",
+    "PaceOrder",
+    "PoolLoad",
+    "RunningRow",
+    "SchedulingBounds",
+    "Scheduler",
+    "StartOrder",
+    "StartResult",
+    "StopOrder",
+]
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_bounds.py
@@ -0,0 +1,27 @@
+"""Hold the times by which the scheduler judges upstreams and tasks."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulingBounds:
+    """Hold the scheduler's times in seconds."""
+
+    # A start refused for room is not repeated on that upstream for this long, about
+    # the time that a stopped task may take to free its room.
+    room_backoff: float = 0.3
+    # An order without an answer is sent again after this long: twice the slowest
+    # round trip seen on calm links.
+    order_retry: float = 0.6
+    # A run whose progress stands still for this long is taken to hang; progress comes
+    # in hundredths of a run of at most some seconds.
+    stall: float = 2.0
+    # A lasting task that is not at work for this long after its start is hanging; a
+    # sound start-up takes well under a second.
+    lasting_start: float = 3.5
+    # A new owner has not heard an upstream yet: the previous owner may have kept its
+    # leases going for as long as it may act unconfirmed, and one lease on top.
+    unheard: float = 13.0
+    # A recorded upstream that has no entry when an owner takes over: entries are back
+    # 2 s after an outage of the store, and a lease is over after 5.1 s.
+    unlisted: float = 6.0
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -0,0 +1,105 @@
+"""Hold how far a job is, while it is scheduled."""
+
+from collections.abc import Iterator
+
+from ..jobs import Job, JobProgress, JobState, Task, TaskId
+from ._step_run import StepRun
+
+
+class JobRun:
+    """Hold the steps of a job that have become due."""
+
+    def __init__(self, job: Job, progress: JobProgress | None, added_at: float) -> None:
+        """Take a job over with the progress that is recorded of it."""
+        self.job = job
+        self.state = progress.state if progress else JobState.PENDING
+        self.added_at = added_at
+        self.steps: dict[tuple[int, int], StepRun] = {}
+        self._opened = 0
+        self.declared_chain_ms = self._chain_ms(done=frozenset())
+        for key, task in (progress.tasks if progress else {}).items():
+            occurrence, step, index = map(int, key.split("."))
+            self._open_until(occurrence + 1)
+            self.steps[(occurrence, step)].restore(index, task)
+
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.job.occurrences)
+
+    def open_due(self, unix_ms: int) -> None:
+        """Open the occurrences that have become due."""
+        while (
+            self._opened < self.occurrences()
+            and self.job.due_ms(self._opened) <= unix_ms
+        ):
+            self._open_until(self._opened + 1)
+
+    def next_due_ms(self) -> int | None:
+        """Return when the next occurrence is due, or None after the last."""
+        if self._opened >= self.occurrences():
+            return None
+        return self.job.due_ms(self._opened)
+
+    def startable_steps(self) -> Iterator[StepRun]:
+        """Yield the steps with waiting tasks whose earlier steps are done."""
+        for step_run in self.steps.values():
+            if step_run.waiting and self._are_done(step_run):
+                yield step_run
+
+    def is_complete(self) -> bool:
+        """Return whether every task of every occurrence has ended as done."""
+        return self._opened >= self.occurrences() and all(
+            step_run.is_done() for step_run in self.steps.values()
+        )
+
+    def find(self, task: TaskId) -> tuple[StepRun, Task] | None:
+        """Return a task's step and progress, or None if the job has no such task."""
+        step_run = self.steps.get((task.occurrence, task.step))
+        if step_run is None or not 0 <= task.position < step_run.step.count:
+            return None
+        return step_run, step_run.task(task.position)
+
+    def progress(self) -> JobProgress:
+        """Return the job's progress as it is recorded."""
+        tasks = {
+            f"{occurrence}.{step}.{index}": task
+            for (occurrence, step), step_run in self.steps.items()
+            for index, task in step_run.tasks.items()
+            if task.run
+        }
+        return JobProgress(self.state, tasks)
+
+    def latest_due_ms(self) -> int:
+        """Return when the latest occurrence that is open was due, in Unix ms."""
+        return self.job.due_ms(max(0, self._opened - 1))
+
+    def remaining_chain_ms(self) -> int:
+        """Return the declared time of the longest chain of steps not yet done."""
+        last = max(0, self._opened - 1)
+        done = frozenset(
+            number
+            for (occurrence, number), step_run in self.steps.items()
+            if occurrence == last and step_run.is_done()
+        )
+        return self._chain_ms(done)
+
+    def _chain_ms(self, done: frozenset[int]) -> int:
+        longest: dict[int, int] = {}
+        for number, step in enumerate(self.job.steps):
+            own = 0 if number in done else step.estimated_ms
+            before = max((longest.get(n, 0) for n in step.after), default=0)
+            longest[number] = before + own
+        return max(longest.values(), default=0)
+
+    def _are_done(self, step_run: StepRun) -> bool:
+        return all(
+            self.steps[(step_run.occurrence, before)].is_done()
+            for before in step_run.step.after
+        )
+
+    def _open_until(self, occurrences: int) -> None:
+        for occurrence in range(self._opened, occurrences):
+            for number in range(len(self.job.steps)):
+                key = (occurrence, number)
+                self.steps[key] = StepRun(self.job, occurrence, number)
+        self._opened = max(self._opened, occurrences)
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_lease_bound.py
@@ -0,0 +1,33 @@
+"""Bound when an upstream that is not heard any more has killed its tasks."""
+
+# An upstream's clock may run slow by 2%.
+SLOWEST_CLOCK = 0.98
+# Time that an upstream may take to kill what has lapsed, in seconds.
+KILL_SECONDS = 0.5
+
+
+class LeaseBound:
+    """Relate an upstream's clock to the owner's, and hold the lease it was given."""
+
+    def __init__(self, heard_at: float, clock_ms: int) -> None:
+        """Start from an answer with the upstream's clock; no lease is out yet."""
+        self._heard_at = heard_at
+        self._clock_ms = clock_ms
+        self._deadline_ms = 0
+
+    def hear(self, heard_at: float, clock_ms: int) -> None:
+        """Note an answer with the upstream's clock."""
+        if clock_ms >= self._clock_ms:
+            self._heard_at = heard_at
+            self._clock_ms = clock_ms
+
+    def extend(self, now: float, seconds: float) -> int:
+        """Return a deadline on the upstream's clock, and count on its being granted."""
+        deadline_ms = self._clock_ms + round((now - self._heard_at + seconds) * 1000)
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        return deadline_ms
+
+    def surely_over_at(self) -> float:
+        """Return the owner's time after which no granted lease can be valid."""
+        lease_ms = max(0, self._deadline_ms - self._clock_ms)
+        return self._heard_at + lease_ms / 1000 / SLOWEST_CLOCK + KILL_SECONDS
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -0,0 +1,119 @@
+"""Decide which tasks start now, and where."""
+
+from ..jobs import TaskState
+from ._job_run import JobRun
+from ._orders import StartOrder
+from ._placement import choose_upstream
+from ._state import SchedulerState
+from ._step_run import StepRun
+from ._upstream import Run, Upstream
+from ._urgency import urgency
+
+
+def plan_starts(state: SchedulerState, now: float, unix_ms: int) -> list[StartOrder]:
+    """Return the starts that fit now; each is counted and must be recorded first."""
+    by_pool: dict[str, list[Upstream]] = {}
+    for upstream in state.upstreams.values():
+        if upstream.accepts(now) and not state.ejections.is_ejected(upstream.id, now):
+            by_pool.setdefault(upstream.entry.pool, []).append(upstream)
+    orders: list[StartOrder] = []
+    for job_run in _in_order(state, unix_ms):
+        candidates = by_pool.get(state.pool_of(job_run))
+        if candidates:
+            for step_run in list(job_run.startable_steps()):
+                orders += _plan_step(state, step_run, candidates, now)
+    return orders
+
+
+def _in_order(state: SchedulerState, unix_ms: int) -> list[JobRun]:
+    keyed = []
+    for job_run in state.jobs.values():
+        if job_run.state.is_final():
+            continue
+        job_run.open_due(unix_ms)
+        if next(job_run.startable_steps(), None) is None:
+            continue
+        job = job_run.job
+        queue = state.configuration.queues_by_name.get(job.queue)
+        key = urgency(job_run, queue, unix_ms, state.usage.share_used(job.account))
+        keyed.append((key, job.id, job_run))
+    keyed.sort()
+    return [job_run for _, _, job_run in keyed]
+
+
+def _plan_step(
+    state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
+) -> list[StartOrder]:
+    step = step_run.step
+    if step.is_gang and len(step_run.waiting) < step.count:
+        return []
+    placed: dict[str, int] = {}
+    for index in step_run.started_indexes():
+        name = step_run.tasks[index].upstream
+        placed[name] = placed.get(name, 0) + 1
+    chosen: list[tuple[int, Upstream]] = []
+    for index in sorted(step_run.waiting):
+        upstream = _place_one(state, step_run, index, candidates, placed, now)
+        if upstream is None:
+            break
+        chosen.append((index, upstream))
+    if step.is_gang and len(chosen) < step.count:
+        for index, upstream in chosen:
+            state.release(upstream, step_run.task_id(index))
+        return []
+    return [_commit(state, step_run, index, upstream) for index, upstream in chosen]
+
+
+def _place_one(
+    state: SchedulerState,
+    step_run: StepRun,
+    index: int,
+    candidates: list[Upstream],
+    placed: dict[str, int],
+    now: float,
+) -> Upstream | None:
+    job, step = step_run.job, step_run.step
+    if job.account and not state.usage.allows(job.account, step.needs):
+        return None
+    task_id = step_run.task_id(index)
+    avoided = state.failed_on.get(task_id, "")
+    upstream = choose_upstream(step_run, candidates, placed, avoided)
+    if upstream is None:
+        return None
+    placed[upstream.id] = placed.get(upstream.id, 0) + 1
+    run = Run(
+        task_id,
+        0,
+        step.needs,
+        job.account,
+        step.is_lasting,
+        step.is_filler,
+        now,
+        percent_since=now,
+    )
+    state.begin(run, upstream, now)
+    return upstream
+
+
+def _commit(
+    state: SchedulerState, step_run: StepRun, index: int, upstream: Upstream
+) -> StartOrder:
+    task = step_run.task(index)
+    if step_run.step.is_gang:
+        task.run = max(step_run.task(i).run for i in range(step_run.step.count))
+    task.state = TaskState.STARTED
+    task.run += 1
+    task.upstream = upstream.id
+    task.incarnation = upstream.entry.incarnation
+    step_run.waiting.discard(index)
+    task_id = step_run.task_id(index)
+    upstream.runs[task_id].run = task.run
+    state.note("task-placed", task_id, task.run, upstream=upstream.id)
+    return StartOrder(
+        task_id,
+        task.run,
+        step_run.job.spec,
+        task.checkpoint,
+        upstream.id,
+        task.incarnation,
+    )
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -0,0 +1,315 @@
+"""Place tasks on upstreams: the owner's decisions, without input or output."""
+
+from dataclasses import replace
+
+from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
+from ..jobs import Job, JobProgress, JobState, Task, TaskId, TaskState
+from ._bounds import SchedulingBounds
+from ._ends import AT_WORK_PERCENT, apply_report
+from ._event import SchedulingEvent
+from ._job_run import JobRun
+from ._load import PoolLoad
+from ._orders import StartOrder, StartResult, StopOrder
+from ._planning import plan_starts
+from ._report import HoldReport
+from ._state import SchedulerState
+from ._upstream import Run, Upstream
+
+_NOT_RUN = {
+    StartResult.NO_ROOM: "no-room",
+    StartResult.OLD_RUN: "old-run",
+    StartResult.LATE: "late-order",
+    StartResult.REFUSED: "refused",
+    StartResult.MALFORMED: "malformed",
+    StartResult.OTHER_INCARNATION: "other-incarnation",
+    StartResult.NO_TICKET: "no-ticket",
+    StartResult.FENCED: "fenced",
+}
+
+
+class Scheduler:
+    """Hold the owner's belief about jobs and upstreams, and decide what to do next."""
+
+    def __init__(self, bounds: SchedulingBounds) -> None:
+        """Start empty; all times are seconds of one steady clock."""
+        self.state = SchedulerState(bounds)
+
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Apply a version of the configuration."""
+        self.state.configuration = configuration
+        self.state.usage.set_accounts(configuration.accounts_by_name)
+
+    def add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
+        """Schedule a job, from its recorded progress if there is any."""
+        if job.id in self.state.jobs:
+            return
+        job_run = JobRun(job, progress, now)
+        self.state.jobs[job.id] = job_run
+        if progress:
+            for step_run in job_run.steps.values():
+                for index in step_run.started_indexes():
+                    self._restore(step_run.task_id(index), step_run.tasks[index], now)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Cancel a job unless it has ended; its runs are stopped."""
+        job_run = self.state.jobs.get(job_id)
+        if job_run is not None:
+            self.state.settle(job_run, JobState.CANCELLED, "cancelled by its caller")
+
+    def upstream_listed(self, entry: UpstreamEntry, now: float) -> None:
+        """Apply an upstream's entry; another incarnation has lost all runs."""
+        known = self.state.upstreams.get(entry.id)
+        if known is None:
+            self.state.upstreams[entry.id] = Upstream(entry, now)
+            return
+        if entry.incarnation == known.entry.incarnation:
+            known.entry = entry
+            known.is_listed = True
+        elif entry.incarnation > known.entry.incarnation:
+            self._replace_incarnation(known, entry, now)
+
+    def upstream_unlisted(self, upstream_id: str) -> None:
+        """Note that an upstream's entry is gone; it gets nothing new."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.is_listed = False
+
+    def upstream_ended(self, upstream_id: str, reason: str) -> None:
+        """Forget an upstream that surely runs nothing any more; its tasks wait."""
+        upstream = self.state.upstreams.pop(upstream_id, None)
+        if upstream is not None:
+            for task in list(upstream.runs):
+                self.state.requeue(upstream, task, reason)
+
+    def heard(
+        self, upstream_id: str, report: HoldReport, asked_at: float, now: float
+    ) -> None:
+        """Apply an upstream's report."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        if report.incarnation > upstream.entry.incarnation:
+            entry = replace(upstream.entry, incarnation=report.incarnation)
+            self._replace_incarnation(upstream, entry, now)
+            upstream = self.state.upstreams[upstream_id]
+        if report.incarnation == upstream.entry.incarnation:
+            apply_report(self.state, upstream, report, asked_at, now)
+            self._judge_progress(upstream, now)
+
+    def unheard(self, upstream_id: str, now: float) -> None:
+        """Note that a call was not answered; after its last lease all is lost."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        upstream.is_answering = False
+        if now >= upstream.surely_empty_at(self.state.bounds.unheard):
+            for task in list(upstream.runs):
+                self.state.requeue(upstream, task, "lease-over")
+
+    def expire_unlisted(self, now: float) -> None:
+        """Forget upstreams that were recorded as running work and never came back."""
+        for upstream in list(self.state.upstreams.values()):
+            age = now - upstream.added_at
+            if not upstream.entry.address and age > self.state.bounds.unlisted:
+                self.upstream_ended(upstream.id, "unlisted")
+
+    def start_answered(
+        self, order: StartOrder, result: StartResult, now: float
+    ) -> None:
+        """Apply what became of a start."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if upstream is None or run is None or run.run != order.run:
+            return
+        self.state.note(
+            "start-answered",
+            order.task,
+            order.run,
+            upstream=order.upstream,
+            reason=result.name.lower(),
+            age=now - run.started_at,
+        )
+        if result is StartResult.STARTED:
+            run.settled_at = now
+        elif result is StartResult.UNKNOWN:
+            run.uncertain_at = now
+            upstream.is_answering = False
+        else:
+            self._apply_refusal(upstream, order, result, now)
+
+    def stop_answered(self, order: StopOrder, now: float) -> None:
+        """Note that an upstream has stopped a run, or will refuse it."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if run is not None and run.run == order.run:
+            run.settled_at = now
+
+    def plan(self, now: float, unix_ms: int) -> list[StartOrder]:
+        """Return the starts that fit now; send each once it is recorded."""
+        return plan_starts(self.state, now, unix_ms)
+
+    def stops(self, now: float) -> list[StopOrder]:
+        """Return the stops to send now: of ended jobs, hanging and unsettled runs."""
+        orders: list[StopOrder] = []
+        for upstream in self.state.upstreams.values():
+            orders += [
+                StopOrder(task, run, upstream.id)
+                for task, run in upstream.strays.items()
+            ]
+            upstream.strays = {}
+            for run in upstream.runs.values():
+                if self._should_stop(run) and self._may_repeat(run, now):
+                    run.stop_sent_at = now
+                    orders.append(StopOrder(run.task, run.run, upstream.id))
+        return orders
+
+    def take_dirty(self) -> dict[str, JobProgress]:
+        """Return the progress of the jobs that changed since the last time."""
+        changed: dict[str, JobProgress] = {}
+        for job_id in self.state.dirty:
+            job_run = self.state.jobs.get(job_id)
+            if job_run is None:
+                continue
+            if job_run.state is JobState.PENDING and any(
+                step_run.tasks for step_run in job_run.steps.values()
+            ):
+                job_run.state = JobState.RUNNING
+            changed[job_id] = job_run.progress()
+        self.state.dirty.clear()
+        return changed
+
+    def retire(self) -> None:
+        """Forget the jobs that have ended, are recorded and run nothing any more."""
+        busy = {
+            task.job for u in self.state.upstreams.values() for task in u.runs
+        } | self.state.dirty
+        for job_id, job_run in list(self.state.jobs.items()):
+            if job_run.state.is_final() and job_id not in busy:
+                del self.state.jobs[job_id]
+
+    def take_events(self) -> list[SchedulingEvent]:
+        """Return the decisions since the last time."""
+        events, self.state.events = self.state.events, []
+        return events
+
+    def load_by_pool(self) -> dict[str, PoolLoad]:
+        """Return each pool's cores and declared work."""
+        cores: dict[str, float] = {}
+        for upstream in self.state.upstreams.values():
+            if upstream.is_listed and not upstream.entry.is_draining:
+                pool = upstream.entry.pool
+                own = upstream.entry.capacity.cpu_millis / 1000
+                cores[pool] = cores.get(pool, 0.0) + own
+        return {pool: PoolLoad(total, 0.0) for pool, total in cores.items()}
+
+    def lasting_at_work(self, job_id: str) -> dict[int, tuple[int, int]]:
+        """Return, by step, how many lasting tasks there are and are at work."""
+        job_run = self.state.jobs[job_id]
+        counts: dict[int, tuple[int, int]] = {}
+        for (_, number), step_run in job_run.steps.items():
+            if step_run.step.is_lasting:
+                at_work = sum(
+                    self._is_at_work(step_run.task_id(i), step_run.tasks[i])
+                    for i in step_run.started_indexes()
+                )
+                counts[number] = (step_run.step.count, at_work)
+        return counts
+
+    def _is_at_work(self, task_id: TaskId, task: Task) -> bool:
+        upstream = self.state.upstreams.get(task.upstream)
+        run = upstream.runs.get(task_id) if upstream else None
+        return run is not None and run.percent >= AT_WORK_PERCENT
+
+    def _restore(self, task_id: TaskId, task: Task, now: float) -> None:
+        upstream = self.state.upstreams.get(task.upstream)
+        if upstream is None:
+            upstream = self._add_unlisted(task, now)
+        job_run = self.state.jobs[task_id.job]
+        found = job_run.find(task_id)
+        if found is None:
+            return
+        step_run = found[0]
+        if upstream.entry.incarnation != task.incarnation:
+            task.state = TaskState.WAITING
+            step_run.waiting.add(task_id.position)
+            self.state.dirty.add(task_id.job)
+            return
+        step = step_run.step
+        run = Run(
+            task_id,
+            task.run,
+            step.needs,
+            job_run.job.account,
+            step.is_lasting,
+            step.is_filler,
+            now,
+            settled_at=now,
+            percent_since=now,
+        )
+        self.state.begin(run, upstream, now)
+
+    def _add_unlisted(self, task: Task, now: float) -> Upstream:
+        # Its entry may have lapsed while the store was away: it may still run.
+        entry = UpstreamEntry(
+            task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), True
+        )
+        upstream = Upstream(entry, now, is_listed=False)
+        self.state.upstreams[task.upstream] = upstream
+        return upstream
+
+    def _replace_incarnation(
+        self, known: Upstream, entry: UpstreamEntry, now: float
+    ) -> None:
+        for task in list(known.runs):
+            self.state.requeue(known, task, "other-incarnation")
+        self.state.upstreams[entry.id] = Upstream(entry, now)
+
+    def _apply_refusal(
+        self, upstream: Upstream, order: StartOrder, result: StartResult, now: float
+    ) -> None:
+        if result is StartResult.NO_ROOM:
+            upstream.no_room_until = now + self.state.bounds.room_backoff
+        elif result in (StartResult.REFUSED, StartResult.MALFORMED):
+            upstream.no_room_until = now + self.state.bounds.room_backoff
+            pool = [
+                u.id
+                for u in self.state.upstreams.values()
+                if u.entry.pool == upstream.entry.pool
+            ]
+            self.state.ejections.failed(upstream.id, pool, now)
+        elif result is StartResult.OTHER_INCARNATION:
+            upstream.is_answering = False
+        self.state.requeue(upstream, order.task, _NOT_RUN[result])
+
+    def _should_stop(self, run: Run) -> bool:
+        job_run = self.state.jobs.get(run.task.job)
+        if job_run is None or job_run.state.is_final():
+            return True
+        return run.uncertain_at is not None or run.is_stalled
+
+    def _may_repeat(self, run: Run, now: float) -> bool:
+        sent = run.stop_sent_at
+        return sent is None or now - sent >= self.state.bounds.order_retry
+
+    def _judge_progress(self, upstream: Upstream, now: float) -> None:
+        for run in upstream.runs.values():
+            if run.is_stalled or run.settled_at is None or run.pace < AT_WORK_PERCENT:
+                continue
+            still = now - max(run.percent_since, run.settled_at)
+            limit = self.state.bounds.stall
+            if run.is_lasting:
+                if run.percent >= AT_WORK_PERCENT:
+                    continue
+                limit = self.state.bounds.lasting_start
+            if still > limit:
+                run.is_stalled = True
+                self.state.failed_on[run.task] = upstream.id
+                pool = [
+                    u.id
+                    for u in self.state.upstreams.values()
+                    if u.entry.pool == upstream.entry.pool
+                ]
+                self.state.ejections.failed(upstream.id, pool, now)
+                self.state.note(
+                    "task-stalled", run.task, run.run, upstream=upstream.id, age=still
+                )
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -0,0 +1,90 @@
+"""Hold the scheduler's belief, and the few ways in which it changes."""
+
+from collections import defaultdict
+
+from ..deployment import Configuration
+from ..jobs import JobState, TaskId, TaskState
+from ..routing import EjectionPolicy, EjectionTable
+from ._account_usage import AccountUsage
+from ._bounds import SchedulingBounds
+from ._event import SchedulingEvent
+from ._job_run import JobRun
+from ._upstream import Run, Upstream
+
+# Sound tasks hardly ever fail by themselves, so two failures are enough evidence.
+EJECTION_POLICY = EjectionPolicy(
+    failures_to_eject=2.0, ratio_to_eject=0.3, excess_over_peers=0.2
+)
+
+
+class SchedulerState:
+    """Hold jobs, upstreams and usage; every change of a run goes through here."""
+
+    def __init__(self, bounds: SchedulingBounds) -> None:
+        """Start empty."""
+        self.bounds = bounds
+        self.configuration = Configuration(0)
+        self.jobs: dict[str, JobRun] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.usage = AccountUsage()
+        self.ejections = EjectionTable(EJECTION_POLICY)
+        self.dirty: set[str] = set()
+        self.events: list[SchedulingEvent] = []
+        # Upstreams on which a task failed last, by task.
+        self.failed_on: dict[TaskId, str] = {}
+        # Runs that were stopped by a decision, so that their end is no failure.
+        self.wasted_by_reason: dict[str, int] = defaultdict(int)
+
+    def note(self, event: str, task: TaskId, run: int = 0, **inputs: object) -> None:
+        """Keep a decision for the log."""
+        name = f"{task.occurrence}.{task.step}.{task.position}"
+        self.events.append(
+            SchedulingEvent(event, task.job, name, run, **inputs)  # type: ignore[arg-type]
+        )
+
+    def pool_of(self, job_run: JobRun) -> str:
+        """Return the pool that the configuration in force gives a job's queue."""
+        queue = self.configuration.queues_by_name.get(job_run.job.queue)
+        return queue.pool if queue else job_run.job.pool
+
+    def begin(self, run: Run, upstream: Upstream, now: float) -> None:
+        """Count a run whose start is about to be recorded."""
+        upstream.add(run)
+        self.usage.add(run.account, run.needs)
+        self.ejections.sent(upstream.id, now)
+        self.dirty.add(run.task.job)
+
+    def release(self, upstream: Upstream, task: TaskId) -> Run | None:
+        """Stop counting a run that has ended."""
+        run = upstream.remove(task)
+        if run is not None:
+            self.usage.remove(run.account, run.needs)
+        return run
+
+    def requeue(self, upstream: Upstream, task: TaskId, reason: str) -> None:
+        """Let a task wait again after its run came to nothing."""
+        run = self.release(upstream, task)
+        job_run = self.jobs.get(task.job)
+        found = job_run.find(task) if job_run else None
+        if found is None or run is None:
+            return
+        step_run, progress = found
+        if progress.state is not TaskState.STARTED or progress.run != run.run:
+            return
+        progress.state = TaskState.WAITING
+        step_run.waiting.add(task.position)
+        self.dirty.add(task.job)
+        self.wasted_by_reason[reason] += 1
+        self.note(
+            "task-waits-again", task, run.run, upstream=upstream.id, reason=reason
+        )
+
+    def settle(self, job_run: JobRun, state: JobState, reason: str) -> None:
+        """Give a job its final state."""
+        if job_run.state.is_final():
+            return
+        job_run.state = state
+        self.dirty.add(job_run.job.id)
+        self.events.append(
+            SchedulingEvent(f"job-{state.name.lower()}", job_run.job.id, reason=reason)
+        )
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -0,0 +1,97 @@
+"""Hold what the owner knows of an upstream."""
+
+from dataclasses import dataclass, field
+
+from ..deployment import NO_RESOURCES, Resources, UpstreamEntry
+from ..jobs import TaskId
+from ._lease_bound import LeaseBound
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold one run that may be going on at an upstream."""
+
+    task: TaskId
+    run: int
+    needs: Resources
+    account: str
+    is_lasting: bool
+    is_filler: bool
+    started_at: float
+    # When its start, or a stop of it, was answered; a report asked for later must
+    # list it. None while neither has been answered.
+    settled_at: float | None = None
+    # When its start was given up without an answer.
+    uncertain_at: float | None = None
+    percent: int = -1
+    percent_since: float = 0.0
+    measure: int = 0
+    # The pace that was ordered, in percent.
+    pace: int = 100
+    stop_sent_at: float | None = None
+    is_stalled: bool = False
+
+
+@dataclass(slots=True)
+class Upstream:
+    """Hold an upstream's room, its runs and whether it can be used."""
+
+    entry: UpstreamEntry
+    added_at: float
+    runs: dict[TaskId, Run] = field(default_factory=dict)
+    used: Resources = NO_RESOURCES
+    lease: LeaseBound | None = None
+    # Number of the last end that was applied, and of the last that is recorded.
+    applied_end: int = 0
+    recorded_end: int = 0
+    is_listed: bool = True
+    # No new work: its instance is about to be moved, or is due for upkeep.
+    is_cordoned: bool = False
+    no_room_until: float = 0.0
+    # Whether its latest call was answered.
+    is_answering: bool = False
+    # Runs that it lists and that nobody wants, by task.
+    strays: dict[TaskId, int] = field(default_factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Return the upstream's id."""
+        return self.entry.id
+
+    def accepts(self, now: float) -> bool:
+        """Return whether new work may be placed here."""
+        return (
+            self.is_listed
+            and self.is_answering
+            and not self.entry.is_draining
+            and not self.is_cordoned
+            and now >= self.no_room_until
+        )
+
+    def add(self, run: Run) -> None:
+        """Count a run."""
+        self.runs[run.task] = run
+        self.used = self.used + _counted(run)
+
+    def remove(self, task: TaskId) -> Run | None:
+        """Stop counting a run, and return it."""
+        run = self.runs.pop(task, None)
+        if run is not None:
+            self.used = self.used - _counted(run)
+        return run
+
+    def room(self) -> Resources:
+        """Return what is left of the capacity."""
+        return self.entry.capacity - self.used
+
+    def surely_empty_at(self, unheard_seconds: float) -> float:
+        """Return when an upstream that stays silent runs nothing any more."""
+        if self.lease is None:
+            return self.added_at + unheard_seconds
+        return self.lease.surely_over_at()
+
+
+def _counted(run: Run) -> Resources:
+    if run.is_filler:
+        return Resources(0, run.needs.memory_mb, run.needs.gpus)
+    return run.needs
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -7,12 +7,12 @@
 
 ROOT = Path(__file__).parent.parent
 BIN = Path(sys.executable).parent
-PACKAGES = (
-    "baobablane",
-    "baobablane-platform",
-    "baobablane-daemon",
-    "baobablane-client",
-    "baobablane-standin",
+SOURCES = (
+    "packages/baobablane/baobablane",
+    "platform/baobablane_platform",
+    "packages/baobablane-daemon/baobablane_daemon",
+    "packages/baobablane-client/baobablane_client",
+    "packages/baobablane-standin/baobablane_standin",
 )
 
 
@@ -37,13 +37,12 @@
 
 def make_checks(known_red: list[str]) -> list[Check]:
     """Return the checks in the order in which they run."""
-    sources = [f"packages/{name}/{name.replace('-', '_')}" for name in PACKAGES]
     deselect = [f"--deselect={test}" for test in known_red if "::" in test]
     return [
         Check("format", ("ruff", "format", "--check", ".")),
         Check("lint", ("ruff", "check", ".")),
-        Check("types", ("mypy", *sources)),
-        Check("tests", ("pytest", "packages", "bench", "docs", *deselect)),
+        Check("types", ("mypy", *SOURCES)),
+        Check("tests", ("pytest", "packages", "platform", "bench", "docs", *deselect)),
         Check("scenarios", ("behave", "--format=progress", "--tags=not @known-red")),
     ]
 
