Carry out maintenance waves within lossy allowances

Change: a pure plan closes the least busy instances of a wave, lets short tasks end, counts lasting tasks that are away, and orders the upkeep; the owner records begun instances and writes the status.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -67,7 +67,7 @@
             views.run(),
             acceptor.run(),
             member.run(),
-            _run_owner(store, views, member, log),
+            _run_owner(store, views, member, settings, log),
         )
     ]
     serving = [loop.create_task(server.serve()) for server in servers]
@@ -90,12 +90,16 @@
 
 
 async def _run_owner(
-    store: StoreClient, views: Views, member: GroupMember, log: DecisionLog
+    store: StoreClient,
+    views: Views,
+    member: GroupMember,
+    settings: ProcessSettings,
+    log: DecisionLog,
 ) -> None:
     while True:
         changed = member.changed
         if member.epoch is not None:
-            await Owner(store, views, member, log, member.epoch).run()
+            await Owner(store, views, member, log, settings, member.epoch).run()
         else:
             await changed.wait()
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -4,12 +4,13 @@
 from ._actions import JobActions
 from ._clock import boot_seconds, unix_ms
 from ._topic_tail import TopicTail
-from ._views import PROGRESS_TOPIC, Views
+from ._views import PROGRESS_TOPIC, WAVE_PREFIX, Views
 
 __all__ = [
     "PROGRESS_TOPIC",
     "Acceptor",
     "JobActions",
+    "WAVE_PREFIX",
     "TopicTail",
     "Views",
     "boot_seconds",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -6,6 +6,7 @@
 import msgspec
 from baobablane.deployment import Configuration, Wave
 from baobablane.jobs import JobTable, decode_job, decode_progress
+from baobablane.upkeep import WaveProgress, decode_wave_progress
 from baobablane_platform import (
     CONFIGURATION_KEY,
     OPERATOR_TOPIC,
@@ -24,6 +25,7 @@
 # Written by the owner only: how far jobs are.
 PROGRESS_TOPIC = "keyed.progress"
 CANCEL_PREFIX = "cancel/"
+WAVE_PREFIX = "wave/"
 
 
 class Views:
@@ -34,6 +36,7 @@
         self._log = log
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
+        self.wave_progress: dict[int, WaveProgress] = {}
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
         self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job)
@@ -95,6 +98,10 @@
         if record.value is None:
             return
         try:
-            self.table.set_progress(record.key, decode_progress(record.value))
+            if record.key.startswith(WAVE_PREFIX):
+                number = int(record.key.removeprefix(WAVE_PREFIX))
+                self.wave_progress[number] = decode_wave_progress(record.value)
+            else:
+                self.table.set_progress(record.key, decode_progress(record.value))
         except msgspec.DecodeError as error:
             self._log.info("record-skipped", key=record.key, reason=str(error))
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 
 import msgspec
+from baobablane.jobs import JobProgress, encode_progress
 from baobablane.scheduling import (
     Scheduler,
     SchedulingBounds,
@@ -11,9 +12,12 @@
     StartResult,
     StopOrder,
 )
+from baobablane.upkeep import encode_wave_progress
 from baobablane_platform import (
     UPSTREAM_TOPIC,
+    InstanceClient,
     KeyedRecord,
+    ProcessSettings,
     StoreClient,
     StoreError,
     StoreFencedError,
@@ -23,8 +27,9 @@
     decode_upstream_entry,
 )
 
-from ..jobs import TopicTail, Views, boot_seconds, unix_ms
+from ..jobs import WAVE_PREFIX, TopicTail, Views, boot_seconds, unix_ms
 from ..tasks import Decision, DecisionLog
+from ._instances_task import InstancesTask
 from ._membership import GroupMember
 from ._progress_writer import ProgressWriter
 from ._upstream_watch import UpstreamWatch
@@ -43,6 +48,7 @@
         views: Views,
         member: GroupMember,
         log: DecisionLog,
+        settings: ProcessSettings,
         epoch: int,
     ) -> None:
         """Act under an epoch, which is also the fencing token of all orders."""
@@ -54,6 +60,19 @@
         self._scheduler = Scheduler(SchedulingBounds())
         self._writer = ProgressWriter(store, epoch)
         self._orders = UpstreamOrders()
+        self._instance_client = InstanceClient(
+            settings.instance_list_address, settings.instance
+        )
+        self._instances = InstancesTask(
+            self._instance_client,
+            views,
+            self._scheduler,
+            member,
+            log,
+            epoch,
+            settings.limits.order_lease,
+            self._on_instances,
+        )
         self._watches: dict[str, UpstreamWatch] = {}
         self._wake = asyncio.Event()
         self._changed_jobs: list[str] = []
@@ -75,6 +94,7 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await self._orders.close()
+            await self._instance_client.close()
 
     async def _take_over(self) -> None:
         await self._writer.fence()
@@ -111,6 +131,7 @@
             upstreams=len(self._scheduler.state.upstreams),
         )
         self._start(tail.run())
+        self._start(self._instances.run())
 
     async def _round(self) -> None:
         self._take_changes()
@@ -122,13 +143,14 @@
             self._start(self._send_stop(stop))
         starts = self._scheduler.plan(now, unix_ms())
         changed = self._scheduler.take_dirty()
+        waves, self._instances.dirty = self._instances.dirty, set()
         applied = {
             upstream.id: upstream.applied_end
             for upstream in self._scheduler.state.upstreams.values()
         }
         self._log_events()
-        if changed:
-            await self._writer.write(changed)
+        if changed or waves:
+            await self._record(changed, waves)
             for job_id, progress in changed.items():
                 self._views.table.set_progress(job_id, progress)
         self._note_recorded(applied)
@@ -136,6 +158,24 @@
         for start in starts:
             self._start(self._send_start(start))
 
+    async def _record(
+        self, progress_by_job: dict[str, JobProgress], waves: set[int]
+    ) -> None:
+        values = {
+            job_id: encode_progress(progress)
+            for job_id, progress in progress_by_job.items()
+        }
+        progress_by_wave = self._instances.progress_by_wave
+        for number in waves:
+            values[f"{WAVE_PREFIX}{number}"] = encode_wave_progress(
+                progress_by_wave[number]
+            )
+        await self._writer.write(values)
+        for number in waves:
+            await self._writer.write_wave_status(
+                number, progress_by_wave[number].is_complete
+            )
+
     def _note_recorded(self, applied: dict[str, int]) -> None:
         for upstream_id, number in applied.items():
             upstream = self._scheduler.state.upstreams.get(upstream_id)
@@ -180,6 +220,9 @@
             self._changed_jobs.append(job_id)
         self._wake.set()
 
+    def _on_instances(self) -> None:
+        self._wake.set()
+
     def _on_upstream(self, record: KeyedRecord) -> None:
         now = boot_seconds()
         if record.value is None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -2,13 +2,15 @@
 
 import asyncio
 
-from baobablane.jobs import JobProgress, encode_progress
 from baobablane_platform import (
+    STATUS_TOPIC,
+    WAVE_KEY_PREFIX,
     KeyedRecord,
     Producer,
     StoreClient,
     StoreRefusedError,
     StoreUnknownError,
+    encode_wave_status,
 )
 
 from ..jobs import PROGRESS_TOPIC
@@ -27,34 +29,48 @@
         self._store = store
         self._epoch = epoch
         self._sequence = 0
+        self._status_sequence = 0
 
     async def fence(self) -> None:
         """Refuse the appends of earlier owners from now on."""
         await self._append([])
 
-    async def write(self, progress_by_job: dict[str, JobProgress]) -> None:
+    async def write(self, values_by_key: dict[str, bytes]) -> None:
         """Return once all is stored; raise StoreFencedError after a newer owner."""
         batch: list[KeyedRecord] = []
         size = 0
-        for job_id, progress in progress_by_job.items():
-            record = KeyedRecord(job_id, encode_progress(progress))
-            batch.append(record)
-            size += len(record.value or b"")
+        for key, value in values_by_key.items():
+            batch.append(KeyedRecord(key, value))
+            size += len(value)
             if size > MOST_BYTES:
                 await self._append(batch)
                 batch, size = [], 0
         if batch:
             await self._append(batch)
 
+    async def write_wave_status(self, wave: int, is_complete: bool) -> None:
+        """Show operators a wave's status; an owner that was replaced writes none."""
+        record = KeyedRecord(
+            f"{WAVE_KEY_PREFIX}{wave}", encode_wave_status(is_complete)
+        )
+        producer = Producer(PRODUCER, self._epoch, self._status_sequence)
+        await self._append_until_stored(STATUS_TOPIC, [record], producer)
+        self._status_sequence += 1
+
     async def _append(self, records: list[KeyedRecord]) -> None:
         # A repeated sequence number gets the first answer again, so an append whose
         # answer was lost is settled by sending it again.
         producer = Producer(PRODUCER, self._epoch, self._sequence)
+        await self._append_until_stored(PROGRESS_TOPIC, records, producer)
+        if records:
+            self._sequence += 1
+
+    async def _append_until_stored(
+        self, topic: str, records: list[KeyedRecord], producer: Producer
+    ) -> None:
         while True:
             try:
-                await self._store.append(PROGRESS_TOPIC, 0, records, producer)
-                break
+                await self._store.append(topic, 0, records, producer)
+                return
             except (StoreRefusedError, StoreUnknownError):
                 await asyncio.sleep(RETRY_SECONDS)
-        if records:
-            self._sequence += 1
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -6,6 +6,7 @@
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._report import EndedRun, EndReason, HoldReport, RunningRow
 from ._scheduler import Scheduler
+from ._upstream_view import StepKey, UpstreamView
 
 __all__ = [
     "EndReason",
@@ -19,5 +20,7 @@
     "Scheduler",
     "StartOrder",
     "StartResult",
+    "StepKey",
     "StopOrder",
+    "UpstreamView",
 ]
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -14,6 +14,7 @@
 from ._report import HoldReport
 from ._state import SchedulerState
 from ._upstream import Run, Upstream
+from ._upstream_view import StepKey, UpstreamView
 
 _NOT_RUN = {
     StartResult.NO_ROOM: "no-room",
@@ -202,18 +203,64 @@
                 cores[pool] = cores.get(pool, 0.0) + own
         return {pool: PoolLoad(total, 0.0) for pool, total in cores.items()}
 
-    def lasting_at_work(self, job_id: str) -> dict[int, tuple[int, int]]:
-        """Return, by step, how many lasting tasks there are and are at work."""
-        job_run = self.state.jobs[job_id]
-        counts: dict[int, tuple[int, int]] = {}
-        for (_, number), step_run in job_run.steps.items():
-            if step_run.step.is_lasting:
-                at_work = sum(
-                    self._is_at_work(step_run.task_id(i), step_run.tasks[i])
-                    for i in step_run.started_indexes()
-                )
-                counts[number] = (step_run.step.count, at_work)
-        return counts
+    def missing_by_step(self) -> dict[StepKey, int]:
+        """Return how many lasting tasks of each step are not at work."""
+        missing: dict[StepKey, int] = {}
+        for job_id, job_run in self.state.jobs.items():
+            if job_run.state.is_final():
+                continue
+            for (_, number), step_run in job_run.steps.items():
+                if step_run.step.is_lasting:
+                    at_work = sum(
+                        self._is_at_work(step_run.task_id(i), step_run.tasks[i])
+                        for i in step_run.started_indexes()
+                    )
+                    missing[(job_id, number)] = step_run.step.count - at_work
+        return missing
+
+    def upstream_view(self, upstream_id: str) -> UpstreamView | None:
+        """Return what runs at an upstream, or None for one that is not known."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        lasting: dict[StepKey, list[StopOrder]] = {}
+        allowances: dict[StepKey, int] = {}
+        short_runs = 0
+        for run in upstream.runs.values():
+            job_run = self.state.jobs.get(run.task.job)
+            if job_run is None or job_run.state.is_final():
+                continue
+            if not run.is_lasting:
+                short_runs += 1
+                continue
+            key = (run.task.job, run.task.step)
+            allowances[key] = job_run.job.steps[run.task.step].may_miss
+            if run.percent >= AT_WORK_PERCENT:
+                stop = StopOrder(run.task, run.run, upstream_id)
+                lasting.setdefault(key, []).append(stop)
+        return UpstreamView(
+            upstream_id,
+            upstream.entry.pool,
+            upstream.is_cordoned,
+            short_runs,
+            lasting,
+            allowances,
+        )
+
+    def cordon(self, upstream_ids: set[str]) -> None:
+        """Close these upstreams for new work, and open all others."""
+        for upstream in self.state.upstreams.values():
+            upstream.is_cordoned = upstream.id in upstream_ids
+
+    def evict(self, order: StopOrder) -> None:
+        """Have a run stopped so that its task starts elsewhere."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if run is not None and run.run == order.run:
+            run.is_evicted = True
+            self.state.note(
+                "task-evicted", order.task, order.run, upstream=order.upstream
+            )
 
     def _is_at_work(self, task_id: TaskId, task: Task) -> bool:
         upstream = self.state.upstreams.get(task.upstream)
@@ -285,7 +332,7 @@
         job_run = self.state.jobs.get(run.task.job)
         if job_run is None or job_run.state.is_final():
             return True
-        return run.uncertain_at is not None or run.is_stalled
+        return run.uncertain_at is not None or run.is_stalled or run.is_evicted
 
     def _may_repeat(self, run: Run, now: float) -> bool:
         sent = run.stop_sent_at
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -30,6 +30,8 @@
     pace: int = 100
     stop_sent_at: float | None = None
     is_stalled: bool = False
+    # It is stopped to start elsewhere.
+    is_evicted: bool = False
 
 
 @dataclass(slots=True)
