Settle unanswered starts before a task runs again

Ruled out: two owners (owners followed each other by rising epochs). Change: a silent upstream gets no longer lease; unanswered starts are stopped at the next incarnation before the task waits again; ended jobs stay ended; only one reader pages through the newest records.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -36,6 +36,7 @@
         self._topic = topic
         self._on_record = on_record
         self._next: int | None = None
+        self._newest_lock = asyncio.Lock()
         self._is_reachable = True
         # When the latest read that reached the end was asked for; -inf before that.
         self.confirmed_at = float("-inf")
@@ -60,8 +61,9 @@
             await self._read(0)
 
     async def _read(self, wait_ms: int) -> None:
-        if self._next is None:
-            await self._read_newest()
+        async with self._newest_lock:
+            if self._next is None:
+                await self._read_newest()
         start = self._next
         if start is None:
             return
@@ -94,8 +96,7 @@
             after = page.next_after
             if after is None:
                 break
-        if self._next is None:
-            self._next = end
+        self._next = end
 
     def _apply(self, content: bytes) -> None:
         try:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -76,6 +76,7 @@
         self._watches: dict[str, UpstreamWatch] = {}
         self._wake = asyncio.Event()
         self._changed_jobs: list[str] = []
+        self._ended_jobs: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -151,10 +152,8 @@
         self._log_events()
         if changed or waves:
             await self._record(changed, waves)
-            for job_id, progress in changed.items():
-                self._views.table.set_progress(job_id, progress)
         self._note_recorded(applied)
-        self._scheduler.retire()
+        self._ended_jobs.update(self._scheduler.retire())
         for start in starts:
             self._start(self._send_start(start))
 
@@ -204,7 +203,10 @@
         for job_id in jobs:
             job = table.jobs_by_id.get(job_id)
             progress = table.progress_by_id.get(job_id)
-            if job is None or (progress and progress.state.is_final()):
+            # The view may not show yet what this owner recorded last.
+            if job is None or job_id in self._ended_jobs:
+                continue
+            if progress and progress.state.is_final():
                 continue
             self._scheduler.add_job(job, progress, now)
             if job_id in table.cancelled:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -64,10 +64,14 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         unrecorded = upstream.applied_end > upstream.recorded_end
-        wait_ms = 0 if unrecorded or upstream.lease is None else WAIT_MS
+        is_first = upstream.lease is None or not upstream.is_answering
+        wait_ms = 0 if unrecorded or is_first else WAIT_MS
         asked_at = boot_seconds()
+        # An upstream that does not answer gets no longer lease, so that the time when
+        # all its leases are over stands.
+        deadline_ms = self.extend_lease() if upstream.is_answering else None
         report = await self._orders.hold(
-            entry, self._token, self.extend_lease(), upstream.recorded_end, wait_ms
+            entry, self._token, deadline_ms, upstream.recorded_end, wait_ms
         )
         self._apply(report, asked_at)
         upstream_after = self._scheduler.state.upstreams.get(self._id)
@@ -104,9 +108,6 @@
         if self._was_answering:
             self._was_answering = False
             self._log.info("upstream-lost", upstream=self._id, reason=reason)
-        upstream = self._scheduler.state.upstreams.get(self._id)
-        if upstream is None or upstream.is_listed:
-            return
-        if now >= upstream.surely_empty_at(self._scheduler.state.bounds.unheard):
+        if self._scheduler.may_end(self._id, now):
             self._scheduler.upstream_ended(self._id, "gone")
         self._on_report()
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -27,9 +27,14 @@
     for row in report.running:
         _apply_row(state, upstream, row, now)
     for task, run in list(upstream.runs.items()):
-        if task in listed or run.settled_at is None or run.settled_at >= asked_at:
+        if task in listed:
             continue
-        state.requeue(upstream, task, "not-listed")
+        if run.settled_at is None:
+            if run.uncertain_at is not None and run.uncertain_at < asked_at:
+                run.needs_stop = True
+                state.orders_lost_at = now
+        elif run.settled_at < asked_at:
+            state.requeue(upstream, task, "not-listed")
 
 
 def _apply_row(
@@ -42,6 +47,7 @@
     if run.settled_at is None and run.uncertain_at is not None:
         run.uncertain_at = None
         run.settled_at = now
+        state.orders_lost_at = now
     if row.percent != run.percent:
         run.percent = row.percent
         run.percent_since = now
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
-from ..jobs import Job, JobProgress, JobState, Task, TaskId, TaskState
+from ..jobs import Job, JobProgress, JobState, Task, TaskId
 from ._bounds import SchedulingBounds
 from ._ends import AT_WORK_PERCENT, apply_report
 from ._event import SchedulingEvent
@@ -82,6 +82,17 @@
             for task in list(upstream.runs):
                 self.state.requeue(upstream, task, reason)
 
+    def may_end(self, upstream_id: str, now: float) -> bool:
+        """Return whether a silent upstream that is not listed can be forgotten."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return True
+        return (
+            not upstream.is_listed
+            and now >= upstream.surely_empty_at(self.state.bounds.unheard)
+            and not any(self._may_still_arrive(r, now) for r in upstream.runs.values())
+        )
+
     def heard(
         self, upstream_id: str, report: HoldReport, asked_at: float, now: float
     ) -> None:
@@ -104,8 +115,9 @@
             return
         upstream.is_answering = False
         if now >= upstream.surely_empty_at(self.state.bounds.unheard):
-            for task in list(upstream.runs):
-                self.state.requeue(upstream, task, "lease-over")
+            for task, run in list(upstream.runs.items()):
+                if not self._may_still_arrive(run, now):
+                    self.state.requeue(upstream, task, "lease-over")
 
     def expire_unlisted(self, now: float) -> None:
         """Forget upstreams that were recorded as running work and never came back."""
@@ -179,14 +191,19 @@
         self.state.dirty.clear()
         return changed
 
-    def retire(self) -> None:
-        """Forget the jobs that have ended, are recorded and run nothing any more."""
+    def retire(self) -> list[str]:
+        """Forget the recorded ends of jobs that run nothing; return their ids."""
         busy = {
             task.job for u in self.state.upstreams.values() for task in u.runs
         } | self.state.dirty
-        for job_id, job_run in list(self.state.jobs.items()):
-            if job_run.state.is_final() and job_id not in busy:
-                del self.state.jobs[job_id]
+        ended = [
+            job_id
+            for job_id, job_run in self.state.jobs.items()
+            if job_run.state.is_final() and job_id not in busy
+        ]
+        for job_id in ended:
+            del self.state.jobs[job_id]
+        return ended
 
     def take_events(self) -> list[SchedulingEvent]:
         """Return the decisions since the last time."""
@@ -275,13 +292,8 @@
         found = job_run.find(task_id)
         if found is None:
             return
-        step_run = found[0]
-        if upstream.entry.incarnation != task.incarnation:
-            task.state = TaskState.WAITING
-            step_run.waiting.add(task_id.position)
-            self.state.dirty.add(task_id.job)
-            return
-        step = step_run.step
+        step = found[0].step
+        is_same = upstream.entry.incarnation == task.incarnation
         run = Run(
             task_id,
             task.run,
@@ -290,7 +302,8 @@
             step.is_lasting,
             step.is_filler,
             now,
-            settled_at=now,
+            settled_at=now if is_same else None,
+            needs_stop=not is_same,
             percent_since=now,
         )
         self.state.begin(run, upstream, now)
@@ -307,9 +320,16 @@
     def _replace_incarnation(
         self, known: Upstream, entry: UpstreamEntry, now: float
     ) -> None:
-        for task in list(known.runs):
-            self.state.requeue(known, task, "other-incarnation")
-        self.state.upstreams[entry.id] = Upstream(entry, now)
+        fresh = Upstream(entry, now)
+        for task, run in list(known.runs.items()):
+            if run.settled_at is not None:
+                self.state.requeue(known, task, "other-incarnation")
+                continue
+            # The start was not answered: the new incarnation may still carry it out.
+            known.remove(task)
+            run.needs_stop = True
+            fresh.add(run)
+        self.state.upstreams[entry.id] = fresh
 
     def _apply_refusal(
         self, upstream: Upstream, order: StartOrder, result: StartResult, now: float
@@ -332,7 +352,15 @@
         job_run = self.state.jobs.get(run.task.job)
         if job_run is None or job_run.state.is_final():
             return True
-        return run.uncertain_at is not None or run.is_stalled or run.is_evicted
+        return run.needs_stop or run.is_stalled or run.is_evicted
+
+    def _may_still_arrive(self, run: Run, now: float) -> bool:
+        bound = self.state.bounds.late_order
+        return (
+            run.settled_at is None
+            and now - run.started_at < bound
+            and now - self.state.orders_lost_at < bound
+        )
 
     def _may_repeat(self, run: Run, now: float) -> bool:
         sent = run.stop_sent_at
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -32,6 +32,8 @@
         self.events: list[SchedulingEvent] = []
         # Upstreams on which a task failed last, by task.
         self.failed_on: dict[TaskId, str] = {}
+        # When an upstream that answers was last seen to have left a start unanswered.
+        self.orders_lost_at = float("-inf")
         # Runs that were stopped by a decision, so that their end is no failure.
         self.wasted_by_reason: dict[str, int] = defaultdict(int)
 
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -6,6 +6,10 @@
 from ..jobs import TaskId
 from ._lease_bound import LeaseBound
 
+# Starts are answered within some 20 ms; an upstream that keeps one waiting for longer
+# may have gone silent, and gets no more of them until it has answered.
+OVERDUE_START_SECONDS = 0.25
+
 
 @dataclass(slots=True)
 class Run:
@@ -23,6 +27,8 @@
     settled_at: float | None = None
     # When its start was given up without an answer.
     uncertain_at: float | None = None
+    # It may not be there, but might still come: a stop makes that impossible.
+    needs_stop: bool = False
     percent: int = -1
     percent_since: float = 0.0
     measure: int = 0
@@ -68,6 +74,13 @@
             and not self.entry.is_draining
             and not self.is_cordoned
             and now >= self.no_room_until
+            and not self._has_overdue_start(now)
+        )
+
+    def _has_overdue_start(self, now: float) -> bool:
+        return any(
+            run.settled_at is None and now - run.started_at > OVERDUE_START_SECONDS
+            for run in self.runs.values()
         )
 
     def add(self, run: Run) -> None:
