Count tasks on silent upstreams as missing in waves

Change: tasks at work need an upstream that answers and no stop under way; a report of an upstream that is gone changes nothing. Runs are carried over to an upstream's next incarnation until its first report: the search over random races found a start that the new incarnation had answered. Members of a gang carry one number (found by a test).

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -109,9 +109,10 @@
             upstream=order.upstream,
             result=result.name.lower(),
         )
-        # Without an answer it may have begun: the order is repeated, which does no
-        # harm, and the instance list shows when it is up again.
         self._under_way.discard(key)
+        if result is InstanceOrderResult.UNKNOWN:
+            # It may have begun; the order is repeated, which does no harm.
+            self._scheduler.unsure(order.upstream)
         if result is InstanceOrderResult.DONE:
             self.progress_by_wave[order.wave].begun.append(order.instance)
             self.dirty.add(order.wave)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -84,7 +84,10 @@
     def _apply(self, report: HoldReport, asked_at: float) -> None:
         now = boot_seconds()
         self._scheduler.heard(self._id, report, asked_at, now)
-        upstream = self._scheduler.state.upstreams[self._id]
+        upstream = self._scheduler.state.upstreams.get(self._id)
+        if upstream is None:
+            # Its instance was taken away while the call was under way.
+            return
         if upstream.lease is None:
             upstream.lease = LeaseBound(now, report.clock_ms)
         else:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -61,7 +61,14 @@
         for index, upstream in chosen:
             state.release(upstream, step_run.task_id(index))
         return []
-    return [_commit(state, step_run, index, upstream) for index, upstream in chosen]
+    runs = {index: step_run.task(index).run + 1 for index, _ in chosen}
+    if step.is_gang:
+        # All members of a gang carry the same number.
+        runs = dict.fromkeys(runs, max(runs.values()))
+    return [
+        _commit(state, step_run, index, runs[index], upstream)
+        for index, upstream in chosen
+    ]
 
 
 def _place_one(
@@ -96,13 +103,15 @@
 
 
 def _commit(
-    state: SchedulerState, step_run: StepRun, index: int, upstream: Upstream
+    state: SchedulerState,
+    step_run: StepRun,
+    index: int,
+    number: int,
+    upstream: Upstream,
 ) -> StartOrder:
     task = step_run.task(index)
-    if step_run.step.is_gang:
-        task.run = max(step_run.task(i).run for i in range(step_run.step.count))
     task.state = TaskState.STARTED
-    task.run += 1
+    task.run = number
     task.upstream = upstream.id
     task.incarnation = upstream.entry.incarnation
     step_run.waiting.discard(index)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -108,6 +108,12 @@
             apply_report(self.state, upstream, report, asked_at, now)
             self._judge_progress(upstream, now)
 
+    def unsure(self, upstream_id: str) -> None:
+        """Take an upstream to be silent until it is heard again."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.is_answering = False
+
     def unheard(self, upstream_id: str, now: float) -> None:
         """Note that a call was not answered; after its last lease all is lost."""
         upstream = self.state.upstreams.get(upstream_id)
@@ -282,7 +288,9 @@
     def _is_at_work(self, task_id: TaskId, task: Task) -> bool:
         upstream = self.state.upstreams.get(task.upstream)
         run = upstream.runs.get(task_id) if upstream else None
-        return run is not None and run.percent >= AT_WORK_PERCENT
+        if upstream is None or run is None or not upstream.is_answering:
+            return False
+        return run.percent >= AT_WORK_PERCENT and not self._should_stop(run)
 
     def _restore(self, task_id: TaskId, task: Task, now: float) -> None:
         upstream = self.state.upstreams.get(task.upstream)
@@ -320,15 +328,13 @@
     def _replace_incarnation(
         self, known: Upstream, entry: UpstreamEntry, now: float
     ) -> None:
+        # A start may have been answered, or may still be carried out, by the new
+        # incarnation: its first report tells which runs it has.
         fresh = Upstream(entry, now)
-        for task, run in list(known.runs.items()):
-            if run.settled_at is not None:
-                self.state.requeue(known, task, "other-incarnation")
-                continue
-            # The start was not answered: the new incarnation may still carry it out.
-            known.remove(task)
-            run.needs_stop = True
-            fresh.add(run)
+        for task in list(known.runs):
+            run = known.remove(task)
+            if run is not None:
+                fresh.add(run)
         self.state.upstreams[entry.id] = fresh
 
     def _apply_refusal(
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -0,0 +1,215 @@
+"""Model upstreams, and an owner that drives the scheduler, in virtual time."""
+
+from dataclasses import dataclass, field, replace
+
+from baobablane.deployment import (
+    NO_RESOURCES,
+    ClientAccount,
+    Configuration,
+    Pool,
+    Queue,
+    Resources,
+    UpstreamEntry,
+)
+from baobablane.jobs import Job, Step, TaskId
+from baobablane.scheduling import (
+    EndedRun,
+    EndReason,
+    HoldReport,
+    LeaseBound,
+    RunningRow,
+    Scheduler,
+    SchedulingBounds,
+    StartOrder,
+    StartResult,
+    StopOrder,
+)
+
+LEASE_SECONDS = 4.5
+CORE = 1000
+
+
+def make_queue(name="q", pool="pool", priority=0, attempts=2):
+    """Return a queue."""
+    return Queue(name, "host", f"/{name}/", pool, priority, attempts, 1.6, 600, False)
+
+
+def make_configuration(version=1, cap=NO_RESOURCES, queues=None):
+    """Return a configuration with one pool and one client account."""
+    account = ClientAccount("a", ("key",), 1.0, cap)
+    queues = queues or [make_queue()]
+    return Configuration(
+        version,
+        {queue.name: queue for queue in queues},
+        {"pool": Pool("pool")},
+        {"a": account},
+        {"key": account},
+    )
+
+
+def make_step(count=1, cpu=CORE, **fields):
+    """Return a step whose tasks declare half a second."""
+    return Step(count, Resources(cpu, 100, 0), 500, **fields)
+
+
+def make_job(*steps, name="0" * 16, queue="q", accepted_ms=0):
+    """Return a job of the client account."""
+    return Job(name, queue, "pool", "a", "spec", steps or (make_step(),), accepted_ms)
+
+
+@dataclass
+class ModelUpstream:
+    """Hold what one upstream runs; only its latest incarnation does anything."""
+
+    entry: UpstreamEntry
+    running: dict[TaskId, int] = field(default_factory=dict)
+    ended: list[EndedRun] = field(default_factory=list)
+    barred: dict[TaskId, int] = field(default_factory=dict)
+    percent: dict[TaskId, int] = field(default_factory=dict)
+    ends: int = 0
+    token: int = 0
+    lease_over_at: float = 0.0
+
+    def start(self, order: StartOrder, token: int, deadline: float, now: float):
+        """Carry out a start."""
+        if token < self.token:
+            return StartResult.FENCED
+        self.token = token
+        self.lease_over_at = max(self.lease_over_at, deadline)
+        if deadline <= now:
+            return StartResult.LATE
+        if self.running.get(order.task) == order.run:
+            return StartResult.STARTED
+        if order.run <= self.barred.get(order.task, 0):
+            return StartResult.OLD_RUN
+        self.running[order.task] = order.run
+        return StartResult.STARTED
+
+    def stop(self, order: StopOrder):
+        """Carry out a stop."""
+        self.barred[order.task] = max(order.run, self.barred.get(order.task, 0))
+        if self.running.get(order.task) == order.run:
+            self.end(order.task, EndReason.STOPPED)
+
+    def end(self, task: TaskId, reason: EndReason):
+        """End a run."""
+        run = self.running.pop(task)
+        self.barred[task] = max(run, self.barred.get(task, 0))
+        self.ends += 1
+        self.ended.append(EndedRun(self.ends, task, run, reason, ""))
+
+    def restart(self):
+        """Lose everything and come back under the same id."""
+        self.entry = replace(self.entry, incarnation=self.entry.incarnation + 1)
+        self.running, self.ended, self.barred, self.percent = {}, [], {}, {}
+        self.ends, self.token, self.lease_over_at = 0, 0, 0.0
+
+    def report(self, acknowledged: int) -> HoldReport:
+        """Return what a renewal of the leases answers."""
+        self.ended = [end for end in self.ended if end.number > acknowledged]
+        rows = tuple(
+            RunningRow(task, run, "", self.percent.get(task, 50))
+            for task, run in self.running.items()
+        )
+        return HoldReport(self.entry.incarnation, 0, rows, tuple(self.ended))
+
+
+class ModelFleet:
+    """Hold upstreams and an owner's scheduler; every call is answered at once."""
+
+    def __init__(self, count=2, cpu=4 * CORE, configuration=None):
+        """Make the upstreams of one pool and tell the scheduler of them."""
+        self.now = 100.0
+        self.token = 1
+        self.upstreams = {
+            f"u{n}": ModelUpstream(
+                UpstreamEntry(
+                    f"u{n}",
+                    "pool",
+                    f"10.0.0.{n}:80",
+                    "zone",
+                    1,
+                    Resources(cpu, 1_000_000, 0),
+                    frozenset({f"r{n}"}),
+                    False,
+                )
+            )
+            for n in range(count)
+        }
+        self.configuration = configuration or make_configuration()
+        self.scheduler = self.make_scheduler()
+
+    def make_scheduler(self):
+        """Return the scheduler of an owner that has just taken over."""
+        scheduler = Scheduler(SchedulingBounds())
+        scheduler.set_configuration(self.configuration)
+        for upstream in self.upstreams.values():
+            scheduler.upstream_listed(upstream.entry, self.now)
+        return scheduler
+
+    def hear(self, name):
+        """Renew an upstream's leases and apply its report."""
+        known = self.scheduler.state.upstreams[name]
+        model = self.upstreams[name]
+        self.now += 0.001
+        asked_at = self.now
+        self.now += 0.01
+        report = model.report(known.recorded_end)
+        self.scheduler.heard(name, report, asked_at, self.now)
+        known = self.scheduler.state.upstreams[name]
+        if known.lease is None:
+            known.lease = LeaseBound(self.now, round(self.now * 1000))
+        known.lease.hear(self.now, round(self.now * 1000))
+        known.lease.extend(self.now, LEASE_SECONDS)
+        model.lease_over_at = self.now + LEASE_SECONDS
+
+    def hear_all(self):
+        """Renew all leases."""
+        for name in self.upstreams:
+            self.hear(name)
+
+    def record(self):
+        """Take what an owner would record, so that ends count as recorded."""
+        changed = self.scheduler.take_dirty()
+        for upstream in self.scheduler.state.upstreams.values():
+            upstream.recorded_end = upstream.applied_end
+        return changed
+
+    def plan(self):
+        """Return the starts that are recorded and may be sent."""
+        orders = self.scheduler.plan(self.now, round(self.now * 1000))
+        self.record()
+        return orders
+
+    def send(self, order):
+        """Send a start and apply the answer."""
+        result = self.upstreams[order.upstream].start(
+            order, self.token, self.now + LEASE_SECONDS, self.now
+        )
+        self.scheduler.start_answered(order, result, self.now)
+        return result
+
+    def place(self):
+        """Start all that fits."""
+        orders = self.plan()
+        for order in orders:
+            self.send(order)
+        return orders
+
+    def send_stops(self):
+        """Send the stops that are due, and return them."""
+        orders = self.scheduler.stops(self.now)
+        for order in orders:
+            self.upstreams[order.upstream].stop(order)
+            self.scheduler.stop_answered(order, self.now)
+        return orders
+
+    def finish(self, task, reason=EndReason.DONE):
+        """End a run wherever it goes on."""
+        for model in self.upstreams.values():
+            if task in model.running:
+                model.end(task, reason)
+
+    def runs_of(self, task):
+        """Return how many runs of a task go on."""
+        return sum(task in model.running for model in self.upstreams.values())
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_races.py
@@ -0,0 +1,169 @@
+"""Search for races between orders, restarts, silence and take-overs."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from baobablane.jobs import JobState, TaskId
+from baobablane.scheduling import EndReason, StartResult
+
+from .fleet_model import CORE, LEASE_SECONDS, ModelFleet, make_job, make_step
+
+NAMES = ("u0", "u1", "u2")
+JOBS = ("1" * 16, "2" * 16)
+# Longest that an order without an answer may be carried out late.
+LATE_SECONDS = 12.0
+
+
+class OwnerMachine(RuleBasedStateMachine):
+    """Drive one owner after another against upstreams that lose and delay orders."""
+
+    def __init__(self):
+        """Start with two jobs on three upstreams."""
+        super().__init__()
+        self.fleet = ModelFleet(count=len(NAMES), cpu=2 * CORE)
+        self.jobs = [make_job(make_step(2), make_step(1, after=(0,)), name=JOBS[0])]
+        self.jobs.append(make_job(make_step(3), name=JOBS[1]))
+        for job in self.jobs:
+            self.fleet.scheduler.add_job(job, None, self.fleet.now)
+        self.recorded = {}
+        self.late = []
+        self.silent = {}
+        self.noted_done = set()
+        self.cancelled = set()
+
+    def record(self):
+        """Record progress as an owner does before it sends or acknowledges."""
+        changed = self.fleet.record()
+        for job, progress in changed.items():
+            tasks = {
+                key: type(task)(**{f: getattr(task, f) for f in task.__struct_fields__})
+                for key, task in progress.tasks.items()
+            }
+            self.recorded[job] = type(progress)(progress.state, tasks)
+            for key, task in tasks.items():
+                if task.state == 2:
+                    self.noted_done.add((job, key))
+
+    def is_silent(self, name):
+        """Return whether an upstream is not heard now."""
+        return self.fleet.now < self.silent.get(name, 0.0)
+
+    @rule(losses=st.lists(st.sampled_from(["sent", "lost", "unheard"]), max_size=6))
+    def place(self, losses):
+        """Start what fits; some orders come late, some answers are lost."""
+        fleet = self.fleet
+        orders = fleet.scheduler.plan(fleet.now, round(fleet.now * 1000))
+        self.record()
+        for number, order in enumerate(orders):
+            key = f"{order.task.occurrence}.{order.task.step}.{order.task.position}"
+            assert (order.task.job, key) not in self.noted_done
+            assert order.task.job not in self.cancelled
+            fate = losses[number] if number < len(losses) else "sent"
+            deadline = fleet.now + LEASE_SECONDS
+            if self.is_silent(order.upstream) or fate == "lost":
+                self.late.append((order, fleet.token, deadline, fleet.now))
+                result = StartResult.UNKNOWN
+            else:
+                model = fleet.upstreams[order.upstream]
+                result = model.start(order, fleet.token, deadline, fleet.now)
+                if fate == "unheard":
+                    result = StartResult.UNKNOWN
+            fleet.scheduler.start_answered(order, result, fleet.now)
+
+    @rule(name=st.sampled_from(NAMES))
+    def hear(self, name):
+        """Renew one upstream's leases."""
+        if self.is_silent(name):
+            self.fleet.scheduler.unheard(name, self.fleet.now)
+        else:
+            self.fleet.hear(name)
+        self.record()
+
+    @rule()
+    def stop(self):
+        """Send the stops that are due."""
+        fleet = self.fleet
+        for order in fleet.scheduler.stops(fleet.now):
+            if not self.is_silent(order.upstream):
+                fleet.upstreams[order.upstream].stop(order)
+                fleet.scheduler.stop_answered(order, fleet.now)
+
+    @rule(seconds=st.sampled_from([0.05, 0.4, 2.0, 6.0]))
+    def wait(self, seconds):
+        """Let time pass; leases run out, late orders arrive."""
+        fleet = self.fleet
+        fleet.now += seconds
+        for model in fleet.upstreams.values():
+            if fleet.now >= model.lease_over_at:
+                for task in list(model.running):
+                    model.end(task, EndReason.LAPSED)
+        self.late = [row for row in self.late if fleet.now - row[3] <= LATE_SECONDS]
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def arrive_late(self, data):
+        """Carry out an order that got no answer."""
+        row = data.draw(st.sampled_from(self.late))
+        self.late.remove(row)
+        order, token, deadline, _ = row
+        # The order names the upstream by its id, which a restart does not change.
+        self.fleet.upstreams[order.upstream].start(
+            order, token, deadline, self.fleet.now
+        )
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.sampled_from([0.5, 3.0, 7.0]))
+    def cut(self, name, seconds):
+        """Keep an upstream from hearing and answering for a while."""
+        self.silent[name] = self.fleet.now + seconds
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        """Restart an upstream under the same id."""
+        self.fleet.upstreams[name].restart()
+
+    @rule(reason=st.sampled_from([EndReason.DONE, EndReason.DONE, EndReason.FAILED]))
+    def finish(self, reason):
+        """End the first run that goes on."""
+        for model in self.fleet.upstreams.values():
+            for task in list(model.running):
+                model.end(task, reason)
+                return
+
+    @rule(job=st.sampled_from(JOBS))
+    def cancel(self, job):
+        """Cancel a job."""
+        self.fleet.scheduler.cancel_job(job)
+        self.cancelled.add(job)
+
+    @rule()
+    def take_over(self):
+        """Replace the owner by one that knows only what is recorded."""
+        fleet = self.fleet
+        fleet.token += 1
+        fleet.scheduler = fleet.make_scheduler()
+        for job in self.jobs:
+            progress = self.recorded.get(job.id)
+            if progress is None or progress.state < JobState.COMPLETED:
+                fleet.scheduler.add_job(job, progress, fleet.now)
+                if job.id in self.cancelled:
+                    fleet.scheduler.cancel_job(job.id)
+
+    @invariant()
+    def no_task_runs_twice(self):
+        """At most one run of a task goes on at any moment."""
+        for job in self.jobs:
+            for number, step in enumerate(job.steps):
+                for index in range(step.count):
+                    task = TaskId(job.id, 0, number, index)
+                    assert self.fleet.runs_of(task) <= 1
+
+    @invariant()
+    def capacity_is_kept(self):
+        """No upstream runs more than fits."""
+        for model in self.fleet.upstreams.values():
+            assert len(model.running) <= 2
+
+
+TestOwnerMachine = OwnerMachine.TestCase
+TestOwnerMachine.settings = settings(stateful_step_count=40)
--- /dev/null
+++ b/packages/baobablane/baobablane/upkeep/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test upkeep."""
