Size pools by arriving work and foreseen turns

Change: pools get the cores for the rate of arriving work, their backlog and lasting tasks; a turn that can be foreseen is prepared for; instances that run nothing are moved. Lasting tasks of a step share two upstreams.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -1,18 +1,19 @@
-"""Carry out maintenance waves on the platform's instances."""
+"""Move and maintain the platform's instances."""
 
 import asyncio
 from collections.abc import Callable
 
 from baobablane.deployment import Instance
 from baobablane.scheduling import Scheduler
-from baobablane.upkeep import UpkeepOrder, WaveProgress, plan_upkeep
+from baobablane.sizing import MoveOrder, PoolSizing, plan_moves
+from baobablane.upkeep import UpkeepOrder, UpkeepPlan, WaveProgress, plan_upkeep
 from baobablane_platform import InstanceClient, InstanceListError, InstanceOrderResult
 
 from ..jobs import Views, boot_seconds, unix_ms
 from ..tasks import DecisionLog
 from ._membership import GroupMember
 
-LIST_SECONDS = 0.5
+LIST_SECONDS = 0.25
 # An order is given only on an ownership confirmed within this, so that a replaced
 # owner's last order and its successor's first stay apart.
 CONFIRMED_SECONDS = 1.0
@@ -47,6 +48,7 @@
         self._instances: list[Instance] = []
         # Orders without a known end: the instance counts as down.
         self._under_way: set[tuple[str, int]] = set()
+        self._sizing = PoolSizing()
         self.progress_by_wave: dict[int, WaveProgress] = {}
         # Waves whose progress is not recorded yet.
         self.dirty: set[int] = set()
@@ -55,8 +57,7 @@
         """Plan and order until cancelled."""
         while True:
             self._open_waves()
-            if any(not p.is_complete for p in self.progress_by_wave.values()):
-                await self._round()
+            await self._round()
             await asyncio.sleep(LIST_SECONDS)
 
     def _open_waves(self) -> None:
@@ -84,7 +85,9 @@
             unix_ms(),
             lambda instance, wave: (instance, wave) in self._under_way,
         )
-        self._scheduler.cordon(plan.cordoned)
+        moves = self._plan_moves(plan)
+        closing = {move.upstream for move in moves if move.upstream}
+        self._scheduler.cordon(plan.cordoned | closing)
         for number in plan.completed:
             self.progress_by_wave[number].is_complete = True
             self.dirty.add(number)
@@ -93,7 +96,50 @@
         for eviction in plan.evictions:
             self._scheduler.evict(eviction)
         self._on_change()
-        await asyncio.gather(*(self._maintain(order) for order in plan.orders))
+        await asyncio.gather(
+            *(self._maintain(order) for order in plan.orders),
+            *(self._move(move) for move in moves),
+        )
+
+    def _plan_moves(self, upkeep: UpkeepPlan) -> list[MoveOrder]:
+        configuration = self._views.configuration
+        if configuration is None:
+            return []
+        now = boot_seconds()
+        demands = self._scheduler.demand_by_pool()
+        self._sizing.observe(demands, now)
+        if now < self._first_order_at or not self._sizing.has_begun():
+            return []
+        wanted = {
+            pool: self._sizing.wanted_cores(pool, demand, now)
+            for pool, demand in demands.items()
+        }
+        standby = min(configuration.standby_pools(), default="")
+        busy = {order.instance for order in upkeep.orders}
+        return plan_moves(
+            wanted,
+            demands,
+            self._instances,
+            self._scheduler.empty_upstreams() - upkeep.cordoned,
+            standby,
+            busy,
+        )
+
+    async def _move(self, order: MoveOrder) -> None:
+        if not self._member.is_confirmed(CONFIRMED_SECONDS):
+            return
+        result = await self._client.move(order.instance, order.pool, self._epoch)
+        self._log.info(
+            "move-ordered",
+            instance=order.instance,
+            pool=order.pool,
+            upstream=order.upstream,
+            result=result.name.lower(),
+        )
+        if result is InstanceOrderResult.DONE and order.upstream:
+            self._scheduler.upstream_ended(order.upstream, "moved")
+        elif result is InstanceOrderResult.UNKNOWN and order.upstream:
+            self._scheduler.unsure(order.upstream)
 
     async def _maintain(self, order: UpkeepOrder) -> None:
         if not self._member.is_confirmed(CONFIRMED_SECONDS):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -14,6 +14,8 @@
 LEASE_SECONDS = 4.5
 # A look at an upstream has its price; ends are answered at once all the same.
 WAIT_MS = 900
+# The longest that an upstream waits; it has nothing to tell while it runs nothing.
+IDLE_WAIT_MS = 2000
 RETRY_SECONDS = 0.15
 # While ends can't be recorded, leases are renewed at this pace.
 UNRECORDED_SECONDS = 0.8
@@ -65,7 +67,9 @@
             return
         unrecorded = upstream.applied_end > upstream.recorded_end
         is_first = upstream.lease is None or not upstream.is_answering
-        wait_ms = 0 if unrecorded or is_first else WAIT_MS
+        wait_ms = WAIT_MS if upstream.runs else IDLE_WAIT_MS
+        if unrecorded or is_first:
+            wait_ms = 0
         asked_at = boot_seconds()
         # An upstream that does not answer gets no longer lease, so that the time when
         # all its leases are over stands.
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -2,8 +2,8 @@
 
 from ._bounds import SchedulingBounds
 from ._lease_bound import LeaseBound
-from ._load import PoolLoad
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
+from ._pool_demand import PoolDemand
 from ._report import EndedRun, EndReason, HoldReport, RunningRow
 from ._scheduler import Scheduler
 from ._upstream_view import StepKey, UpstreamView
@@ -14,7 +14,7 @@
     "HoldReport",
     "LeaseBound",
     "PaceOrder",
-    "PoolLoad",
+    "PoolDemand",
     "RunningRow",
     "SchedulingBounds",
     "Scheduler",
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -69,6 +69,14 @@
         }
         return JobProgress(self.state, tasks)
 
+    def declared_work(self) -> float:
+        """Return the declared core-seconds of the tasks that do not last."""
+        return sum(
+            step.count * step.needs.cpu_millis * step.estimated_ms / 1e6
+            for step in self.job.steps
+            if not step.is_lasting
+        )
+
     def latest_due_ms(self) -> int:
         """Return when the latest occurrence that is open was due, in Unix ms."""
         return self.job.due_ms(max(0, self._opened - 1))
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -1,11 +1,12 @@
 """Choose an upstream for a task.
 
 Load pattern: queues take turns, so a pool is idle or full. Short tasks are packed so
-that whole instances stay idle and can be given back; lasting tasks are spread so that
-one crash or one upkeep costs a job no more than one of them.
+that whole instances stay idle and can be given back. Lasting tasks of a step share two
+upstreams, if possible of different racks: with one, a crash would end all of them; with
+more, few instances would ever be idle.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from ..deployment import Resources
 from ._step_run import StepRun
@@ -14,7 +15,7 @@
 
 def choose_upstream(
     step_run: StepRun,
-    candidates: Iterable[Upstream],
+    candidates: Collection[Upstream],
     placed_by_upstream: dict[str, int],
     avoided: str,
 ) -> Upstream | None:
@@ -27,6 +28,7 @@
     needs = step.needs
     if step.is_filler:
         needs = Resources(0, needs.memory_mb, needs.gpus)
+    others = [u for u in candidates if u.id in placed_by_upstream]
     best: Upstream | None = None
     best_score: tuple[float, ...] | None = None
     for upstream in candidates:
@@ -42,7 +44,7 @@
         score = (
             float(upstream.id == avoided),
             float(bool(step.data_rack) and step.data_rack not in labels),
-            *_spread_score(step_run, upstream, placed, room),
+            *_spread_score(step_run, upstream, placed, room, others),
         )
         if best_score is None or score < best_score:
             best, best_score = upstream, score
@@ -50,13 +52,26 @@
 
 
 def _spread_score(
-    step_run: StepRun, upstream: Upstream, placed: int, room: Resources
+    step_run: StepRun,
+    upstream: Upstream,
+    placed: int,
+    room: Resources,
+    others: Collection[Upstream],
 ) -> tuple[float, ...]:
     step = step_run.step
     if step.is_filler:
         serving = sum(r.is_lasting and not r.is_filler for r in upstream.runs.values())
         return (placed, serving, -room.cpu_millis)
     if step.is_lasting:
+        half = -(-step.count // 2)
         lasting = sum(run.is_lasting for run in upstream.runs.values())
-        return (placed, lasting, -room.cpu_millis)
+        return (placed >= half, -placed, _shared_labels(upstream, others), -lasting)
     return (0.0, 0.0, room.cpu_millis)
+
+
+def _shared_labels(upstream: Upstream, others: Collection[Upstream]) -> int:
+    return sum(
+        len(upstream.entry.labels & other.entry.labels)
+        for other in others
+        if other.id != upstream.id
+    )
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -8,9 +8,9 @@
 from ._ends import AT_WORK_PERCENT, apply_report
 from ._event import SchedulingEvent
 from ._job_run import JobRun
-from ._load import PoolLoad
 from ._orders import StartOrder, StartResult, StopOrder
 from ._planning import plan_starts
+from ._pool_demand import PoolDemand, sum_demand
 from ._report import HoldReport
 from ._state import SchedulerState
 from ._upstream import Run, Upstream
@@ -46,6 +46,7 @@
             return
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
+        self.state.arrived[self.state.pool_of(job_run)] += job_run.declared_work()
         if progress:
             for step_run in job_run.steps.values():
                 for index in step_run.started_indexes():
@@ -216,15 +217,19 @@
         events, self.state.events = self.state.events, []
         return events
 
-    def load_by_pool(self) -> dict[str, PoolLoad]:
-        """Return each pool's cores and declared work."""
-        cores: dict[str, float] = {}
-        for upstream in self.state.upstreams.values():
-            if upstream.is_listed and not upstream.entry.is_draining:
-                pool = upstream.entry.pool
-                own = upstream.entry.capacity.cpu_millis / 1000
-                cores[pool] = cores.get(pool, 0.0) + own
-        return {pool: PoolLoad(total, 0.0) for pool, total in cores.items()}
+    def demand_by_pool(self) -> dict[str, PoolDemand]:
+        """Return what each pool that is not on standby is asked for."""
+        return sum_demand(self.state)
+
+    def empty_upstreams(self) -> set[str]:
+        """Return the sound upstreams that run nothing and have nothing to tell."""
+        return {
+            upstream.id
+            for upstream in self.state.upstreams.values()
+            if upstream.is_usable()
+            and not upstream.runs
+            and upstream.recorded_end >= upstream.applied_end
+        }
 
     def missing_by_step(self) -> dict[StepKey, int]:
         """Return how many lasting tasks of each step are not at work."""
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -28,6 +28,8 @@
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
         self.ejections = EjectionTable(EJECTION_POLICY)
+        # Declared core-seconds of the jobs that ever arrived, by pool.
+        self.arrived: dict[str, float] = defaultdict(float)
         self.dirty: set[str] = set()
         self.events: list[SchedulingEvent] = []
         # Upstreams on which a task failed last, by task.
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -66,13 +66,19 @@
         """Return the upstream's id."""
         return self.entry.id
 
-    def accepts(self, now: float) -> bool:
-        """Return whether new work may be placed here."""
+    def is_usable(self) -> bool:
+        """Return whether the upstream is sound and open for new work."""
         return (
             self.is_listed
             and self.is_answering
             and not self.entry.is_draining
             and not self.is_cordoned
+        )
+
+    def accepts(self, now: float) -> bool:
+        """Return whether new work may be placed here now."""
+        return (
+            self.is_usable()
             and now >= self.no_room_until
             and not self._has_overdue_start(now)
         )
--- /dev/null
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -0,0 +1,108 @@
+"""Decide how many cores each pool should have.
+
+Load pattern: a pool is asked for several times its mean in its turn, more than its own
+instances hold, and for a twentieth in between. It gets the cores for the work that
+arrives and waits, shortly before its turn where that can be foreseen, and keeps little
+in between.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from ..scheduling import PoolDemand
+from ._forecast import TurnForecast
+
+# Time constant of the rate at which work arrives, in seconds: a few arrivals long, and
+# short against a turn.
+RATE_SECONDS = 0.8
+# Time in which waiting work should have started, in seconds.
+CLEAR_SECONDS = 1.0
+# A rise is work arriving for this part of the pool's first size, a fall for that part.
+HIGH_PART = 0.25
+LOW_PART = 0.1
+# Cores that a pool keeps free for what comes next, as a part of its first size.
+RESERVE_PART = 0.15
+# A move takes 1.5 s and shows in the lists up to half a second later.
+LEAD_SECONDS = 2.3
+# How much later than foreseen a rise may come before its cores are given back.
+LATE_SECONDS = 1.5
+# What a foreseen turn is prepared for, as a part of the first size, until its own
+# peak is known.
+FIRST_TURN_PART = 1.0
+
+
+@dataclass(slots=True)
+class _Pool:
+    first_cores: float
+    arrived: float = 0.0
+    rate: float = 0.0
+    is_high: bool = False
+    peak: float = 0.0
+    wanted: float = 0.0
+
+
+@dataclass(slots=True)
+class PoolSizing:
+    """Hold what is known of each pool's demand over time."""
+
+    forecast: TurnForecast = field(default_factory=TurnForecast)
+    _pools: dict[str, _Pool] = field(default_factory=dict)
+    _observed_at: float | None = None
+
+    def observe(self, demands: dict[str, PoolDemand], now: float) -> None:
+        """Apply the pools' demand as it is now."""
+        before = self._observed_at
+        self._observed_at = now
+        seconds = max(1e-3, now - before) if before is not None else 0.0
+        for name, demand in demands.items():
+            pool = self._pools.get(name)
+            if pool is None:
+                pool = self._pools[name] = _Pool(
+                    demand.cores, demand.arrived_core_seconds
+                )
+            pool.first_cores = max(
+                pool.first_cores, 0.0 if self.has_begun() else demand.cores
+            )
+            if seconds:
+                self._apply_rate(name, pool, demand, seconds, now)
+        for name in set(self._pools) - set(demands):
+            del self._pools[name]
+
+    def has_begun(self) -> bool:
+        """Return whether any pool's demand has risen yet."""
+        return any(self.forecast.has_risen(name) for name in self._pools)
+
+    def wanted_cores(self, name: str, demand: PoolDemand, now: float) -> float:
+        """Return the cores that a pool should have."""
+        pool = self._pools[name]
+        reserve = RESERVE_PART * pool.first_cores
+        backlog = demand.waiting_core_seconds / CLEAR_SECONDS
+        wanted = demand.lasting_cores + pool.rate + backlog + reserve
+        if not self.forecast.has_risen(name):
+            return max(wanted, pool.first_cores)
+        if pool.is_high:
+            pool.peak = max(pool.peak, wanted)
+        if self._is_expected(name, now):
+            expected = max(pool.peak, FIRST_TURN_PART * pool.first_cores)
+            return max(wanted, expected)
+        return wanted
+
+    def _is_expected(self, name: str, now: float) -> bool:
+        at = self.forecast.next_rise()
+        if at is None or not at - LEAD_SECONDS <= now <= at + LATE_SECONDS:
+            return False
+        return name in self.forecast.next_pools(set(self._pools))
+
+    def _apply_rate(
+        self, name: str, pool: _Pool, demand: PoolDemand, seconds: float, now: float
+    ) -> None:
+        arrived = demand.arrived_core_seconds - pool.arrived
+        pool.arrived = demand.arrived_core_seconds
+        weight = 1.0 - math.exp(-seconds / RATE_SECONDS)
+        pool.rate += weight * (arrived / seconds - pool.rate)
+        if not pool.is_high and pool.rate > HIGH_PART * pool.first_cores:
+            pool.is_high = True
+            pool.peak *= 0.5
+            self.forecast.rose(name, now)
+        elif pool.is_high and pool.rate < LOW_PART * pool.first_cores:
+            pool.is_high = False
