See a turn's beginning at once; read the store less often

Cause: sizing by backlog alone moved 158 instances and lagged behind turns; every entry instance read each change of every job as it came (19,674 calls). Change: cores for the rate of arriving work or for being in time, whichever is more; one rise a turn; views are read at most every 0.1 s but for the owner's jobs.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -29,8 +29,14 @@
         log: DecisionLog,
         topic: str,
         on_record: Callable[[KeyedRecord], None],
+        pause_seconds: float = 0.0,
     ) -> None:
-        """Follow partition 0, the only one of topics that are not split."""
+        """Follow partition 0, the only one of topics that are not split.
+
+        Reads that found records are `pause_seconds` apart, so that many small changes
+        take few calls.
+        """
+        self.pause_seconds = pause_seconds
         self._store = store
         self._log = log
         self._topic = topic
@@ -49,7 +55,8 @@
         """Follow the topic until cancelled."""
         while True:
             try:
-                await self._read(WAIT_MS)
+                if await self._read(WAIT_MS):
+                    await asyncio.sleep(self.pause_seconds)
             except StoreError as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_SECONDS)
@@ -60,20 +67,20 @@
         while self.confirmed_at < asked_at:
             await self._read(0)
 
-    async def _read(self, wait_ms: int) -> None:
+    async def _read(self, wait_ms: int) -> int:
         async with self._newest_lock:
             if self._next is None:
                 await self._read_newest()
         start = self._next
         if start is None:
-            return
+            return 0
         asked_at = boot_seconds()
         try:
             page = await self._store.read(self._topic, 0, start, wait_ms)
         except StoreExpiredError:
             self._log.info("topic-read-anew", topic=self._topic, offset=start)
             self._next = None
-            return
+            return 0
         for number, content in enumerate(page.contents, start):
             if self._next is not None and number >= self._next:
                 self._next = number + 1
@@ -83,6 +90,7 @@
         if not self._is_reachable:
             self._is_reachable = True
             self._log.info("store-regained", topic=self._topic)
+        return len(page.contents)
 
     async def _read_newest(self) -> None:
         after: str | None = None
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -24,6 +24,8 @@
 JOBS_TOPIC = "keyed.jobs"
 # Written by the owner only: how far jobs are.
 PROGRESS_TOPIC = "keyed.progress"
+# Callers ask for states from time to time; a job that is not known yet is looked up.
+PAUSE_SECONDS = 0.1
 CANCEL_PREFIX = "cancel/"
 WAVE_PREFIX = "wave/"
 
@@ -39,11 +41,17 @@
         self.wave_progress: dict[int, WaveProgress] = {}
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
-        self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job)
-        self.progress_tail = TopicTail(store, log, PROGRESS_TOPIC, self._on_progress)
+        self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job, PAUSE_SECONDS)
+        self.progress_tail = TopicTail(
+            store, log, PROGRESS_TOPIC, self._on_progress, PAUSE_SECONDS
+        )
         # Called with a job's id, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
 
+    def follow_closely(self, is_owner: bool) -> None:
+        """Read new jobs at once while this process places them."""
+        self.jobs_tail.pause_seconds = 0.0 if is_owner else PAUSE_SECONDS
+
     async def run(self) -> None:
         """Follow all topics until cancelled."""
         await asyncio.gather(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -56,7 +56,6 @@
     async def run(self) -> None:
         """Plan and order until cancelled."""
         while True:
-            self._open_waves()
             await self._round()
             await asyncio.sleep(LIST_SECONDS)
 
@@ -77,6 +76,8 @@
         except InstanceListError as error:
             self._log.info("instance-list-unread", reason=str(error))
             return
+        # A wave may have come while the list was read.
+        self._open_waves()
         plan = plan_upkeep(
             list(self._views.waves.values()),
             self.progress_by_wave,
@@ -106,7 +107,7 @@
         if configuration is None:
             return []
         now = boot_seconds()
-        demands = self._scheduler.demand_by_pool()
+        demands = self._scheduler.demand_by_pool(unix_ms())
         self._sizing.observe(demands, now)
         if now < self._first_order_at or not self._sizing.has_begun():
             return []
@@ -118,7 +119,6 @@
         busy = {order.instance for order in upkeep.orders}
         return plan_moves(
             wanted,
-            demands,
             self._instances,
             self._scheduler.empty_upstreams() - upkeep.cordoned,
             standby,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -91,6 +91,7 @@
             await self._member.step_down(f"fenced: {error}")
         finally:
             self._views.on_change = lambda job_id: None
+            self._views.follow_closely(False)
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -115,6 +116,7 @@
                 self._log.info("take-over-waits", reason=str(error))
                 await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
         self._views.on_change = self._on_change
+        self._views.follow_closely(True)
         self._apply_configuration()
         now = boot_seconds()
         table = self._views.table
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -77,6 +77,25 @@
             if not step.is_lasting
         )
 
+    def remaining_work(self) -> float:
+        """Return the declared core-seconds of tasks that are not done yet."""
+        return sum(
+            (run.step.count - run.done)
+            * run.step.needs.cpu_millis
+            * run.step.estimated_ms
+            / 1e6
+            for run in self.steps.values()
+            if not run.step.is_lasting
+        )
+
+    def lasting_cores(self) -> float:
+        """Return the cores of the tasks that last; fillers need none."""
+        return sum(
+            run.step.count * run.step.needs.cpu_millis / 1000
+            for run in self.steps.values()
+            if run.step.is_lasting and not run.step.is_filler
+        )
+
     def latest_due_ms(self) -> int:
         """Return when the latest occurrence that is open was due, in Unix ms."""
         return self.job.due_ms(max(0, self._opened - 1))
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -2,30 +2,35 @@
 
 from dataclasses import dataclass
 
+from ._job_run import JobRun
 from ._state import SchedulerState
+from ._urgency import objective_seconds
+
+# Work that should be done within less than this can't be hurried by more cores.
+SHORTEST_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class PoolDemand:
-    """Hold a pool's cores and the declared work that arrived and waits."""
+    """Hold a pool's cores, and the declared work that arrived and is not done."""
 
     # Of the upstreams that may be given work.
     cores: float
     # Of lasting tasks, running or not.
     lasting_cores: float
-    # Core-seconds of tasks that could start now.
-    waiting_core_seconds: float
+    # Cores with which all jobs that can still be in time would be.
+    due_cores: float
     # Core-seconds of all jobs that ever arrived here.
     arrived_core_seconds: float
 
 
-def sum_demand(state: SchedulerState) -> dict[str, PoolDemand]:
+def sum_demand(state: SchedulerState, unix_ms: int) -> dict[str, PoolDemand]:
     """Return the demand on each pool that is not on standby."""
     pools = state.configuration.pools_by_name.values()
     names = [pool.name for pool in pools if not pool.is_standby]
     cores = dict.fromkeys(names, 0.0)
     lasting = dict.fromkeys(names, 0.0)
-    waiting = dict.fromkeys(names, 0.0)
+    due = dict.fromkeys(names, 0.0)
     for upstream in state.upstreams.values():
         if upstream.entry.pool in cores and upstream.is_usable():
             cores[upstream.entry.pool] += upstream.entry.capacity.cpu_millis / 1000
@@ -33,16 +38,22 @@
         pool = state.pool_of(job_run)
         if job_run.state.is_final() or pool not in cores:
             continue
-        for step_run in job_run.steps.values():
-            step = step_run.step
-            if step.is_lasting and not step.is_filler:
-                lasting[pool] += step.count * step.needs.cpu_millis / 1000
-        for step_run in job_run.startable_steps():
-            step = step_run.step
-            if not step.is_lasting:
-                work = step.needs.cpu_millis * step.estimated_ms / 1e6
-                waiting[pool] += len(step_run.waiting) * work
+        lasting[pool] += job_run.lasting_cores()
+        due[pool] += _due_cores(state, job_run, unix_ms)
     return {
-        name: PoolDemand(cores[name], lasting[name], waiting[name], state.arrived[name])
+        name: PoolDemand(cores[name], lasting[name], due[name], state.arrived[name])
         for name in names
     }
+
+
+def _due_cores(state: SchedulerState, job_run: JobRun, unix_ms: int) -> float:
+    queue = state.configuration.queues_by_name.get(job_run.job.queue)
+    if queue is None:
+        return 0.0
+    objective = objective_seconds(job_run, queue, job_run.declared_chain_ms)
+    left = job_run.latest_due_ms() / 1000 + objective - unix_ms / 1000
+    chain = job_run.remaining_chain_ms() / 1000
+    if left < chain / 2:
+        # It will be late in any case, and takes what others leave.
+        return 0.0
+    return job_run.remaining_work() / max(left, chain, SHORTEST_SECONDS)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -217,9 +217,9 @@
         events, self.state.events = self.state.events, []
         return events
 
-    def demand_by_pool(self) -> dict[str, PoolDemand]:
+    def demand_by_pool(self, unix_ms: int) -> dict[str, PoolDemand]:
         """Return what each pool that is not on standby is asked for."""
-        return sum_demand(self.state)
+        return sum_demand(self.state, unix_ms)
 
     def empty_upstreams(self) -> set[str]:
         """Return the sound upstreams that run nothing and have nothing to tell."""
--- a/packages/baobablane/baobablane/sizing/_forecast.py
+++ b/packages/baobablane/baobablane/sizing/_forecast.py
@@ -19,8 +19,9 @@
         self._rises: list[tuple[float, str]] = []
 
     def rose(self, pool: str, now: float) -> None:
-        """Note that a pool's demand has risen."""
-        self._rises.append((now, pool))
+        """Note that a pool's demand has risen, unless its turn was the latest."""
+        if not self._rises or self._rises[-1][1] != pool:
+            self._rises.append((now, pool))
 
     def has_risen(self, pool: str) -> bool:
         """Return whether a pool's demand ever rose."""
--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from ..deployment import Instance, InstanceState
-from ..scheduling import PoolDemand
 
 # Instances that a pool keeps, so that lasting tasks have a second place.
 LEAST_INSTANCES = 2
@@ -22,7 +21,6 @@
 
 def plan_moves(
     wanted_cores: Mapping[str, float],
-    demands: Mapping[str, PoolDemand],
     instances: Sequence[Instance],
     empty_upstreams: Collection[str],
     standby: str,
--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -14,9 +14,11 @@
 
 # Time constant of the rate at which work arrives, in seconds: a few arrivals long, and
 # short against a turn.
-RATE_SECONDS = 0.8
-# Time in which waiting work should have started, in seconds.
-CLEAR_SECONDS = 1.0
+RATE_SECONDS = 1.0
+# The same for the beginning of a turn, which must be seen at once.
+RISE_SECONDS = 0.5
+# Declared sizes are off, and cores are given by whole instances.
+MARGIN = 1.25
 # A rise is work arriving for this part of the pool's first size, a fall for that part.
 HIGH_PART = 0.25
 LOW_PART = 0.1
@@ -26,9 +28,6 @@
 LEAD_SECONDS = 2.3
 # How much later than foreseen a rise may come before its cores are given back.
 LATE_SECONDS = 1.5
-# What a foreseen turn is prepared for, as a part of the first size, until its own
-# peak is known.
-FIRST_TURN_PART = 1.0
 
 
 @dataclass(slots=True)
@@ -36,9 +35,10 @@
     first_cores: float
     arrived: float = 0.0
     rate: float = 0.0
+    fast_rate: float = 0.0
     is_high: bool = False
-    peak: float = 0.0
-    wanted: float = 0.0
+    # Of its latest turn, in cores.
+    peak_rate: float = 0.0
 
 
 @dataclass(slots=True)
@@ -75,17 +75,17 @@
     def wanted_cores(self, name: str, demand: PoolDemand, now: float) -> float:
         """Return the cores that a pool should have."""
         pool = self._pools[name]
-        reserve = RESERVE_PART * pool.first_cores
-        backlog = demand.waiting_core_seconds / CLEAR_SECONDS
-        wanted = demand.lasting_cores + pool.rate + backlog + reserve
+        kept = demand.lasting_cores + RESERVE_PART * pool.first_cores
+        wanted = kept + MARGIN * max(pool.rate, demand.due_cores)
+        if pool.is_high:
+            pool.peak_rate = max(pool.peak_rate, pool.rate)
+            # A turn asks for the pool's first size at least.
+            wanted = max(wanted, pool.first_cores)
+        is_expected = self._is_expected(name, now)
         if not self.forecast.has_risen(name):
+            # Its first turn can't be foreseen, and its first seconds count most.
             return max(wanted, pool.first_cores)
-        if pool.is_high:
-            pool.peak = max(pool.peak, wanted)
-        if self._is_expected(name, now):
-            expected = max(pool.peak, FIRST_TURN_PART * pool.first_cores)
-            return max(wanted, expected)
-        return wanted
+        return max(wanted, kept + MARGIN * pool.peak_rate) if is_expected else wanted
 
     def _is_expected(self, name: str, now: float) -> bool:
         at = self.forecast.next_rise()
@@ -98,11 +98,19 @@
     ) -> None:
         arrived = demand.arrived_core_seconds - pool.arrived
         pool.arrived = demand.arrived_core_seconds
-        weight = 1.0 - math.exp(-seconds / RATE_SECONDS)
-        pool.rate += weight * (arrived / seconds - pool.rate)
-        if not pool.is_high and pool.rate > HIGH_PART * pool.first_cores:
+        rate = arrived / seconds
+        pool.rate += _weight(seconds, RATE_SECONDS) * (rate - pool.rate)
+        pool.fast_rate += _weight(seconds, RISE_SECONDS) * (rate - pool.fast_rate)
+        if not pool.is_high and pool.fast_rate > HIGH_PART * pool.first_cores:
             pool.is_high = True
-            pool.peak *= 0.5
+            pool.peak_rate = 0.0
             self.forecast.rose(name, now)
-        elif pool.is_high and pool.rate < LOW_PART * pool.first_cores:
+        elif (
+            pool.is_high
+            and max(pool.rate, pool.fast_rate) < LOW_PART * pool.first_cores
+        ):
             pool.is_high = False
+
+
+def _weight(seconds: float, time_constant: float) -> float:
+    return 1.0 - math.exp(-seconds / time_constant)
