Let lasting tasks end an upstream's probe

Cause: an upstream that had been ejected waited for a success of its one probe; a lasting task never succeeds, so the upstream stayed out. A new owner also waited 13 s for an upstream that it had not heard. Change: a lasting task at work, and any run that ends without a verdict, ends the probe; with no sound upstream left any is used; an owner goes on for 4 s unconfirmed instead of 8 s, so its successor waits 7.5 s.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
@@ -11,9 +11,9 @@
 # A killed owner is replaced after this; a paused or slow one should outlast it.
 TTL_MS = 1800
 JOIN_SECONDS = 0.4
-# For so long an owner that can't reach the store goes on renewing leases, so that an
-# outage of the store ends no work. It starts nothing meanwhile.
-UNCONFIRMED_SECONDS = 8.0
+# For so long an owner that can't reach the store goes on renewing leases, so that with
+# a lease on top an outage of 8 s ends no work. It starts nothing meanwhile.
+UNCONFIRMED_SECONDS = 4.0
 
 
 class GroupMember:
--- a/packages/baobablane/baobablane/scheduling/_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_bounds.py
@@ -23,9 +23,10 @@
     # A lasting task that is not at work for this long after its start is hanging; a
     # sound start-up takes well under a second.
     lasting_start: float = 3.5
-    # A new owner has not heard an upstream yet: the previous owner may have kept its
-    # leases going for as long as it may act unconfirmed, and one lease on top.
-    unheard: float = 13.0
+    # A new owner has not heard an upstream yet. The previous owner may have renewed its
+    # leases for 4 s unconfirmed, of which 1.8 s had passed before the store named a new
+    # one; then a lease of 4.5 s on a slow clock runs out.
+    unheard: float = 7.5
     # A recorded upstream that has no entry when an owner takes over: entries are back
     # 2 s after an outage of the store, and a lease is over after 5.1 s.
     unlisted: float = 6.0
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -48,6 +48,8 @@
         run.uncertain_at = None
         run.settled_at = now
         state.orders_lost_at = now
+    if run.is_lasting and row.percent >= AT_WORK_PERCENT > run.percent:
+        state.ejections.succeeded(upstream.id)
     if row.percent != run.percent:
         run.percent = row.percent
         run.percent_since = now
@@ -62,8 +64,8 @@
     state: SchedulerState, upstream: Upstream, ended: EndedRun, now: float
 ) -> None:
     run = upstream.runs.get(ended.task)
-    is_current = run is not None and run.run == ended.run
-    if is_current:
+    if run is not None and run.run == ended.run:
+        _judge_upstream(state, upstream, run, ended, now)
         state.release(upstream, ended.task)
     job_run = state.jobs.get(ended.task.job)
     found = job_run.find(ended.task) if job_run else None
@@ -83,18 +85,26 @@
         task.checkpoint = ended.checkpoint
     state.dirty.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
-        state.ejections.succeeded(upstream.id)
         _finish_task(step_run, ended.task, task)
         if job_run.is_complete():
             state.settle(job_run, JobState.COMPLETED, "all tasks done")
         return
     if ended.reason is EndReason.FAILED:
-        _apply_failure(state, upstream, step_run, ended.task, task, run, now)
+        _apply_failure(state, upstream, step_run, ended.task, task)
     if task.state is TaskState.STARTED:
         task.state = TaskState.WAITING
         step_run.waiting.add(ended.task.position)
 
 
+def _judge_upstream(
+    state: SchedulerState, upstream: Upstream, run: Run, ended: EndedRun, now: float
+) -> None:
+    if ended.reason is EndReason.DONE:
+        state.ejections.succeeded(upstream.id)
+    elif ended.reason is EndReason.FAILED and state.blame(upstream, now):
+        state.note("upstream-ejected", run.task, run.run, upstream=upstream.id)
+
+
 def _finish_task(step_run: StepRun, task_id: TaskId, task: Task) -> None:
     if not step_run.step.is_gang:
         task.state = TaskState.DONE
@@ -114,14 +124,10 @@
     step_run: StepRun,
     task_id: TaskId,
     task: Task,
-    run: Run | None,
-    now: float,
 ) -> None:
     task.failures += 1
     state.failed_on[task_id] = upstream.id
-    if state.blame(upstream, now):
-        state.note("upstream-ejected", task_id, task.run, upstream=upstream.id)
-    if step_run.step.is_lasting or run is None and task.state is TaskState.DONE:
+    if step_run.step.is_lasting:
         return
     queue = state.configuration.queues_by_name.get(step_run.job.queue)
     if queue is not None and task.failures >= queue.max_attempts:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -12,16 +12,27 @@
 
 def plan_starts(state: SchedulerState, now: float, unix_ms: int) -> list[StartOrder]:
     """Return the starts that fit now; each is counted and must be recorded first."""
-    by_pool: dict[str, list[Upstream]] = {}
+    usable: dict[str, list[Upstream]] = {}
+    sound: dict[str, list[Upstream]] = {}
     for upstream in state.upstreams.values():
-        if upstream.accepts(now) and not state.ejections.is_ejected(upstream.id, now):
-            by_pool.setdefault(upstream.entry.pool, []).append(upstream)
+        if upstream.accepts(now):
+            pool = upstream.entry.pool
+            usable.setdefault(pool, []).append(upstream)
+            if not state.ejections.is_ejected(upstream.id, now):
+                sound.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
     for job_run in _in_order(state, unix_ms):
-        candidates = by_pool.get(state.pool_of(job_run))
-        if candidates:
-            for step_run in list(job_run.startable_steps()):
-                orders += _plan_step(state, step_run, candidates, now)
+        pool = state.pool_of(job_run)
+        for step_run in list(job_run.startable_steps()):
+            found: list[StartOrder] = []
+            if pool in sound:
+                found = _plan_step(state, step_run, sound[pool], now)
+            # With no sound upstream left, any is better than none; a lasting task has
+            # no last attempt to lose.
+            is_stuck = step_run.step.is_lasting and step_run.waiting
+            if pool in usable and (pool not in sound or is_stuck):
+                found += _plan_step(state, step_run, usable[pool], now)
+            orders += found
     return orders
 
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -65,6 +65,8 @@
         run = upstream.remove(task)
         if run is not None:
             self.usage.remove(run.account, run.needs)
+            # A run that tells nothing of the upstream's health ends its probe, too.
+            self.ejections.dropped(upstream.id)
         return run
 
     def requeue(self, upstream: Upstream, task: TaskId, reason: str) -> None:
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -157,6 +157,29 @@
         (again,) = fleet.place()
         assert again.upstream != order.upstream
 
+    def test_lasting_task_at_work_ends_the_probe_of_an_upstream(self):
+        fleet = ModelFleet(count=1)
+        fleet.hear_all()
+        add(fleet, make_job(make_step(is_lasting=True)))
+        for _ in range(3):
+            fleet.place()
+            fleet.finish(FIRST, EndReason.FAILED)
+            fleet.hear_all()
+        fleet.now += 61.0
+        fleet.hear_all()
+        fleet.place()
+        fleet.upstreams["u0"].percent[FIRST] = 100
+        fleet.hear_all()
+        add(fleet, make_job(name="1" * 16))
+        assert len(fleet.place()) == 1
+
+    def test_lasting_task_starts_even_where_all_are_ejected(self, fleet):
+        for upstream in ("u0", "u1"):
+            for _ in range(20):
+                fleet.scheduler.state.ejections.failed(upstream, ["x"] * 9, fleet.now)
+        add(fleet, make_job(make_step(is_lasting=True)))
+        assert len(fleet.place()) == 1
+
     def test_task_that_stands_still_everywhere_is_left_alone(self, fleet):
         add(fleet, make_job())
         for _ in range(4):
