Record orders for instances; give pools their even part after a take-over

Ruled out: a slow take-over (the owner began 0.9 s after the first start). Change: orders are recorded before they are sent, so a new owner waits only for instances with a recent record; sizes start from each pool's even part of the fleet.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -28,6 +28,7 @@
 PAUSE_SECONDS = 0.1
 CANCEL_PREFIX = "cancel/"
 WAVE_PREFIX = "wave/"
+ORDER_PREFIX = "order/"
 
 
 class Views:
@@ -39,6 +40,8 @@
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
         self.wave_progress: dict[int, WaveProgress] = {}
+        # When the latest order for each instance was recorded, in Unix milliseconds.
+        self.ordered_ms: dict[str, int] = {}
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
         self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job, PAUSE_SECONDS)
@@ -109,6 +112,9 @@
             if record.key.startswith(WAVE_PREFIX):
                 number = int(record.key.removeprefix(WAVE_PREFIX))
                 self.wave_progress[number] = decode_wave_progress(record.value)
+            elif record.key.startswith(ORDER_PREFIX):
+                instance = record.key.removeprefix(ORDER_PREFIX)
+                self.ordered_ms[instance] = int(record.value)
             else:
                 self.table.set_progress(record.key, decode_progress(record.value))
         except msgspec.DecodeError as error:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -9,17 +9,20 @@
 from baobablane.upkeep import UpkeepOrder, UpkeepPlan, WaveProgress, plan_upkeep
 from baobablane_platform import InstanceClient, InstanceListError, InstanceOrderResult
 
-from ..jobs import Views, boot_seconds, unix_ms
+from ..jobs import ORDER_PREFIX, Views, boot_seconds, unix_ms
 from ..tasks import DecisionLog
 from ._membership import GroupMember
+from ._progress_writer import ProgressWriter
 
 LIST_SECONDS = 0.25
 # An order is given only on an ownership confirmed within this, so that a replaced
 # owner's last order and its successor's first stay apart.
 CONFIRMED_SECONDS = 1.0
-# The longest that a replaced owner may still give orders: its confirmation and its
-# last call's time-out.
-OLD_OWNER_SECONDS = 2.0
+# From the record of an order to its arrival: the wait for the record's answer is
+# bounded by the confirmation, the call by its time-out.
+ORDER_SECONDS = 1.5
+# Clocks of instances may differ by this much.
+CLOCK_SECONDS = 0.5
 
 
 class InstancesTask:
@@ -34,9 +37,10 @@
         log: DecisionLog,
         epoch: int,
         order_lease_seconds: float,
+        writer: ProgressWriter,
         on_change: Callable[[], None],
     ) -> None:
-        """Wait out the earlier owner's orders before the first one."""
+        """Order nothing yet; `take_over` comes first."""
         self._client = client
         self._views = views
         self._scheduler = scheduler
@@ -44,7 +48,10 @@
         self._log = log
         self._epoch = epoch
         self._on_change = on_change
-        self._first_order_at = boot_seconds() + order_lease_seconds + OLD_OWNER_SECONDS
+        self._order_lease_seconds = order_lease_seconds
+        self._writer = writer
+        # Until when an earlier owner's order for an instance keeps others away.
+        self._kept_until: dict[str, float] = {}
         self._instances: list[Instance] = []
         # Orders without a known end: the instance counts as down.
         self._under_way: set[tuple[str, int]] = set()
@@ -53,6 +60,17 @@
         # Waves whose progress is not recorded yet.
         self.dirty: set[int] = set()
 
+    def take_over(self) -> None:
+        """Leave the instances alone that the earlier owner gave orders for."""
+        now = boot_seconds()
+        keep_seconds = self._order_lease_seconds + ORDER_SECONDS + CLOCK_SECONDS
+        for instance, ordered_ms in self._views.ordered_ms.items():
+            age = max(0.0, (unix_ms() - ordered_ms) / 1000)
+            self._kept_until[instance] = now + keep_seconds - age
+
+    def _is_kept(self, instance: str) -> bool:
+        return boot_seconds() < self._kept_until.get(instance, 0.0)
+
     async def run(self) -> None:
         """Plan and order until cancelled."""
         while True:
@@ -86,21 +104,35 @@
             unix_ms(),
             lambda instance, wave: (instance, wave) in self._under_way,
         )
+        plan.orders = [o for o in plan.orders if not self._is_kept(o.instance)]
         moves = self._plan_moves(plan)
         closing = {move.upstream for move in moves if move.upstream}
         self._scheduler.cordon(plan.cordoned | closing)
         for number in plan.completed:
             self.progress_by_wave[number].is_complete = True
             self.dirty.add(number)
-        if boot_seconds() < self._first_order_at:
-            return
         for eviction in plan.evictions:
             self._scheduler.evict(eviction)
         self._on_change()
-        await asyncio.gather(
-            *(self._maintain(order) for order in plan.orders),
-            *(self._move(move) for move in moves),
-        )
+        if not (plan.orders or moves):
+            return
+        if await self._record_orders(plan, moves):
+            await asyncio.gather(
+                *(self._maintain(order) for order in plan.orders),
+                *(self._move(move) for move in moves),
+            )
+
+    async def _record_orders(self, plan: UpkeepPlan, moves: list[MoveOrder]) -> bool:
+        """Record orders before they are sent; return whether to send them."""
+        instances = [order.instance for order in plan.orders]
+        instances += [move.instance for move in moves]
+        asked_at = boot_seconds()
+        at_ms = str(unix_ms()).encode()
+        await self._writer.write({f"{ORDER_PREFIX}{i}": at_ms for i in instances})
+        if boot_seconds() - asked_at < CONFIRMED_SECONDS:
+            return True
+        self._log.info("orders-dropped", reason="the record took too long")
+        return False
 
     def _plan_moves(self, upkeep: UpkeepPlan) -> list[MoveOrder]:
         configuration = self._views.configuration
@@ -108,15 +140,16 @@
             return []
         now = boot_seconds()
         demands = self._scheduler.demand_by_pool(unix_ms())
-        self._sizing.observe(demands, now)
-        if now < self._first_order_at or not self._sizing.has_begun():
-            return []
+        fleet_cores = sum(i.capacity.cpu_millis for i in self._instances) / 1000
+        even_cores = fleet_cores / max(1, len(configuration.pools_by_name))
+        self._sizing.observe(demands, even_cores, now)
         wanted = {
             pool: self._sizing.wanted_cores(pool, demand, now)
             for pool, demand in demands.items()
         }
         standby = min(configuration.standby_pools(), default="")
         busy = {order.instance for order in upkeep.orders}
+        busy |= {i.id for i in self._instances if self._is_kept(i.id)}
         return plan_moves(
             wanted,
             self._instances,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -71,6 +71,7 @@
             log,
             epoch,
             settings.limits.order_lease,
+            self._writer,
             self._on_instances,
         )
         self._watches: dict[str, UpstreamWatch] = {}
@@ -95,6 +96,8 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            if self._failure.done() and (error := self._failure.exception()):
+                self._log.info("owner-failed", epoch=self._epoch, reason=repr(error))
             await self._orders.close()
             await self._instance_client.close()
 
@@ -133,6 +136,7 @@
             jobs=len(self._scheduler.state.jobs),
             upstreams=len(self._scheduler.state.upstreams),
         )
+        self._instances.take_over()
         self._start(tail.run())
         self._start(self._instances.run())
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -30,6 +30,7 @@
         self._epoch = epoch
         self._sequence = 0
         self._status_sequence = 0
+        self._lock = asyncio.Lock()
 
     async def fence(self) -> None:
         """Refuse the appends of earlier owners from now on."""
@@ -60,10 +61,11 @@
     async def _append(self, records: list[KeyedRecord]) -> None:
         # A repeated sequence number gets the first answer again, so an append whose
         # answer was lost is settled by sending it again.
-        producer = Producer(PRODUCER, self._epoch, self._sequence)
-        await self._append_until_stored(PROGRESS_TOPIC, records, producer)
-        if records:
-            self._sequence += 1
+        async with self._lock:
+            producer = Producer(PRODUCER, self._epoch, self._sequence)
+            await self._append_until_stored(PROGRESS_TOPIC, records, producer)
+            if records:
+                self._sequence += 1
 
     async def _append_until_stored(
         self, topic: str, records: list[KeyedRecord], producer: Producer
--- a/packages/baobablane/baobablane/scheduling/_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_bounds.py
@@ -29,7 +29,7 @@
     unheard: float = 7.5
     # A recorded upstream that has no entry when an owner takes over: entries are back
     # 2 s after an outage of the store, and a lease is over after 5.1 s.
-    unlisted: float = 6.0
+    unlisted: float = 5.2
     # Orders without an answer may be carried out this long after they were sent, also
     # by the upstream's next incarnation.
     late_order: float = 13.0
--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -19,10 +19,11 @@
 RISE_SECONDS = 0.5
 # Declared sizes are off, and cores are given by whole instances.
 MARGIN = 1.25
-# A rise is work arriving for this part of the pool's first size, a fall for that part.
+# Demand has risen where work arrives for this part of a pool's even part of the fleet,
+# and has fallen below the other.
 HIGH_PART = 0.25
 LOW_PART = 0.1
-# Cores that a pool keeps free for what comes next, as a part of its first size.
+# Cores that a pool keeps free for what comes next, as a part of its even part.
 RESERVE_PART = 0.15
 # A move takes 1.5 s and shows in the lists up to half a second later.
 LEAD_SECONDS = 2.3
@@ -32,8 +33,8 @@
 
 @dataclass(slots=True)
 class _Pool:
-    first_cores: float
-    arrived: float = 0.0
+    arrived: float
+    even_cores: float = 0.0
     rate: float = 0.0
     fast_rate: float = 0.0
     is_high: bool = False
@@ -49,42 +50,35 @@
     _pools: dict[str, _Pool] = field(default_factory=dict)
     _observed_at: float | None = None
 
-    def observe(self, demands: dict[str, PoolDemand], now: float) -> None:
-        """Apply the pools' demand as it is now."""
+    def observe(
+        self, demands: dict[str, PoolDemand], even_cores: float, now: float
+    ) -> None:
+        """Apply the pools' demand as it is now, and each pool's even part of cores."""
         before = self._observed_at
         self._observed_at = now
-        seconds = max(1e-3, now - before) if before is not None else 0.0
         for name, demand in demands.items():
             pool = self._pools.get(name)
             if pool is None:
-                pool = self._pools[name] = _Pool(
-                    demand.cores, demand.arrived_core_seconds
-                )
-            pool.first_cores = max(
-                pool.first_cores, 0.0 if self.has_begun() else demand.cores
-            )
-            if seconds:
-                self._apply_rate(name, pool, demand, seconds, now)
+                pool = self._pools[name] = _Pool(demand.arrived_core_seconds)
+            pool.even_cores = even_cores
+            if before is not None and now > before:
+                self._apply_rate(name, pool, demand, now - before, now)
         for name in set(self._pools) - set(demands):
             del self._pools[name]
 
-    def has_begun(self) -> bool:
-        """Return whether any pool's demand has risen yet."""
-        return any(self.forecast.has_risen(name) for name in self._pools)
-
     def wanted_cores(self, name: str, demand: PoolDemand, now: float) -> float:
         """Return the cores that a pool should have."""
         pool = self._pools[name]
-        kept = demand.lasting_cores + RESERVE_PART * pool.first_cores
+        kept = demand.lasting_cores + RESERVE_PART * pool.even_cores
         wanted = kept + MARGIN * max(pool.rate, demand.due_cores)
         if pool.is_high:
             pool.peak_rate = max(pool.peak_rate, pool.rate)
-            # A turn asks for the pool's first size at least.
-            wanted = max(wanted, pool.first_cores)
+            # A turn asks for the even part at least.
+            wanted = max(wanted, pool.even_cores)
         is_expected = self._is_expected(name, now)
         if not self.forecast.has_risen(name):
             # Its first turn can't be foreseen, and its first seconds count most.
-            return max(wanted, pool.first_cores)
+            return max(wanted, pool.even_cores)
         return max(wanted, kept + MARGIN * pool.peak_rate) if is_expected else wanted
 
     def _is_expected(self, name: str, now: float) -> bool:
@@ -101,13 +95,12 @@
         rate = arrived / seconds
         pool.rate += _weight(seconds, RATE_SECONDS) * (rate - pool.rate)
         pool.fast_rate += _weight(seconds, RISE_SECONDS) * (rate - pool.fast_rate)
-        if not pool.is_high and pool.fast_rate > HIGH_PART * pool.first_cores:
+        if not pool.is_high and pool.fast_rate > HIGH_PART * pool.even_cores:
             pool.is_high = True
             pool.peak_rate = 0.0
             self.forecast.rose(name, now)
         elif (
-            pool.is_high
-            and max(pool.rate, pool.fast_rate) < LOW_PART * pool.first_cores
+            pool.is_high and max(pool.rate, pool.fast_rate) < LOW_PART * pool.even_cores
         ):
             pool.is_high = False
 
