--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -96,8 +96,9 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
-            if self._failure.done() and (error := self._failure.exception()):
-                self._log.info("owner-failed", epoch=self._epoch, reason=repr(error))
+            failure = self._failure.exception() if self._failure.done() else None
+            if failure is not None:
+                self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
             await self._orders.close()
             await self._instance_client.close()
 
