Reject at once on instances that have lost the store; settle lost answers

Change: a job is rejected before anything is sent where the view is older than 1.3 s; such instances are not ready and give no state that may have changed; appends without an answer are repeated after 0.25 s, several are under way, and a record that is read back settles its append.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -51,6 +51,7 @@
     store = StoreClient(settings.store_address)
     views = Views(store, log)
     acceptor = Acceptor(store)
+    views.on_stored = acceptor.seen
     # A new name for each start: an earlier one may still be a member for a while.
     member = GroupMember(store, log, f"{settings.instance}-{time.time_ns()}")
     actions = JobActions(settings, views, acceptor, log)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_acceptor.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_acceptor.py
@@ -6,6 +6,7 @@
     KeyedRecord,
     StoreClient,
     StoreError,
+    StoreRefusedError,
     StoreUnknownError,
 )
 
@@ -13,50 +14,97 @@
 
 # One append takes some milliseconds of the partition, whatever it holds.
 MOST_RECORDS = 200
+# Appends that wait for an answer; more than one, so that a lost answer holds up only
+# the records that went with it.
+MOST_UNDER_WAY = 8
+# A calm answer takes some 10 ms. A repeated record changes nothing, so an append
+# without an answer is sent again soon, then more patiently, within the 3 s that
+# callers wait.
+ATTEMPT_SECONDS = (0.25, 0.6, 1.4)
+
+# About the time in which a record is read back.
+PAUSE_SECONDS = 0.15
 
 
 class Acceptor:
-    """Own the appends of jobs: one at a time, each as large as it can be."""
+    """Own the appends of jobs, each as large as it can be."""
 
     def __init__(self, store: StoreClient) -> None:
         """Start with nothing to write."""
         self._store = store
-        self._waiting: list[tuple[KeyedRecord, asyncio.Future[None]]] = []
+        self._waiting: list[KeyedRecord] = []
+        self._futures: dict[str, asyncio.Future[None]] = {}
         self._wake = asyncio.Event()
+        self._under_way: set[asyncio.Task[None]] = set()
 
     async def write(self, record: KeyedRecord) -> None:
         """Return once a record is stored, or raise a StoreError."""
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.append((record, future))
-        self._wake.set()
-        await future
+        future = self._futures.get(record.key)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._futures[record.key] = future
+            self._waiting.append(record)
+            self._wake.set()
+        await asyncio.shield(future)
+
+    def seen(self, key: str) -> None:
+        """Note that a record was read back, whether its append was answered or not."""
+        self._settle(key, None)
 
     async def run(self) -> None:
         """Append until cancelled."""
-        while True:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._waiting:
-                batch = self._waiting[:MOST_RECORDS]
-                del self._waiting[:MOST_RECORDS]
-                await self._append(batch)
-
-    async def _append(
-        self, batch: "list[tuple[KeyedRecord, asyncio.Future[None]]]"
-    ) -> None:
-        error: StoreError | None = None
         try:
-            await self._store.append(JOBS_TOPIC, 0, [record for record, _ in batch])
-        except StoreError as failure:
-            error = failure
-        except asyncio.CancelledError:
-            error = StoreUnknownError("stopped during an append")
-            raise
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._waiting:
+                    await self._start_append()
         finally:
-            for _, future in batch:
-                if future.done():
-                    continue
-                if error is None:
-                    future.set_result(None)
-                else:
-                    future.set_exception(error)
+            for task in self._under_way:
+                task.cancel()
+            for key in list(self._futures):
+                self._settle(key, StoreUnknownError("stopped during an append"))
+
+    async def _start_append(self) -> None:
+        if len(self._under_way) >= MOST_UNDER_WAY:
+            await asyncio.wait(self._under_way, return_when=asyncio.FIRST_COMPLETED)
+        batch = self._waiting[:MOST_RECORDS]
+        del self._waiting[:MOST_RECORDS]
+        task = asyncio.get_running_loop().create_task(self._append(batch))
+        self._under_way.add(task)
+        task.add_done_callback(self._under_way.discard)
+
+    async def _append(self, batch: list[KeyedRecord]) -> None:
+        error: StoreError | None = None
+        may_be_stored = False
+        for seconds in ATTEMPT_SECONDS:
+            try:
+                await self._store.append(JOBS_TOPIC, 0, batch, None, seconds)
+                error = None
+                break
+            except StoreRefusedError as failure:
+                error = failure
+                if not may_be_stored:
+                    break
+            except StoreUnknownError as failure:
+                error = failure
+                may_be_stored = True
+                # The record may be read back meanwhile.
+                await asyncio.sleep(PAUSE_SECONDS)
+                if not any(record.key in self._futures for record in batch):
+                    return
+        if error is not None and may_be_stored:
+            error = StoreUnknownError(f"no attempt was answered: {error}")
+        for record in batch:
+            self._settle(record.key, error)
+
+    def _settle(self, key: str, error: StoreError | None) -> None:
+        future = self._futures.pop(key, None)
+        if future is None or future.done():
+            return
+        if error is None:
+            future.set_result(None)
+        else:
+            future.set_exception(error)
+            # Its caller may have left already.
+            future.exception()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -16,9 +16,9 @@
 
 # Time between reading the view's age and answering, and the clock's error.
 KEY_MARGIN_SECONDS = 0.8
-# An unconfirmed view of this age shows a lost store, as reads are confirmed at least
-# every 0.8 s.
-READY_AGE_SECONDS = 2.5
+# Reads end every 0.45 s at the latest, so a view is confirmed as of 0.9 s ago. An older
+# one shows a lost store: callers are better served elsewhere.
+STALE_SECONDS = 1.3
 # The store or this instance's path to it is disturbed for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
 
@@ -45,7 +45,7 @@
         return (
             not self.is_stopping
             and self._views.configuration is not None
-            and self._views.operator_tail.age() < READY_AGE_SECONDS
+            and self._views.operator_tail.age() < STALE_SECONDS
         )
 
     def configuration(self, is_for_keys: bool) -> Configuration:
@@ -66,6 +66,10 @@
         if job.id in self._views.table.jobs_by_id:
             self._decide("job-known", job, queue.name)
             return
+        if self._views.jobs_tail.age() > STALE_SECONDS:
+            # Nothing is sent, so the job certainly will not run.
+            self._decide("job-refused", job, queue.name, "the store is not reached")
+            raise RefusedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
         try:
             await self._acceptor.write(KeyedRecord(job.id, encode_job(job)))
         except StoreRefusedError as error:
@@ -86,6 +90,13 @@
         if state is None:
             await self._catch_up()
             state = self._views.table.state(job_id)
+        if state is not None and not state.is_final():
+            age = self._views.progress_tail.age()
+            if age > STALE_SECONDS:
+                detail = f"the view of jobs is {age:.1f} s old"
+                raise RefusedError(
+                    ResultCode.VIEW_NOT_CONFIRMED, detail, RETRY_AFTER_SECONDS
+                )
         return state
 
     async def cancel(self, job_id: str) -> JobState | None:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -16,7 +16,7 @@
 
 # A read that finds nothing answers after this, and so confirms the view; a silent
 # connection shows within this and the read's time-out.
-WAIT_MS = 700
+WAIT_MS = 400
 RETRY_SECONDS = 0.1
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -50,6 +50,8 @@
         )
         # Called with a job's id, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
+        # Called with the key of each record of jobs that was read.
+        self.on_stored: Callable[[str], None] = lambda key: None
 
     def follow_closely(self, is_owner: bool) -> None:
         """Read new jobs at once while this process places them."""
@@ -89,6 +91,7 @@
         self._log.info("configuration-in-force", version=configuration.version)
 
     def _on_job(self, record: KeyedRecord) -> None:
+        self.on_stored(record.key)
         if record.key.startswith(CANCEL_PREFIX):
             job_id = record.key.removeprefix(CANCEL_PREFIX)
             if record.value and self.table.cancel(job_id):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -17,6 +17,9 @@
 
 PRODUCER = "owner"
 RETRY_SECONDS = 0.05
+# A calm answer takes some 10 ms; one of a slow store may take a second or two.
+FIRST_TIMEOUT_SECONDS = 0.25
+LAST_TIMEOUT_SECONDS = 2.5
 # Well below the store's bound of a call, with room for the framing.
 MOST_BYTES = 1_000_000
 
@@ -70,9 +73,12 @@
     async def _append_until_stored(
         self, topic: str, records: list[KeyedRecord], producer: Producer
     ) -> None:
+        timeout_seconds = FIRST_TIMEOUT_SECONDS
         while True:
             try:
-                await self._store.append(topic, 0, records, producer)
+                await self._store.append(topic, 0, records, producer, timeout_seconds)
                 return
-            except (StoreRefusedError, StoreUnknownError):
+            except StoreRefusedError:
                 await asyncio.sleep(RETRY_SECONDS)
+            except StoreUnknownError:
+                timeout_seconds = min(2 * timeout_seconds, LAST_TIMEOUT_SECONDS)
--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -35,12 +35,13 @@
     store: PlatformStore = field(default_factory=PlatformStore)
     upstreams: list[StandinUpstream] = field(default_factory=list)
     address: str = ""
+    _server: PlatformServer | None = None
     _servers: list[uvicorn.Server] = field(default_factory=list)
     _serving: list["asyncio.Task[None]"] = field(default_factory=list)
 
     async def __aenter__(self) -> "PlatformStandin":
         """Start all servers and write the first configuration."""
-        server = PlatformServer(self.store, POOL)
+        self._server = server = PlatformServer(self.store, POOL)
         self.address = await self._serve(server.app)
         for number in range(self.settings.upstreams):
             upstream = StandinUpstream(f"u{number}", POOL, "", self.settings.cores)
@@ -56,6 +57,10 @@
             server.should_exit = True
         await asyncio.gather(*self._serving)
 
+    def appends(self) -> int:
+        """Return how many appends the store was asked for."""
+        return self._server.appends if self._server else 0
+
     def register(self, upstream: StandinUpstream) -> None:
         """Write an upstream's entry."""
         entry = json.dumps(upstream.entry(1)).encode()
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -25,6 +25,8 @@
         self.store = store
         self._pool = pool
         self.upstreams: dict[str, StandinUpstream] = {}
+        # Appends that were asked for, carried out or not.
+        self.appends = 0
         self.app = Starlette(
             routes=[
                 Route("/baobablane/log-append", self._append, methods=["POST"]),
@@ -61,8 +63,11 @@
     async def _append(self, request: Request) -> Response:
         query = request.query_params
         body = await request.body()
+        self.appends += 1
         if self.store.switches.is_down:
             return Response(status_code=503)
+        if self.store.switches.loses_writes:
+            return Response(status_code=504)
         producer = None
         if "producer" in query:
             producer = (
--- a/packages/baobablane-standin/baobablane_standin/platform/_store.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_store.py
@@ -12,6 +12,8 @@
     """Hold the failures that are switched on."""
 
     is_down: bool = False
+    # Appends are neither carried out nor answered.
+    loses_writes: bool = False
     # Appends take effect, and their answers are lost.
     loses_answers: bool = False
 
