Pace fillers by tails; ask placement advice sparingly

Change: pace of fillers is cut as a serving task's tail nears its target and comes back slowly; steps of advised queues start with tickets, the fewest upstreams are asked for, and refusals are kept.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -6,6 +6,8 @@
 import msgspec
 from baobablane.jobs import JobProgress, encode_progress
 from baobablane.scheduling import (
+    AdviceRequest,
+    PaceOrder,
     Scheduler,
     SchedulingBounds,
     StartOrder,
@@ -15,6 +17,7 @@
 from baobablane.upkeep import encode_wave_progress
 from baobablane_platform import (
     UPSTREAM_TOPIC,
+    AdvisorClient,
     InstanceClient,
     KeyedRecord,
     ProcessSettings,
@@ -37,6 +40,8 @@
 # Due times and lapsed leases are looked at this often when nothing else happens.
 TICK_SECONDS = 0.1
 TAKE_OVER_RETRY_SECONDS = 0.1
+# The advisor refuses calls while 32 of them wait.
+ADVICE_RETRY_SECONDS = 0.3
 
 
 class Owner:
@@ -60,6 +65,8 @@
         self._scheduler = Scheduler(SchedulingBounds())
         self._writer = ProgressWriter(store, epoch)
         self._orders = UpstreamOrders()
+        self._advisor = AdvisorClient(settings.advisor_address)
+        self._asking = asyncio.Lock()
         self._instance_client = InstanceClient(
             settings.instance_list_address, settings.instance
         )
@@ -101,6 +108,7 @@
                 self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
             await self._orders.close()
             await self._instance_client.close()
+            await self._advisor.close()
 
     async def _take_over(self) -> None:
         await self._writer.fence()
@@ -149,7 +157,11 @@
             self._watch(upstream_id)
         for stop in self._scheduler.stops(now):
             self._start(self._send_stop(stop))
+        for pace in self._scheduler.take_paces():
+            self._start(self._send_pace(pace))
         starts = self._scheduler.plan(now, unix_ms())
+        for request in self._scheduler.take_advice_requests():
+            self._start(self._ask_advice(request))
         changed = self._scheduler.take_dirty()
         waves, self._instances.dirty = self._instances.dirty, set()
         applied = {
@@ -301,6 +313,27 @@
         if await self._orders.stop(upstream.entry, order, self._epoch):
             self._scheduler.stop_answered(order, boot_seconds())
 
+    async def _send_pace(self, order: PaceOrder) -> None:
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        if upstream is None:
+            return
+        if not await self._orders.pace(upstream.entry, order, self._epoch):
+            self._scheduler.pace_unanswered(order)
+
+    async def _ask_advice(self, request: AdviceRequest) -> None:
+        # The advisor handles one call of this instance at a time.
+        async with self._asking:
+            asked_at = boot_seconds()
+            advice = await self._advisor.ask(request)
+        if advice is None:
+            self._log.info("advice-missing", step=str(request.step))
+            await asyncio.sleep(ADVICE_RETRY_SECONDS)
+            self._scheduler.advised(request, None, 0.0)
+        else:
+            until = asked_at + advice.valid_seconds
+            self._scheduler.advised(request, advice.tickets_by_upstream, until)
+        self._wake.set()
+
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Re-export how tasks are placed on upstreams, watched and ended."""
 
+from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
 from ._lease_bound import LeaseBound
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
@@ -9,6 +10,7 @@
 from ._upstream_view import StepKey, UpstreamView
 
 __all__ = [
+    "AdviceRequest",
     "EndReason",
     "EndedRun",
     "HoldReport",
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_advice.py
@@ -0,0 +1,106 @@
+"""Hold which upstreams a placement advisor allows for each step.
+
+Load pattern: the advisor answers one call at a time and takes longer the more
+upstreams are named, so few are named, those with most room first, and what it said is
+kept: who may run a step does not change.
+"""
+
+from dataclasses import dataclass, field
+
+from ._upstream import Upstream
+
+# A job's id, the occurrence and the number of the step.
+AdvisedStep = tuple[str, int, int]
+
+# Upstreams that one call names.
+ASKED_AT_ONCE = 8
+# A ticket that is about to expire is not used any more: an order takes some 20 ms.
+EXPIRY_MARGIN_SECONDS = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceRequest:
+    """Ask which of some upstreams may run a step."""
+
+    step: AdvisedStep
+    upstreams: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Ticket:
+    text: str
+    incarnation: int
+    valid_until: float
+
+
+@dataclass(slots=True)
+class AdviceTable:
+    """Hold tickets, refusals and what should be asked next."""
+
+    _tickets: dict[AdvisedStep, dict[str, _Ticket]] = field(default_factory=dict)
+    _refused: dict[AdvisedStep, set[str]] = field(default_factory=dict)
+    _wanted: dict[AdvisedStep, tuple[str, ...]] = field(default_factory=dict)
+    _asked: set[AdvisedStep] = field(default_factory=set)
+
+    def clear_wanted(self) -> None:
+        """Forget what an earlier plan wanted to ask."""
+        self._wanted.clear()
+
+    def eligible(
+        self, step: AdvisedStep, candidates: list[Upstream], now: float
+    ) -> list[Upstream]:
+        """Return the upstreams with a valid ticket; others are to be asked for."""
+        valid = [u for u in candidates if self._is_valid(step, u, now)]
+        refused = self._refused.get(step, set())
+        unknown = [u for u in candidates if u not in valid and u.id not in refused]
+        has_room = any(u.room().cpu_millis > 0 for u in valid)
+        if unknown and not has_room and step not in self._asked:
+            unknown.sort(key=lambda u: -u.room().cpu_millis)
+            self._wanted[step] = tuple(u.id for u in unknown[:ASKED_AT_ONCE])
+        return valid
+
+    def ticket(self, step: AdvisedStep, upstream: Upstream) -> str:
+        """Return the ticket for a start, or nothing where none is needed."""
+        ticket = self._tickets.get(step, {}).get(upstream.id)
+        return ticket.text if ticket else ""
+
+    def take_requests(self) -> list[AdviceRequest]:
+        """Return what to ask now; each step is asked for once at a time."""
+        requests = [AdviceRequest(step, names) for step, names in self._wanted.items()]
+        self._asked.update(self._wanted)
+        self._wanted.clear()
+        return requests
+
+    def answered(
+        self,
+        request: AdviceRequest,
+        tickets: dict[str, str] | None,
+        valid_until: float,
+        incarnations: dict[str, int],
+    ) -> None:
+        """Apply an answer; None stands for no answer, which may be asked again."""
+        self._asked.discard(request.step)
+        if tickets is None:
+            return
+        known = self._tickets.setdefault(request.step, {})
+        refused = self._refused.setdefault(request.step, set())
+        for name in request.upstreams:
+            text = tickets.get(name)
+            if text is None:
+                refused.add(name)
+            elif name in incarnations:
+                known[name] = _Ticket(text, incarnations[name], valid_until)
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is known of a job's steps."""
+        for table in (self._tickets, self._refused):
+            for step in [step for step in table if step[0] == job_id]:
+                del table[step]
+
+    def _is_valid(self, step: AdvisedStep, upstream: Upstream, now: float) -> bool:
+        ticket = self._tickets.get(step, {}).get(upstream.id)
+        return (
+            ticket is not None
+            and ticket.incarnation == upstream.entry.incarnation
+            and now < ticket.valid_until - EXPIRY_MARGIN_SECONDS
+        )
--- a/packages/baobablane/baobablane/scheduling/_orders.py
+++ b/packages/baobablane/baobablane/scheduling/_orders.py
@@ -16,6 +16,8 @@
     checkpoint: str
     upstream: str
     incarnation: int
+    # Of the placement advisor; empty where the queue has none.
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -21,21 +21,31 @@
             if not state.ejections.is_ejected(upstream.id, now):
                 sound.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
+    state.advice.clear_wanted()
     for job_run in _in_order(state, unix_ms):
         pool = state.pool_of(job_run)
         for step_run in list(job_run.startable_steps()):
-            found: list[StartOrder] = []
             if pool in sound:
-                found = _plan_step(state, step_run, sound[pool], now)
+                candidates = _advised(state, step_run, sound[pool], now)
+                orders += _plan_step(state, step_run, candidates, now)
             # With no sound upstream left, any is better than none; a lasting task has
             # no last attempt to lose.
             is_stuck = step_run.step.is_lasting and step_run.waiting
             if pool in usable and (pool not in sound or is_stuck):
-                found += _plan_step(state, step_run, usable[pool], now)
-            orders += found
+                candidates = _advised(state, step_run, usable[pool], now)
+                orders += _plan_step(state, step_run, candidates, now)
     return orders
 
 
+def _advised(
+    state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
+) -> list[Upstream]:
+    queue = state.configuration.queues_by_name.get(step_run.job.queue)
+    if queue is None or not queue.needs_advice:
+        return candidates
+    return state.advice.eligible(step_run.key(), candidates, now)
+
+
 def _in_order(state: SchedulerState, unix_ms: int) -> list[JobRun]:
     keyed = []
     for job_run in state.jobs.values():
@@ -109,6 +119,7 @@
         now,
         step.estimated_ms / 1000,
         percent_since=now,
+        target_ms=step.target_ms,
     )
     state.begin(run, upstream, now)
     return upstream
@@ -137,4 +148,5 @@
         task.checkpoint,
         upstream.id,
         task.incarnation,
+        state.advice.ticket(step_run.key(), upstream),
     )
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -4,11 +4,13 @@
 
 from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState, Task, TaskId
+from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
 from ._ends import AT_WORK_PERCENT, apply_report
 from ._event import SchedulingEvent
 from ._job_run import JobRun
-from ._orders import StartOrder, StartResult, StopOrder
+from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
+from ._pacing import FULL_PERCENT, plan_paces
 from ._planning import plan_starts
 from ._pool_demand import PoolDemand, sum_demand
 from ._report import HoldReport
@@ -34,6 +36,7 @@
     def __init__(self, bounds: SchedulingBounds) -> None:
         """Start empty; all times are seconds of one steady clock."""
         self.state = SchedulerState(bounds)
+        self._paces: list[PaceOrder] = []
 
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a version of the configuration."""
@@ -108,6 +111,7 @@
         if report.incarnation == upstream.entry.incarnation:
             apply_report(self.state, upstream, report, asked_at, now)
             self._judge_progress(upstream, now)
+            self._paces += plan_paces(upstream, now)
 
     def unsure(self, upstream_id: str) -> None:
         """Take an upstream to be silent until it is heard again."""
@@ -183,6 +187,33 @@
                     orders.append(StopOrder(run.task, run.run, upstream.id))
         return orders
 
+    def take_paces(self) -> list[PaceOrder]:
+        """Return the changes of pace to send now."""
+        paces, self._paces = self._paces, []
+        return paces
+
+    def pace_unanswered(self, order: PaceOrder) -> None:
+        """Take a pace to be unchanged at full, so that it is ordered again."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if run is not None and run.run == order.run:
+            run.pace = FULL_PERCENT
+
+    def take_advice_requests(self) -> list[AdviceRequest]:
+        """Return what to ask the placement advisor now."""
+        return self.state.advice.take_requests()
+
+    def advised(
+        self, request: AdviceRequest, tickets: dict[str, str] | None, until: float
+    ) -> None:
+        """Apply the placement advisor's answer, or None where there was none."""
+        incarnations = {
+            name: self.state.upstreams[name].entry.incarnation
+            for name in request.upstreams
+            if name in self.state.upstreams
+        }
+        self.state.advice.answered(request, tickets, until, incarnations)
+
     def take_dirty(self) -> dict[str, JobProgress]:
         """Return the progress of the jobs that changed since the last time."""
         changed: dict[str, JobProgress] = {}
@@ -210,6 +241,7 @@
         ]
         for job_id in ended:
             del self.state.jobs[job_id]
+            self.state.advice.forget(job_id)
         return ended
 
     def take_events(self) -> list[SchedulingEvent]:
@@ -319,6 +351,7 @@
             settled_at=now if is_same else None,
             needs_stop=not is_same,
             percent_since=now,
+            target_ms=step.target_ms,
         )
         self.state.begin(run, upstream, now)
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -6,6 +6,7 @@
 from ..jobs import JobState, TaskId, TaskState
 from ..routing import EjectionPolicy, EjectionTable
 from ._account_usage import AccountUsage
+from ._advice import AdviceTable
 from ._bounds import SchedulingBounds
 from ._event import SchedulingEvent
 from ._job_run import JobRun
@@ -27,6 +28,7 @@
         self.jobs: dict[str, JobRun] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
+        self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
         # Declared core-seconds of the jobs that ever arrived, by pool.
         self.arrived: dict[str, float] = defaultdict(float)
--- a/packages/baobablane/baobablane/scheduling/_step_run.py
+++ b/packages/baobablane/baobablane/scheduling/_step_run.py
@@ -16,6 +16,10 @@
         self.waiting: set[int] = set(range(self.step.count))
         self.done = 0
 
+    def key(self) -> tuple[str, int, int]:
+        """Return the step's job, occurrence and number."""
+        return (self.job.id, self.occurrence, self.number)
+
     def restore(self, index: int, task: Task) -> None:
         """Take over a task as it was recorded."""
         if not 0 <= index < self.step.count:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -33,8 +33,11 @@
     percent: int = -1
     percent_since: float = 0.0
     measure: int = 0
-    # The pace that was ordered, in percent.
+    # Tail latency that a serving task must stay below; 0 for others.
+    target_ms: int = 0
+    # The pace that was ordered, in percent, and when.
     pace: int = 100
+    paced_at: float = 0.0
     stop_sent_at: float | None = None
     is_stalled: bool = False
     # It is stopped to start elsewhere.
