Split the scheduler and the owner by job

Change: what planning of upkeep and moves reads, hanging runs, restarts and take-overs, and the sending of orders stand in files of their own; no behaviour changes.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -100,19 +100,19 @@
             list(self._views.waves.values()),
             self.progress_by_wave,
             self._instances,
-            self._scheduler,
+            self._scheduler.fleet,
             unix_ms(),
             lambda instance, wave: (instance, wave) in self._under_way,
         )
         plan.orders = [o for o in plan.orders if not self._is_kept(o.instance)]
         moves = self._plan_moves(plan)
         closing = {move.upstream for move in moves if move.upstream}
-        self._scheduler.cordon(plan.cordoned | closing)
+        self._scheduler.fleet.cordon(plan.cordoned | closing)
         for number in plan.completed:
             self.progress_by_wave[number].is_complete = True
             self.dirty.add(number)
         for eviction in plan.evictions:
-            self._scheduler.evict(eviction)
+            self._scheduler.fleet.evict(eviction)
         self._on_change()
         if not (plan.orders or moves):
             return
@@ -139,7 +139,7 @@
         if configuration is None:
             return []
         now = boot_seconds()
-        demands = self._scheduler.demand_by_pool(unix_ms())
+        demands = self._scheduler.fleet.demand_by_pool(unix_ms())
         fleet_cores = sum(i.capacity.cpu_millis for i in self._instances) / 1000
         even_cores = fleet_cores / max(1, len(configuration.pools_by_name))
         self._sizing.observe(demands, even_cores, now)
@@ -153,7 +153,7 @@
         return plan_moves(
             wanted,
             self._instances,
-            self._scheduler.empty_upstreams() - upkeep.cordoned,
+            self._scheduler.fleet.empty_upstreams() - upkeep.cordoned,
             standby,
             busy,
         )
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -0,0 +1,109 @@
+"""Send the scheduler's orders and apply what became of them."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from baobablane.scheduling import (
+    AdviceRequest,
+    PaceOrder,
+    Scheduler,
+    StartOrder,
+    StartResult,
+    StopOrder,
+)
+from baobablane_platform import AdvisorClient, UpstreamFencedError, UpstreamOrders
+
+from ..jobs import boot_seconds
+from ..tasks import DecisionLog
+from ._upstream_watch import UpstreamWatch
+
+# The advisor refuses calls while 32 of them wait.
+ADVICE_RETRY_SECONDS = 0.3
+
+
+class OrderSender:
+    """Own the calls that carry out one owner's decisions."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        watches: Mapping[str, UpstreamWatch],
+        orders: UpstreamOrders,
+        advisor_address: str,
+        log: DecisionLog,
+        epoch: int,
+        on_answer: Callable[[], None],
+    ) -> None:
+        """Send orders with the owner's fencing token."""
+        self._scheduler = scheduler
+        self._watches = watches
+        self._orders = orders
+        self._advisor = AdvisorClient(advisor_address)
+        self._log = log
+        self._epoch = epoch
+        self._on_answer = on_answer
+        self._asking = asyncio.Lock()
+
+    async def close(self) -> None:
+        """Close the connections that are its own."""
+        await self._advisor.close()
+
+    async def send_start(self, order: StartOrder) -> None:
+        """Send a start that is recorded, and apply the answer."""
+        result = await self._try_start(order)
+        self._scheduler.start_answered(order, result, boot_seconds())
+        if result is not StartResult.STARTED:
+            self._on_answer()
+
+    async def _try_start(self, order: StartOrder) -> StartResult:
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        watch = self._watches.get(order.upstream)
+        job_run = self._scheduler.state.jobs.get(order.task.job)
+        if (
+            upstream is None
+            or watch is None
+            or job_run is None
+            or job_run.state.is_final()
+            or upstream.entry.incarnation != order.incarnation
+        ):
+            return StartResult.LATE
+        deadline_ms = watch.extend_lease()
+        if deadline_ms is None:
+            return StartResult.LATE
+        result = await self._orders.start(
+            upstream.entry, order, self._epoch, deadline_ms
+        )
+        if result is StartResult.FENCED:
+            raise UpstreamFencedError(order.upstream)
+        return result
+
+    async def send_stop(self, order: StopOrder) -> None:
+        """Send a stop."""
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        if upstream is None:
+            return
+        if await self._orders.stop(upstream.entry, order, self._epoch):
+            self._scheduler.stop_answered(order, boot_seconds())
+
+    async def send_pace(self, order: PaceOrder) -> None:
+        """Send a change of pace."""
+        upstream = self._scheduler.state.upstreams.get(order.upstream)
+        if upstream is None:
+            return
+        if not await self._orders.pace(upstream.entry, order, self._epoch):
+            self._scheduler.pace_unanswered(order)
+
+    async def ask_advice(self, request: AdviceRequest) -> None:
+        """Ask the placement advisor, one call at a time."""
+        # The advisor handles one call of this instance at a time.
+        async with self._asking:
+            asked_at = boot_seconds()
+            advice = await self._advisor.ask(request)
+        if advice is None:
+            self._log.info("advice-missing", step=str(request.step))
+            await asyncio.sleep(ADVICE_RETRY_SECONDS)
+            self._scheduler.advised(request, None, 0.0)
+        else:
+            until = asked_at + advice.valid_seconds
+            self._scheduler.advised(request, advice.tickets_by_upstream, until)
+        self._on_answer()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -6,18 +6,12 @@
 import msgspec
 from baobablane.jobs import JobProgress, encode_progress
 from baobablane.scheduling import (
-    AdviceRequest,
-    PaceOrder,
     Scheduler,
     SchedulingBounds,
-    StartOrder,
-    StartResult,
-    StopOrder,
 )
 from baobablane.upkeep import encode_wave_progress
 from baobablane_platform import (
     UPSTREAM_TOPIC,
-    AdvisorClient,
     InstanceClient,
     KeyedRecord,
     ProcessSettings,
@@ -34,14 +28,13 @@
 from ..tasks import Decision, DecisionLog
 from ._instances_task import InstancesTask
 from ._membership import GroupMember
+from ._order_sender import OrderSender
 from ._progress_writer import ProgressWriter
 from ._upstream_watch import UpstreamWatch
 
 # Due times and lapsed leases are looked at this often when nothing else happens.
 TICK_SECONDS = 0.1
 TAKE_OVER_RETRY_SECONDS = 0.1
-# The advisor refuses calls while 32 of them wait.
-ADVICE_RETRY_SECONDS = 0.3
 
 
 class Owner:
@@ -65,8 +58,17 @@
         self._scheduler = Scheduler(SchedulingBounds())
         self._writer = ProgressWriter(store, epoch)
         self._orders = UpstreamOrders()
-        self._advisor = AdvisorClient(settings.advisor_address)
-        self._asking = asyncio.Lock()
+        self._watches: dict[str, UpstreamWatch] = {}
+        self._wake = asyncio.Event()
+        self._sender = OrderSender(
+            self._scheduler,
+            self._watches,
+            self._orders,
+            settings.advisor_address,
+            log,
+            epoch,
+            self._wake.set,
+        )
         self._instance_client = InstanceClient(
             settings.instance_list_address, settings.instance
         )
@@ -79,10 +81,8 @@
             epoch,
             settings.limits.order_lease,
             self._writer,
-            self._on_instances,
+            self._wake.set,
         )
-        self._watches: dict[str, UpstreamWatch] = {}
-        self._wake = asyncio.Event()
         self._changed_jobs: list[str] = []
         self._ended_jobs: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -108,7 +108,7 @@
                 self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
             await self._orders.close()
             await self._instance_client.close()
-            await self._advisor.close()
+            await self._sender.close()
 
     async def _take_over(self) -> None:
         await self._writer.fence()
@@ -156,12 +156,12 @@
         for upstream_id in self._scheduler.state.upstreams:
             self._watch(upstream_id)
         for stop in self._scheduler.stops(now):
-            self._start(self._send_stop(stop))
+            self._start(self._sender.send_stop(stop))
         for pace in self._scheduler.take_paces():
-            self._start(self._send_pace(pace))
+            self._start(self._sender.send_pace(pace))
         starts = self._scheduler.plan(now, unix_ms())
         for request in self._scheduler.take_advice_requests():
-            self._start(self._ask_advice(request))
+            self._start(self._sender.ask_advice(request))
         changed = self._scheduler.take_dirty()
         waves, self._instances.dirty = self._instances.dirty, set()
         applied = {
@@ -174,7 +174,7 @@
         self._note_recorded(applied)
         self._ended_jobs.update(self._scheduler.retire())
         for start in starts:
-            self._start(self._send_start(start))
+            self._start(self._sender.send_start(start))
 
     async def _record(
         self, progress_by_job: dict[str, JobProgress], waves: set[int]
@@ -241,9 +241,6 @@
             self._changed_jobs.append(job_id)
         self._wake.set()
 
-    def _on_instances(self) -> None:
-        self._wake.set()
-
     def _on_upstream(self, record: KeyedRecord) -> None:
         now = boot_seconds()
         if record.value is None:
@@ -278,62 +275,6 @@
         finally:
             self._watches.pop(upstream_id, None)
 
-    async def _send_start(self, order: StartOrder) -> None:
-        result = await self._try_start(order)
-        self._scheduler.start_answered(order, result, boot_seconds())
-        if result is not StartResult.STARTED:
-            self._wake.set()
-
-    async def _try_start(self, order: StartOrder) -> StartResult:
-        upstream = self._scheduler.state.upstreams.get(order.upstream)
-        watch = self._watches.get(order.upstream)
-        job_run = self._scheduler.state.jobs.get(order.task.job)
-        if (
-            upstream is None
-            or watch is None
-            or job_run is None
-            or job_run.state.is_final()
-            or upstream.entry.incarnation != order.incarnation
-        ):
-            return StartResult.LATE
-        deadline_ms = watch.extend_lease()
-        if deadline_ms is None:
-            return StartResult.LATE
-        result = await self._orders.start(
-            upstream.entry, order, self._epoch, deadline_ms
-        )
-        if result is StartResult.FENCED:
-            raise UpstreamFencedError(order.upstream)
-        return result
-
-    async def _send_stop(self, order: StopOrder) -> None:
-        upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None:
-            return
-        if await self._orders.stop(upstream.entry, order, self._epoch):
-            self._scheduler.stop_answered(order, boot_seconds())
-
-    async def _send_pace(self, order: PaceOrder) -> None:
-        upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None:
-            return
-        if not await self._orders.pace(upstream.entry, order, self._epoch):
-            self._scheduler.pace_unanswered(order)
-
-    async def _ask_advice(self, request: AdviceRequest) -> None:
-        # The advisor handles one call of this instance at a time.
-        async with self._asking:
-            asked_at = boot_seconds()
-            advice = await self._advisor.ask(request)
-        if advice is None:
-            self._log.info("advice-missing", step=str(request.step))
-            await asyncio.sleep(ADVICE_RETRY_SECONDS)
-            self._scheduler.advised(request, None, 0.0)
-        else:
-            until = asked_at + advice.valid_seconds
-            self._scheduler.advised(request, advice.tickets_by_upstream, until)
-        self._wake.set()
-
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
+from ._fleet_view import FleetView
 from ._lease_bound import LeaseBound
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._pool_demand import PoolDemand
@@ -13,6 +14,7 @@
     "AdviceRequest",
     "EndReason",
     "EndedRun",
+    "FleetView",
     "HoldReport",
     "LeaseBound",
     "PaceOrder",
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_fleet_view.py
@@ -0,0 +1,97 @@
+"""Show what runs where, for the planning of upkeep and moves."""
+
+from ..jobs import Task, TaskId
+from ._ends import AT_WORK_PERCENT
+from ._orders import StopOrder
+from ._pool_demand import PoolDemand, sum_demand
+from ._stalls import should_stop
+from ._state import SchedulerState
+from ._upstream_view import StepKey, UpstreamView
+
+
+class FleetView:
+    """Read the scheduler's belief; close upstreams and move lasting tasks away."""
+
+    def __init__(self, state: SchedulerState) -> None:
+        """Share the scheduler's state."""
+        self.state = state
+
+    def demand_by_pool(self, unix_ms: int) -> dict[str, PoolDemand]:
+        """Return what each pool that is not on standby is asked for."""
+        return sum_demand(self.state, unix_ms)
+
+    def empty_upstreams(self) -> set[str]:
+        """Return the sound upstreams that run nothing and have nothing to tell."""
+        return {
+            upstream.id
+            for upstream in self.state.upstreams.values()
+            if upstream.is_usable()
+            and not upstream.runs
+            and upstream.recorded_end >= upstream.applied_end
+        }
+
+    def missing_by_step(self) -> dict[StepKey, int]:
+        """Return how many lasting tasks of each step are not at work."""
+        missing: dict[StepKey, int] = {}
+        for job_id, job_run in self.state.jobs.items():
+            if job_run.state.is_final():
+                continue
+            for (_, number), step_run in job_run.steps.items():
+                if step_run.step.is_lasting:
+                    at_work = sum(
+                        self._is_at_work(step_run.task_id(i), step_run.tasks[i])
+                        for i in step_run.started_indexes()
+                    )
+                    missing[(job_id, number)] = step_run.step.count - at_work
+        return missing
+
+    def upstream_view(self, upstream_id: str) -> UpstreamView | None:
+        """Return what runs at an upstream, or None for one that is not known."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None:
+            return None
+        lasting: dict[StepKey, list[StopOrder]] = {}
+        allowances: dict[StepKey, int] = {}
+        short_runs = 0
+        for run in upstream.runs.values():
+            job_run = self.state.jobs.get(run.task.job)
+            if job_run is None or job_run.state.is_final():
+                continue
+            if not run.is_lasting:
+                short_runs += 1
+                continue
+            key = (run.task.job, run.task.step)
+            allowances[key] = job_run.job.steps[run.task.step].may_miss
+            if run.percent >= AT_WORK_PERCENT:
+                stop = StopOrder(run.task, run.run, upstream_id)
+                lasting.setdefault(key, []).append(stop)
+        return UpstreamView(
+            upstream_id,
+            upstream.entry.pool,
+            upstream.is_cordoned,
+            short_runs,
+            lasting,
+            allowances,
+        )
+
+    def cordon(self, upstream_ids: set[str]) -> None:
+        """Close these upstreams for new work, and open all others."""
+        for upstream in self.state.upstreams.values():
+            upstream.is_cordoned = upstream.id in upstream_ids
+
+    def evict(self, order: StopOrder) -> None:
+        """Have a run stopped so that its task starts elsewhere."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if run is not None and run.run == order.run:
+            run.is_evicted = True
+            self.state.note(
+                "task-evicted", order.task, order.run, upstream=order.upstream
+            )
+
+    def _is_at_work(self, task_id: TaskId, task: Task) -> bool:
+        upstream = self.state.upstreams.get(task.upstream)
+        run = upstream.runs.get(task_id) if upstream else None
+        if upstream is None or run is None or not upstream.is_answering:
+            return False
+        return run.percent >= AT_WORK_PERCENT and not should_stop(self.state, run)
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -0,0 +1,58 @@
+"""Carry runs over take-overs, and over restarts of upstreams."""
+
+from ..deployment import NO_RESOURCES, UpstreamEntry
+from ..jobs import Task, TaskId
+from ._state import SchedulerState
+from ._upstream import Run, Upstream
+
+
+def restore_run(state: SchedulerState, task_id: TaskId, task: Task, now: float) -> None:
+    """Count a run that is recorded as started."""
+    upstream = state.upstreams.get(task.upstream)
+    if upstream is None:
+        upstream = _add_unlisted(state, task, now)
+    job_run = state.jobs[task_id.job]
+    found = job_run.find(task_id)
+    if found is None:
+        return
+    step = found[0].step
+    is_same = upstream.entry.incarnation == task.incarnation
+    run = Run(
+        task_id,
+        task.run,
+        step.needs,
+        job_run.job.account,
+        step.is_lasting,
+        step.is_filler,
+        now,
+        step.estimated_ms / 1000,
+        settled_at=now if is_same else None,
+        needs_stop=not is_same,
+        percent_since=now,
+        target_ms=step.target_ms,
+    )
+    state.begin(run, upstream, now)
+
+
+def replace_incarnation(
+    state: SchedulerState, known: Upstream, entry: UpstreamEntry, now: float
+) -> None:
+    """Take an upstream to be a new incarnation of itself."""
+    # A start may have been answered, or may still be carried out, by the new
+    # incarnation: its first report tells which runs it has.
+    fresh = Upstream(entry, now)
+    for task in list(known.runs):
+        run = known.remove(task)
+        if run is not None:
+            fresh.add(run)
+    state.upstreams[entry.id] = fresh
+
+
+def _add_unlisted(state: SchedulerState, task: Task, now: float) -> Upstream:
+    # Its entry may have lapsed while the store was away: it may still run.
+    entry = UpstreamEntry(
+        task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), True
+    )
+    upstream = Upstream(entry, now, is_listed=False)
+    state.upstreams[task.upstream] = upstream
+    return upstream
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -2,21 +2,22 @@
 
 from dataclasses import replace
 
-from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
-from ..jobs import Job, JobProgress, JobState, Task, TaskId
+from ..deployment import Configuration, UpstreamEntry
+from ..jobs import Job, JobProgress, JobState
 from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
-from ._ends import AT_WORK_PERCENT, apply_report
+from ._ends import apply_report
 from ._event import SchedulingEvent
+from ._fleet_view import FleetView
+from ._incarnations import replace_incarnation, restore_run
 from ._job_run import JobRun
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._pacing import FULL_PERCENT, plan_paces
 from ._planning import plan_starts
-from ._pool_demand import PoolDemand, sum_demand
 from ._report import HoldReport
+from ._stalls import judge_progress, may_still_arrive, should_stop
 from ._state import SchedulerState
 from ._upstream import Run, Upstream
-from ._upstream_view import StepKey, UpstreamView
 
 _NOT_RUN = {
     StartResult.NO_ROOM: "no-room",
@@ -36,6 +37,7 @@
     def __init__(self, bounds: SchedulingBounds) -> None:
         """Start empty; all times are seconds of one steady clock."""
         self.state = SchedulerState(bounds)
+        self.fleet = FleetView(self.state)
         self._paces: list[PaceOrder] = []
 
     def set_configuration(self, configuration: Configuration) -> None:
@@ -53,7 +55,9 @@
         if progress:
             for step_run in job_run.steps.values():
                 for index in step_run.started_indexes():
-                    self._restore(step_run.task_id(index), step_run.tasks[index], now)
+                    restore_run(
+                        self.state, step_run.task_id(index), step_run.tasks[index], now
+                    )
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended; its runs are stopped."""
@@ -71,7 +75,7 @@
             known.entry = entry
             known.is_listed = True
         elif entry.incarnation > known.entry.incarnation:
-            self._replace_incarnation(known, entry, now)
+            replace_incarnation(self.state, known, entry, now)
 
     def upstream_unlisted(self, upstream_id: str) -> None:
         """Note that an upstream's entry is gone; it gets nothing new."""
@@ -94,7 +98,9 @@
         return (
             not upstream.is_listed
             and now >= upstream.surely_empty_at(self.state.bounds.unheard)
-            and not any(self._may_still_arrive(r, now) for r in upstream.runs.values())
+            and not any(
+                may_still_arrive(self.state, r, now) for r in upstream.runs.values()
+            )
         )
 
     def heard(
@@ -106,11 +112,11 @@
             return
         if report.incarnation > upstream.entry.incarnation:
             entry = replace(upstream.entry, incarnation=report.incarnation)
-            self._replace_incarnation(upstream, entry, now)
+            replace_incarnation(self.state, upstream, entry, now)
             upstream = self.state.upstreams[upstream_id]
         if report.incarnation == upstream.entry.incarnation:
             apply_report(self.state, upstream, report, asked_at, now)
-            self._judge_progress(upstream, now)
+            judge_progress(self.state, upstream, now)
             self._paces += plan_paces(upstream, now)
 
     def unsure(self, upstream_id: str) -> None:
@@ -127,7 +133,7 @@
         upstream.is_answering = False
         if now >= upstream.surely_empty_at(self.state.bounds.unheard):
             for task, run in list(upstream.runs.items()):
-                if not self._may_still_arrive(run, now):
+                if not may_still_arrive(self.state, run, now):
                     self.state.requeue(upstream, task, "lease-over")
 
     def expire_unlisted(self, now: float) -> None:
@@ -182,7 +188,7 @@
             ]
             upstream.strays = {}
             for run in upstream.runs.values():
-                if self._should_stop(run) and self._may_repeat(run, now):
+                if should_stop(self.state, run) and self._may_repeat(run, now):
                     run.stop_sent_at = now
                     orders.append(StopOrder(run.task, run.run, upstream.id))
         return orders
@@ -249,133 +255,6 @@
         events, self.state.events = self.state.events, []
         return events
 
-    def demand_by_pool(self, unix_ms: int) -> dict[str, PoolDemand]:
-        """Return what each pool that is not on standby is asked for."""
-        return sum_demand(self.state, unix_ms)
-
-    def empty_upstreams(self) -> set[str]:
-        """Return the sound upstreams that run nothing and have nothing to tell."""
-        return {
-            upstream.id
-            for upstream in self.state.upstreams.values()
-            if upstream.is_usable()
-            and not upstream.runs
-            and upstream.recorded_end >= upstream.applied_end
-        }
-
-    def missing_by_step(self) -> dict[StepKey, int]:
-        """Return how many lasting tasks of each step are not at work."""
-        missing: dict[StepKey, int] = {}
-        for job_id, job_run in self.state.jobs.items():
-            if job_run.state.is_final():
-                continue
-            for (_, number), step_run in job_run.steps.items():
-                if step_run.step.is_lasting:
-                    at_work = sum(
-                        self._is_at_work(step_run.task_id(i), step_run.tasks[i])
-                        for i in step_run.started_indexes()
-                    )
-                    missing[(job_id, number)] = step_run.step.count - at_work
-        return missing
-
-    def upstream_view(self, upstream_id: str) -> UpstreamView | None:
-        """Return what runs at an upstream, or None for one that is not known."""
-        upstream = self.state.upstreams.get(upstream_id)
-        if upstream is None:
-            return None
-        lasting: dict[StepKey, list[StopOrder]] = {}
-        allowances: dict[StepKey, int] = {}
-        short_runs = 0
-        for run in upstream.runs.values():
-            job_run = self.state.jobs.get(run.task.job)
-            if job_run is None or job_run.state.is_final():
-                continue
-            if not run.is_lasting:
-                short_runs += 1
-                continue
-            key = (run.task.job, run.task.step)
-            allowances[key] = job_run.job.steps[run.task.step].may_miss
-            if run.percent >= AT_WORK_PERCENT:
-                stop = StopOrder(run.task, run.run, upstream_id)
-                lasting.setdefault(key, []).append(stop)
-        return UpstreamView(
-            upstream_id,
-            upstream.entry.pool,
-            upstream.is_cordoned,
-            short_runs,
-            lasting,
-            allowances,
-        )
-
-    def cordon(self, upstream_ids: set[str]) -> None:
-        """Close these upstreams for new work, and open all others."""
-        for upstream in self.state.upstreams.values():
-            upstream.is_cordoned = upstream.id in upstream_ids
-
-    def evict(self, order: StopOrder) -> None:
-        """Have a run stopped so that its task starts elsewhere."""
-        upstream = self.state.upstreams.get(order.upstream)
-        run = upstream.runs.get(order.task) if upstream else None
-        if run is not None and run.run == order.run:
-            run.is_evicted = True
-            self.state.note(
-                "task-evicted", order.task, order.run, upstream=order.upstream
-            )
-
-    def _is_at_work(self, task_id: TaskId, task: Task) -> bool:
-        upstream = self.state.upstreams.get(task.upstream)
-        run = upstream.runs.get(task_id) if upstream else None
-        if upstream is None or run is None or not upstream.is_answering:
-            return False
-        return run.percent >= AT_WORK_PERCENT and not self._should_stop(run)
-
-    def _restore(self, task_id: TaskId, task: Task, now: float) -> None:
-        upstream = self.state.upstreams.get(task.upstream)
-        if upstream is None:
-            upstream = self._add_unlisted(task, now)
-        job_run = self.state.jobs[task_id.job]
-        found = job_run.find(task_id)
-        if found is None:
-            return
-        step = found[0].step
-        is_same = upstream.entry.incarnation == task.incarnation
-        run = Run(
-            task_id,
-            task.run,
-            step.needs,
-            job_run.job.account,
-            step.is_lasting,
-            step.is_filler,
-            now,
-            step.estimated_ms / 1000,
-            settled_at=now if is_same else None,
-            needs_stop=not is_same,
-            percent_since=now,
-            target_ms=step.target_ms,
-        )
-        self.state.begin(run, upstream, now)
-
-    def _add_unlisted(self, task: Task, now: float) -> Upstream:
-        # Its entry may have lapsed while the store was away: it may still run.
-        entry = UpstreamEntry(
-            task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), True
-        )
-        upstream = Upstream(entry, now, is_listed=False)
-        self.state.upstreams[task.upstream] = upstream
-        return upstream
-
-    def _replace_incarnation(
-        self, known: Upstream, entry: UpstreamEntry, now: float
-    ) -> None:
-        # A start may have been answered, or may still be carried out, by the new
-        # incarnation: its first report tells which runs it has.
-        fresh = Upstream(entry, now)
-        for task in list(known.runs):
-            run = known.remove(task)
-            if run is not None:
-                fresh.add(run)
-        self.state.upstreams[entry.id] = fresh
-
     def _apply_refusal(
         self, upstream: Upstream, order: StartOrder, result: StartResult, now: float
     ) -> None:
@@ -388,38 +267,6 @@
             upstream.is_answering = False
         self.state.requeue(upstream, order.task, _NOT_RUN[result])
 
-    def _should_stop(self, run: Run) -> bool:
-        job_run = self.state.jobs.get(run.task.job)
-        if job_run is None or job_run.state.is_final():
-            return True
-        return run.needs_stop or run.is_stalled or run.is_evicted
-
-    def _may_still_arrive(self, run: Run, now: float) -> bool:
-        bound = self.state.bounds.late_order
-        return (
-            run.settled_at is None
-            and now - run.started_at < bound
-            and now - self.state.orders_lost_at < bound
-        )
-
     def _may_repeat(self, run: Run, now: float) -> bool:
         sent = run.stop_sent_at
         return sent is None or now - sent >= self.state.bounds.order_retry
-
-    def _judge_progress(self, upstream: Upstream, now: float) -> None:
-        for run in upstream.runs.values():
-            if self._is_stalled(run, now):
-                run.is_stalled = True
-                self.state.blame_stall(upstream, run, now)
-
-    def _is_stalled(self, run: Run, now: float) -> bool:
-        if run.is_stalled or run.settled_at is None or run.pace < AT_WORK_PERCENT:
-            return False
-        still = now - max(run.percent_since, run.settled_at)
-        bounds = self.state.bounds
-        if run.is_lasting:
-            return run.percent < AT_WORK_PERCENT and still > bounds.lasting_start
-        if self.state.stalls.get(run.task, 0) >= bounds.most_stalls:
-            # It stood still wherever it ran, so it is slow by itself.
-            return False
-        return still > max(bounds.stall, bounds.stall_part * run.declared_seconds)
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -373,18 +373,18 @@
 
     def test_tasks_at_full_percent_are_at_work(self, fleet):
         self.make_at_work(fleet)
-        assert fleet.scheduler.missing_by_step() == {(JOB, 0): 0}
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 0}
 
     def test_tasks_of_a_silent_upstream_are_missing(self, fleet):
         self.make_at_work(fleet)
         fleet.scheduler.unheard("u0", fleet.now)
-        assert fleet.scheduler.missing_by_step() == {(JOB, 0): 1}
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 1}
 
     def test_evicted_task_is_missing_until_it_works_elsewhere(self, fleet):
         self.make_at_work(fleet)
-        view = fleet.scheduler.upstream_view("u0")
-        fleet.scheduler.evict(view.lasting_by_step[(JOB, 0)][0])
-        assert fleet.scheduler.missing_by_step() == {(JOB, 0): 1}
+        view = fleet.scheduler.fleet.upstream_view("u0")
+        fleet.scheduler.fleet.evict(view.lasting_by_step[(JOB, 0)][0])
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 1}
 
     def test_report_of_an_upstream_that_was_taken_away_changes_nothing(self, fleet):
         self.make_at_work(fleet)
--- a/packages/baobablane/baobablane/upkeep/_plan.py
+++ b/packages/baobablane/baobablane/upkeep/_plan.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from ..deployment import Instance, InstanceState, Wave
-from ..scheduling import Scheduler, StopOrder, UpstreamView
+from ..scheduling import FleetView, StopOrder, UpstreamView
 from ._wave_progress import WaveProgress
 
 # With less time than this for each batch of instances, short tasks are ended, too:
@@ -41,14 +41,14 @@
     waves: Sequence[Wave],
     progress_by_wave: Mapping[int, WaveProgress],
     instances: Sequence[Instance],
-    scheduler: Scheduler,
+    fleet: FleetView,
     unix_ms: int,
     is_ordered: Callable[[str, int], bool],
 ) -> UpkeepPlan:
     """Return what to do next for all waves; orders that are under way count."""
     plan = UpkeepPlan()
     by_id = {instance.id: instance for instance in instances}
-    missing = scheduler.missing_by_step()
+    missing = fleet.missing_by_step()
     for wave in waves:
         progress = progress_by_wave[wave.number]
         if progress.is_complete:
@@ -70,7 +70,7 @@
             if i.state is InstanceState.UP and not is_ordered(i.id, wave.number)
         ]
         is_hurried = _is_hurried(wave, progress, len(left), unix_ms)
-        _plan_wave(plan, wave, open_left, places, is_hurried, scheduler, missing)
+        _plan_wave(plan, wave, open_left, places, is_hurried, fleet, missing)
     return plan
 
 
@@ -80,10 +80,10 @@
     open_left: list[Instance],
     places: int,
     is_hurried: bool,
-    scheduler: Scheduler,
+    fleet: FleetView,
     missing: dict[tuple[str, int], int],
 ) -> None:
-    views = {i.id: scheduler.upstream_view(i.upstream) for i in open_left}
+    views = {i.id: fleet.upstream_view(i.upstream) for i in open_left}
     open_left.sort(key=lambda i: _effort(views[i.id]))
     for instance in open_left[: max(0, places)]:
         view = views[instance.id]
