--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -14,6 +14,7 @@
     make_platform_app,
     read_process_settings,
 )
+from prometheus_client import make_asgi_app
 from starlette.types import ASGIApp
 
 from ._quiet_server import QuietServer
@@ -67,6 +68,8 @@
     )
     addresses = {settings.callers_address, settings.ready_address}
     servers = [_make_server(app, address) for address in sorted(addresses)]
+    if settings.metrics_address:
+        servers.append(_make_server(make_asgi_app(), settings.metrics_address))
     loop = asyncio.get_running_loop()
     joining = loop.create_task(member.run())
     running = [
