Keep room for lasting tasks; know passed turns after a take-over

New owners grew all pools again, as they forgot the turns. Change: an upstream is kept for a lasting task that fits nowhere now; closed instances are made up for; upstreams that are not heard are left alone; rises of demand are recorded.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -6,6 +6,7 @@
 import msgspec
 from baobablane.deployment import Configuration, Wave
 from baobablane.jobs import JobTable, decode_job, decode_progress
+from baobablane.sizing import Rises, decode_rises
 from baobablane.upkeep import WaveProgress, decode_wave_progress
 from baobablane_platform import (
     CONFIGURATION_KEY,
@@ -29,6 +30,7 @@
 CANCEL_PREFIX = "cancel/"
 WAVE_PREFIX = "wave/"
 ORDER_PREFIX = "order/"
+RISES_KEY = "rises"
 
 
 class Views:
@@ -42,6 +44,8 @@
         self.wave_progress: dict[int, WaveProgress] = {}
         # When the latest order for each instance was recorded, in Unix milliseconds.
         self.ordered_ms: dict[str, int] = {}
+        # The rises of pools' demand that the latest owner recorded.
+        self.rises: Rises = []
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
         self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job, PAUSE_SECONDS)
@@ -118,6 +122,8 @@
             elif record.key.startswith(ORDER_PREFIX):
                 instance = record.key.removeprefix(ORDER_PREFIX)
                 self.ordered_ms[instance] = int(record.value)
+            elif record.key == RISES_KEY:
+                self.rises = decode_rises(record.value)
             else:
                 self.table.set_progress(record.key, decode_progress(record.value))
         except msgspec.DecodeError as error:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -5,11 +5,11 @@
 
 from baobablane.deployment import Instance
 from baobablane.scheduling import Scheduler
-from baobablane.sizing import MoveOrder, PoolSizing, plan_moves
+from baobablane.sizing import MoveOrder, PoolSizing, Rises, encode_rises, plan_moves
 from baobablane.upkeep import UpkeepOrder, UpkeepPlan, WaveProgress, plan_upkeep
 from baobablane_platform import InstanceClient, InstanceListError, InstanceOrderResult
 
-from ..jobs import ORDER_PREFIX, Views, boot_seconds, unix_ms
+from ..jobs import ORDER_PREFIX, RISES_KEY, Views, boot_seconds, unix_ms
 from ..tasks import DecisionLog
 from ._membership import GroupMember
 from ._progress_writer import ProgressWriter
@@ -56,12 +56,14 @@
         # Orders without a known end: the instance counts as down.
         self._under_way: set[tuple[str, int]] = set()
         self._sizing = PoolSizing()
+        self._recorded_rises: Rises = []
         self.progress_by_wave: dict[int, WaveProgress] = {}
         # Waves whose progress is not recorded yet.
         self.dirty: set[int] = set()
 
     def take_over(self) -> None:
-        """Leave the instances alone that the earlier owner gave orders for."""
+        """Take over the turns seen, and leave instances under recent orders alone."""
+        self._sizing.forecast.restore(self._views.rises)
         now = boot_seconds()
         keep_seconds = self._order_lease_seconds + ORDER_SECONDS + CLOCK_SECONDS
         for instance, ordered_ms in self._views.ordered_ms.items():
@@ -106,6 +108,7 @@
         )
         plan.orders = [o for o in plan.orders if not self._is_kept(o.instance)]
         moves = self._plan_moves(plan)
+        await self._record_rises()
         closing = {move.upstream for move in moves if move.upstream}
         self._scheduler.fleet.cordon(plan.cordoned | closing)
         for number in plan.completed:
@@ -122,6 +125,12 @@
                 *(self._move(move) for move in moves),
             )
 
+    async def _record_rises(self) -> None:
+        rises = self._sizing.forecast.rises()
+        if rises != self._recorded_rises:
+            await self._writer.write({RISES_KEY: encode_rises(rises)})
+            self._recorded_rises = rises
+
     async def _record_orders(self, plan: UpkeepPlan, moves: list[MoveOrder]) -> bool:
         """Record orders before they are sent; return whether to send them."""
         instances = [order.instance for order in plan.orders]
@@ -138,7 +147,7 @@
         configuration = self._views.configuration
         if configuration is None:
             return []
-        now = boot_seconds()
+        now = unix_ms() / 1000
         demands = self._scheduler.fleet.demand_by_pool(unix_ms())
         fleet_cores = sum(i.capacity.cpu_millis for i in self._instances) / 1000
         even_cores = fleet_cores / max(1, len(configuration.pools_by_name))
@@ -156,6 +165,7 @@
             self._scheduler.fleet.empty_upstreams() - upkeep.cordoned,
             standby,
             busy,
+            upkeep.cordoned,
         )
 
     async def _move(self, order: MoveOrder) -> None:
--- a/packages/baobablane/baobablane/scheduling/_fleet_view.py
+++ b/packages/baobablane/baobablane/scheduling/_fleet_view.py
@@ -69,6 +69,7 @@
             upstream_id,
             upstream.entry.pool,
             upstream.is_cordoned,
+            upstream.is_answering,
             short_runs,
             lasting,
             allowances,
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection
 
 from ..deployment import Resources
+from ..jobs import Step
 from ._step_run import StepRun
 from ._upstream import Upstream
 
@@ -25,9 +26,6 @@
     other fits.
     """
     step = step_run.step
-    needs = step.needs
-    if step.is_filler:
-        needs = Resources(0, needs.memory_mb, needs.gpus)
     others = [u for u in candidates if u.id in placed_by_upstream]
     best: Upstream | None = None
     best_score: tuple[float, ...] | None = None
@@ -36,10 +34,8 @@
         if step.most_per_upstream and placed >= step.most_per_upstream:
             continue
         labels = upstream.entry.labels
-        if step.required_label and step.required_label not in labels:
-            continue
         room = upstream.room()
-        if not needs.fits_in(room):
+        if not may_run(step, upstream, room):
             continue
         score = (
             float(upstream.id == avoided),
@@ -51,6 +47,16 @@
     return best
 
 
+def may_run(step: Step, upstream: Upstream, room: Resources) -> bool:
+    """Return whether an upstream has the label and the room for a task of a step."""
+    if step.required_label and step.required_label not in upstream.entry.labels:
+        return False
+    needs = step.needs
+    if step.is_filler:
+        needs = Resources(0, needs.memory_mb, needs.gpus)
+    return needs.fits_in(room)
+
+
 def _spread_score(
     step_run: StepRun,
     upstream: Upstream,
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -1,9 +1,10 @@
 """Decide which tasks start now, and where."""
 
+from ..deployment import Resources
 from ..jobs import TaskState
 from ._job_run import JobRun
 from ._orders import StartOrder
-from ._placement import choose_upstream
+from ._placement import choose_upstream, may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Run, Upstream
@@ -21,6 +22,8 @@
             if not state.ejections.is_ejected(upstream.id, now):
                 sound.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
+    # Pools of which an upstream is kept for a lasting task.
+    kept: set[str] = set()
     state.advice.clear_wanted()
     for job_run in _in_order(state, unix_ms):
         pool = state.pool_of(job_run)
@@ -34,9 +37,39 @@
             if pool in usable and (pool not in sound or is_stuck):
                 candidates = _advised(state, step_run, usable[pool], now)
                 orders += _plan_step(state, step_run, candidates, now)
+            if step_run.step.is_lasting and step_run.waiting and pool not in kept:
+                kept.add(pool)
+                _keep_room(step_run, sound.get(pool, []), usable.get(pool, []))
     return orders
 
 
+def _keep_room(
+    step_run: StepRun, sound: list[Upstream], usable: list[Upstream]
+) -> None:
+    # Small tasks would take each bit of room as it comes free, and a lasting task
+    # that needs more would never start: an upstream where it fits once the short
+    # tasks have ended is kept for it.
+    fitting = [
+        upstream
+        for upstream in usable
+        if may_run(step_run.step, upstream, _lasting_room(upstream))
+    ]
+    if not fitting:
+        return
+    chosen = max(fitting, key=lambda upstream: upstream.room().cpu_millis)
+    usable.remove(chosen)
+    if chosen in sound:
+        sound.remove(chosen)
+
+
+def _lasting_room(upstream: Upstream) -> Resources:
+    room = upstream.entry.capacity
+    for run in upstream.runs.values():
+        if run.is_lasting and not run.is_filler:
+            room = room - run.needs
+    return room
+
+
 def _advised(
     state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
 ) -> list[Upstream]:
--- a/packages/baobablane/baobablane/scheduling/_upstream_view.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream_view.py
@@ -15,6 +15,8 @@
     id: str
     pool: str
     is_cordoned: bool
+    # Whether its latest call was answered, so that what runs there is known.
+    is_heard: bool
     short_runs: int
     # The stops of the lasting tasks at work here.
     lasting_by_step: dict[StepKey, list[StopOrder]]
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -360,6 +360,31 @@
         assert [order.task.job for order in fleet.place()] == ["2" * 16]
 
 
+class TestStarvation:
+    """Test a full pool in which small tasks keep coming."""
+
+    def test_lasting_task_starts_though_small_tasks_would_fill_each_gap(self):
+        fleet = ModelFleet(count=1)
+        fleet.hear_all()
+        for number in range(4):
+            add(fleet, make_job(name=f"{number + 1:016x}"))
+        fleet.place()
+        add(fleet, make_job(make_step(cpu=2 * CORE, is_lasting=True), name="f" * 16))
+        for number in range(4):
+            fleet.finish(TaskId(f"{number + 1:016x}", 0, 0, 0))
+            fleet.hear_all()
+            add(fleet, make_job(name=f"{number + 9:016x}"))
+            fleet.place()
+        assert fleet.runs_of(TaskId("f" * 16, 0, 0, 0)) == 1
+
+    def test_lasting_task_that_fits_nowhere_holds_up_nothing(self):
+        fleet = ModelFleet(count=1)
+        fleet.hear_all()
+        add(fleet, make_job(make_step(cpu=9 * CORE, is_lasting=True), name="f" * 16))
+        add(fleet, make_job(name="1" * 16))
+        assert [order.task.job for order in fleet.place()] == ["1" * 16]
+
+
 class TestLastingTasks:
     """Test which lasting tasks count as at work."""
 
--- a/packages/baobablane/baobablane/sizing/__init__.py
+++ b/packages/baobablane/baobablane/sizing/__init__.py
@@ -1,7 +1,16 @@
 """Re-export how many instances each pool gets, and when."""
 
+from ._codec import Rises, decode_rises, encode_rises
 from ._forecast import TurnForecast
 from ._plan import MoveOrder, plan_moves
 from ._sizing import PoolSizing
 
-__all__ = ["MoveOrder", "PoolSizing", "TurnForecast", "plan_moves"]
+__all__ = [
+    "MoveOrder",
+    "PoolSizing",
+    "Rises",
+    "TurnForecast",
+    "decode_rises",
+    "encode_rises",
+    "plan_moves",
+]
--- a/packages/baobablane/baobablane/sizing/_forecast.py
+++ b/packages/baobablane/baobablane/sizing/_forecast.py
@@ -9,19 +9,30 @@
 
 # Gaps between rises that a forecast is made from.
 GAPS_KEPT = 5
+# More than a whole round of turns of all pools.
+RISES_KEPT = 100
 
 
 class TurnForecast:
     """Hold when the demand of each pool rose."""
 
     def __init__(self) -> None:
-        """Start without having seen a rise; times are in seconds."""
+        """Start without having seen a rise; times are in Unix seconds."""
         self._rises: list[tuple[float, str]] = []
 
+    def rises(self) -> list[tuple[float, str]]:
+        """Return the latest rises, as they are recorded."""
+        return list(self._rises)
+
+    def restore(self, rises: list[tuple[float, str]]) -> None:
+        """Take over what an earlier owner recorded."""
+        self._rises = list(rises)
+
     def rose(self, pool: str, now: float) -> None:
         """Note that a pool's demand has risen, unless its turn was the latest."""
         if not self._rises or self._rises[-1][1] != pool:
             self._rises.append((now, pool))
+            del self._rises[:-RISES_KEPT]
 
     def has_risen(self, pool: str) -> bool:
         """Return whether a pool's demand ever rose."""
--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -25,11 +25,13 @@
     empty_upstreams: Collection[str],
     standby: str,
     busy: Collection[str],
+    closed_upstreams: Collection[str],
 ) -> list[MoveOrder]:
     """Return the moves to order now.
 
     `busy` are instances that other orders are under way for. Instances that are on
-    their way to a pool count there. Only upstreams that run nothing are taken.
+    their way to a pool count there, closed ones do not. Only upstreams that run
+    nothing are taken.
     """
     cores: dict[str, float] = dict.fromkeys(wanted_cores, 0.0)
     count: dict[str, int] = dict.fromkeys(wanted_cores, 0)
@@ -38,6 +40,8 @@
     for instance in instances:
         if instance.state is InstanceState.DOWN:
             continue
+        if instance.upstream and instance.upstream in closed_upstreams:
+            continue
         own = instance.capacity.cpu_millis / 1000
         if instance.pool in cores:
             cores[instance.pool] += own
--- a/packages/baobablane/baobablane/sizing/tests/test_sizing.py
+++ b/packages/baobablane/baobablane/sizing/tests/test_sizing.py
@@ -4,7 +4,13 @@
 
 from baobablane.deployment import Instance, InstanceState, Resources
 from baobablane.scheduling import PoolDemand
-from baobablane.sizing import PoolSizing, TurnForecast, plan_moves
+from baobablane.sizing import (
+    PoolSizing,
+    TurnForecast,
+    decode_rises,
+    encode_rises,
+    plan_moves,
+)
 
 EVEN_CORES = 192.0
 STEP_SECONDS = 0.25
@@ -75,6 +81,21 @@
         assert sizing.wanted_cores("a", demand, 60.0) > 300.0
 
 
+class TestTakeOver:
+    """Test an owner that goes on from what another has recorded."""
+
+    def test_turns_that_have_passed_are_not_waited_for_again(self):
+        before = PoolSizing()
+        play_turns(before, 3)
+        recorded = decode_rises(encode_rises(before.forecast.rises()))
+        after = PoolSizing()
+        after.forecast.restore(recorded)
+        demands = {pool: make_demand() for pool in POOLS}
+        after.observe(demands, EVEN_CORES, 14.0)
+        assert after.wanted_cores("a", demands["a"], 14.0) < EVEN_CORES / 2
+        assert after.wanted_cores("d", demands["d"], 14.0) >= EVEN_CORES
+
+
 class TestForecast:
     """Test which pool's demand is expected to rise."""
 
@@ -108,9 +129,9 @@
 class TestMoves:
     """Test which instances are moved."""
 
-    def plan(self, wanted, instances, empty=(), busy=()):
+    def plan(self, wanted, instances, empty=(), busy=(), closed=()):
         """Plan moves with the standby pool `spare`."""
-        return plan_moves(wanted, instances, set(empty), "spare", set(busy))
+        return plan_moves(wanted, instances, set(empty), "spare", busy, closed)
 
     def test_standby_instances_come_first(self):
         instances = [make_instance(n, "a") for n in range(4)]
@@ -142,3 +163,9 @@
     def test_instance_under_another_order_stays(self):
         instances = [make_instance(9, "spare", upstream="")]
         assert self.plan({"a": 64.0}, instances, busy=["m9"]) == []
+
+    def test_closed_instance_is_made_up_for(self):
+        instances = [make_instance(n, "a") for n in range(2)]
+        instances.append(make_instance(9, "spare", upstream=""))
+        (order,) = self.plan({"a": 64.0}, instances, closed=["u0"])
+        assert order.instance == "m9"
--- a/packages/baobablane/baobablane/upkeep/_plan.py
+++ b/packages/baobablane/baobablane/upkeep/_plan.py
@@ -91,7 +91,7 @@
             plan.orders.append(UpkeepOrder(instance.id, wave.number, ""))
             continue
         plan.cordoned.add(view.id)
-        if view.short_runs and not is_hurried:
+        if not view.is_heard or (view.short_runs and not is_hurried):
             continue
         over = _steps_over_allowance(view, missing)
         if over:
--- a/packages/baobablane/baobablane/upkeep/tests/test_plan.py
+++ b/packages/baobablane/baobablane/upkeep/tests/test_plan.py
@@ -28,7 +28,7 @@
         return dict(self.missing)
 
 
-def make_view(number, short=0, lasting=0, allowance=1):
+def make_view(number, short=0, lasting=0, allowance=1, is_heard=True):
     """Return what runs at an upstream."""
     stops = [
         StopOrder(TaskId(STEP[0], 0, 0, number * 10 + n), 1, f"u{number}")
@@ -36,7 +36,7 @@
     ]
     lasting_by_step = {STEP: stops} if stops else {}
     return UpstreamView(
-        f"u{number}", "pool", False, short, lasting_by_step, {STEP: allowance}
+        f"u{number}", "pool", False, is_heard, short, lasting_by_step, {STEP: allowance}
     )
 
 
@@ -110,6 +110,10 @@
         assert result.orders == []
         assert len(result.evictions) == 1
 
+    def test_upstream_that_is_not_heard_may_run_anything(self):
+        result = plan([make_view(0, is_heard=False)], make_instances(1))
+        assert result.orders == []
+
     def test_step_without_an_allowance_may_be_ended(self):
         views = [make_view(0, lasting=2, allowance=0)]
         assert len(plan(views, make_instances(1)).orders) == 1
