--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -4,9 +4,19 @@
 from ._actions import JobActions
 from ._clock import boot_seconds, unix_ms
 from ._topic_tail import TopicTail
-from ._views import ORDER_PREFIX, PROGRESS_TOPIC, RISES_KEY, WAVE_PREFIX, Views
+from ._views import (
+    CANCEL_PREFIX,
+    JOBS_TOPIC,
+    ORDER_PREFIX,
+    PROGRESS_TOPIC,
+    RISES_KEY,
+    WAVE_PREFIX,
+    Views,
+)
 
 __all__ = [
+    "CANCEL_PREFIX",
+    "JOBS_TOPIC",
     "ORDER_PREFIX",
     "PROGRESS_TOPIC",
     "RISES_KEY",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -98,7 +98,9 @@
         self.on_stored(record.key)
         if record.key.startswith(CANCEL_PREFIX):
             job_id = record.key.removeprefix(CANCEL_PREFIX)
-            if record.value and self.table.cancel(job_id):
+            if record.value is None:
+                self.table.forget(job_id)
+            elif self.table.cancel(job_id):
                 self.on_change(job_id)
             return
         if record.value is None:
@@ -114,6 +116,7 @@
 
     def _on_progress(self, record: KeyedRecord) -> None:
         if record.value is None:
+            self.table.forget(record.key)
             return
         try:
             if record.key.startswith(WAVE_PREFIX):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -24,8 +24,17 @@
     decode_upstream_entry,
 )
 
-from ..jobs import WAVE_PREFIX, TopicTail, Views, boot_seconds, unix_ms
+from ..jobs import (
+    CANCEL_PREFIX,
+    JOBS_TOPIC,
+    WAVE_PREFIX,
+    TopicTail,
+    Views,
+    boot_seconds,
+    unix_ms,
+)
 from ..tasks import Decision, DecisionLog
+from ._ended_jobs import EndedJobs
 from ._instances_task import InstancesTask
 from ._membership import GroupMember
 from ._order_sender import OrderSender
@@ -84,7 +93,7 @@
             self._wake.set,
         )
         self._changed_jobs: list[str] = []
-        self._ended_jobs: set[str] = set()
+        self._ended_jobs = EndedJobs(settings.limits.state_kept)
         self._tasks: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -135,6 +144,7 @@
         for job in table.jobs_by_id.values():
             progress = table.progress_by_id.get(job.id)
             if progress is not None and progress.state.is_final():
+                self._ended_jobs.add(job.id, now)
                 continue
             self._scheduler.add_job(job, progress, now)
             if job.id in table.cancelled:
@@ -172,14 +182,32 @@
         if changed or waves:
             await self._record(changed, waves)
         self._note_recorded(applied)
-        self._ended_jobs.update(self._scheduler.retire())
+        for job_id in self._scheduler.retire():
+            self._ended_jobs.add(job_id, now)
+        await self._drop_ended(now)
         for start in starts:
             self._start(self._sender.send_start(start))
 
+    async def _drop_ended(self, now: float) -> None:
+        due = self._ended_jobs.take_due(now)
+        if not due:
+            return
+        records = [KeyedRecord(job_id, None) for job_id in due]
+        records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in due]
+        # The job goes first: without its progress it would be taken for a new one.
+        try:
+            await self._store.append(JOBS_TOPIC, 0, records)
+        except StoreError as error:
+            self._log.info("jobs-not-dropped", count=len(due), reason=str(error))
+            for job_id in due:
+                self._ended_jobs.add(job_id, now)
+            return
+        await self._writer.write(dict.fromkeys(due))
+
     async def _record(
         self, progress_by_job: dict[str, JobProgress], waves: set[int]
     ) -> None:
-        values = {
+        values: dict[str, bytes | None] = {
             job_id: encode_progress(progress)
             for job_id, progress in progress_by_job.items()
         }
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -1,6 +1,7 @@
 """Write the owner's records, fenced by its epoch."""
 
 import asyncio
+from collections.abc import Mapping
 
 from baobablane_platform import (
     STATUS_TOPIC,
@@ -39,13 +40,16 @@
         """Refuse the appends of earlier owners from now on."""
         await self._append([])
 
-    async def write(self, values_by_key: dict[str, bytes]) -> None:
-        """Return once all is stored; raise StoreFencedError after a newer owner."""
+    async def write(self, values_by_key: Mapping[str, bytes | None]) -> None:
+        """Return once all is stored; raise StoreFencedError after a newer owner.
+
+        A key without a value is dropped.
+        """
         batch: list[KeyedRecord] = []
         size = 0
         for key, value in values_by_key.items():
             batch.append(KeyedRecord(key, value))
-            size += len(value)
+            size += len(value or b"")
             if size > MOST_BYTES:
                 await self._append(batch)
                 batch, size = [], 0
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -110,6 +110,9 @@
         self.recorded.clear()
 
     def _note_silence(self, reason: str) -> None:
+        if self._id not in self._scheduler.state.upstreams:
+            # Its instance was taken away.
+            return
         now = boot_seconds()
         self._scheduler.unheard(self._id, now)
         if self._was_answering:
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -46,8 +46,9 @@
 class World:
     """Hold a stand-in platform and the entry instances on it."""
 
-    def __init__(self, platform, session):
+    def __init__(self, platform, session, limits):
         """Start without entry instances."""
+        self.limits = limits
         self.platform = platform
         self.session = session
         self.entries = []
@@ -57,7 +58,7 @@
         address = f"{HOST}:{find_port()}"
         store = self.platform.address
         settings = ProcessSettings(
-            name, "zone-a", address, address, store, store, "", PlatformLimits()
+            name, "zone-a", address, address, store, store, "", self.limits
         )
         stop = asyncio.Event()
         work = serve_on_platform(settings, DecisionLog(name), stop)
@@ -121,10 +122,10 @@
 
 
 @asynccontextmanager
-async def make_world(entries=1):
+async def make_world(entries=1, limits=None):
     """Run a stand-in platform with some entry instances."""
     async with PlatformStandin() as platform, aiohttp.ClientSession() as session:
-        world = World(platform, session)
+        world = World(platform, session, limits or PlatformLimits())
         try:
             for number in range(entries):
                 await world.start_entry(f"entry-{number}")
@@ -184,6 +185,17 @@
                 status, _ = await world.call(entry, method, PREFIX + JOB)
                 assert status == 410
 
+    async def test_ended_job_is_forgotten_after_its_state_was_kept(self):
+        async with make_world(2, PlatformLimits(state_kept=0.1)) as world:
+            first, second = world.entries
+            await world.submit(first)
+
+            async def is_forgotten():
+                status, _ = await world.call(second, "GET", PREFIX + JOB)
+                return status == 410 and world.starts() != []
+
+            await world.wait_for(is_forgotten)
+
     async def test_waiting_jobs_are_counted(self):
         async with make_world() as world:
             (entry,) = world.entries
