--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_job_dropper.py
@@ -0,0 +1,42 @@
+"""Drop the records of jobs that ended long ago."""
+
+from baobablane_platform import KeyedRecord, StoreClient, StoreError
+
+from ..jobs import CANCEL_PREFIX, JOBS_TOPIC
+from ..tasks import DecisionLog
+from ._ended_jobs import EndedJobs
+from ._progress_writer import ProgressWriter
+
+
+class JobDropper:
+    """Hold what an owner needs to drop records."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        writer: ProgressWriter,
+        ended: EndedJobs,
+        log: DecisionLog,
+    ) -> None:
+        """Share the owner's store and writer."""
+        self._store = store
+        self._writer = writer
+        self._ended = ended
+        self._log = log
+
+    async def drop(self, now: float) -> None:
+        """Drop what is due; what could not be dropped stays for later."""
+        due = self._ended.take_due(now)
+        if not due:
+            return
+        records = [KeyedRecord(job_id, None) for job_id in due]
+        records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in due]
+        # The job goes first: without its progress it would be taken for a new one.
+        try:
+            await self._store.append(JOBS_TOPIC, 0, records)
+        except StoreError as error:
+            self._log.info("jobs-not-dropped", count=len(due), reason=str(error))
+            for job_id in due:
+                self._ended.add(job_id, now)
+            return
+        await self._writer.write(dict.fromkeys(due))
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -25,8 +25,6 @@
 )
 
 from ..jobs import (
-    CANCEL_PREFIX,
-    JOBS_TOPIC,
     WAVE_PREFIX,
     TopicTail,
     Views,
@@ -36,6 +34,7 @@
 from ..tasks import Decision, DecisionLog
 from ._ended_jobs import EndedJobs
 from ._instances_task import InstancesTask
+from ._job_dropper import JobDropper
 from ._membership import GroupMember
 from ._order_sender import OrderSender
 from ._progress_writer import ProgressWriter
@@ -94,6 +93,7 @@
         )
         self._changed_jobs: list[str] = []
         self._ended_jobs = EndedJobs(settings.limits.state_kept)
+        self._dropper = JobDropper(store, self._writer, self._ended_jobs, log)
         self._tasks: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -184,26 +184,10 @@
         self._note_recorded(applied)
         for job_id in self._scheduler.retire():
             self._ended_jobs.add(job_id, now)
-        await self._drop_ended(now)
+        await self._dropper.drop(now)
         for start in starts:
             self._start(self._sender.send_start(start))
 
-    async def _drop_ended(self, now: float) -> None:
-        due = self._ended_jobs.take_due(now)
-        if not due:
-            return
-        records = [KeyedRecord(job_id, None) for job_id in due]
-        records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in due]
-        # The job goes first: without its progress it would be taken for a new one.
-        try:
-            await self._store.append(JOBS_TOPIC, 0, records)
-        except StoreError as error:
-            self._log.info("jobs-not-dropped", count=len(due), reason=str(error))
-            for job_id in due:
-                self._ended_jobs.add(job_id, now)
-            return
-        await self._writer.write(dict.fromkeys(due))
-
     async def _record(
         self, progress_by_job: dict[str, JobProgress], waves: set[int]
     ) -> None:
