--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -69,7 +69,8 @@
     addresses = {settings.callers_address, settings.ready_address}
     servers = [_make_server(app, address) for address in sorted(addresses)]
     if settings.metrics_address:
-        servers.append(_make_server(make_asgi_app(), settings.metrics_address))
+        metrics = make_asgi_app(registry=log.metrics.registry)
+        servers.append(_make_server(metrics, settings.metrics_address))
     loop = asyncio.get_running_loop()
     joining = loop.create_task(member.run())
     running = [
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -9,7 +9,6 @@
     StoreError,
     StoreRefusedError,
 )
-from prometheus_client import Histogram
 
 from ..tasks import Decision, DecisionLog
 from ._acceptor import Acceptor
@@ -24,13 +23,6 @@
 RETRY_AFTER_SECONDS = 1.0
 
 
-ACCEPT_SECONDS = Histogram(
-    "baobablane_accept_seconds",
-    "Time from a job's arrival until it is stored",
-    buckets=(0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5),
-)
-
-
 class JobActions:
     """Answer callers from the views, and write what they hand in."""
 
@@ -79,7 +71,7 @@
             self._decide("job-refused", job, queue.name, "the store is not reached")
             raise RefusedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
         try:
-            with ACCEPT_SECONDS.time():
+            with self._log.metrics.accept_seconds.time():
                 await self._acceptor.write(KeyedRecord(job.id, encode_job(job)))
         except StoreRefusedError as error:
             self._decide("job-refused", job, queue.name, str(error))
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -12,17 +12,11 @@
     StopOrder,
 )
 from baobablane_platform import AdvisorClient, UpstreamFencedError, UpstreamOrders
-from prometheus_client import Histogram
 
 from ..jobs import boot_seconds
 from ..tasks import DecisionLog
 from ._upstream_watch import UpstreamWatch
 
-START_SECONDS = Histogram(
-    "baobablane_start_seconds",
-    "Time until a start is answered",
-    buckets=(0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5),
-)
 # The advisor refuses calls while 32 of them wait.
 ADVICE_RETRY_SECONDS = 0.3
 
@@ -56,7 +50,7 @@
 
     async def send_start(self, order: StartOrder) -> None:
         """Send a start that is recorded, and apply the answer."""
-        with START_SECONDS.time():
+        with self._log.metrics.start_seconds.time():
             result = await self._try_start(order)
         self._scheduler.start_answered(order, result, boot_seconds())
         if result is not StartResult.STARTED:
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
@@ -8,14 +8,13 @@
 from typing import BinaryIO
 
 import msgspec
-from prometheus_client import Counter
 from pythonjsonlogger.json import JsonFormatter
 
+from ._process_metrics import ProcessMetrics
+
 EXPLAINABLE_DECISIONS = 10_000
 # Lines that are written at once; more would hold up the process. The rest is counted.
 MOST_LINES = 2_000
-DECISIONS = Counter("baobablane_decisions", "Decisions by kind", ["event"])
-UNWRITTEN = Counter("baobablane_unwritten_lines", "Decisions left out of the log")
 FLUSH_SECONDS = 0.1
 
 
@@ -58,7 +57,7 @@
         self._latest: deque[Decision] = deque(maxlen=EXPLAINABLE_DECISIONS)
         self._unwritten: list[Decision] = []
         self._encoder = msgspec.json.Encoder()
-        self._counters: dict[str, Counter] = {}
+        self.metrics = ProcessMetrics()
 
     async def run(self) -> None:
         """Write decisions until cancelled."""
@@ -75,7 +74,7 @@
             return
         left_out = len(self._unwritten) - MOST_LINES
         if left_out > 0:
-            UNWRITTEN.inc(left_out)
+            self.metrics.unwritten_lines.inc(left_out)
             del self._unwritten[MOST_LINES:]
             self._unwritten.append(Decision("lines-left-out", reason=str(left_out)))
         lines = self._encoder.encode_lines(self._unwritten)
@@ -85,22 +84,16 @@
 
     def write(self, decision: Decision) -> None:
         """Log a decision and keep it for `explain`."""
-        self._count(decision.event)
+        self.metrics.count(decision.event)
         self._latest.append(decision)
         self._unwritten.append(decision)
 
     def info(self, event: str, **fields: object) -> None:
         """Log something that is no decision."""
-        self._count(event)
+        self.metrics.count(event)
         self.flush()
         self._logger.info(event, extra=fields)
 
-    def _count(self, event: str) -> None:
-        counter = self._counters.get(event)
-        if counter is None:
-            counter = self._counters[event] = DECISIONS.labels(event)
-        counter.inc()
-
     def explain(self, name: str) -> list[Decision]:
         """Return the latest decisions for a request or an upstream."""
         return [d for d in self._latest if name in (d.request, d.upstream)]
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
@@ -0,0 +1,45 @@
+"""Hold the counters and histograms of a process on the users' platform."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+# In seconds, from a calm answer of the store up to what callers wait for.
+BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
+
+class ProcessMetrics:
+    """Own a registry, so that each process, or test, counts for itself."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.registry = CollectorRegistry()
+        self.unwritten_lines = Counter(
+            "baobablane_unwritten_lines",
+            "Decisions left out of the log",
+            registry=self.registry,
+        )
+        self.accept_seconds = Histogram(
+            "baobablane_accept_seconds",
+            "Time from a job's arrival until it is stored",
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.start_seconds = Histogram(
+            "baobablane_start_seconds",
+            "Time until a start is answered",
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self._decisions = Counter(
+            "baobablane_decisions",
+            "Decisions by kind",
+            ["event"],
+            registry=self.registry,
+        )
+        self._by_event: dict[str, Counter] = {}
+
+    def count(self, event: str) -> None:
+        """Count a logged event."""
+        counter = self._by_event.get(event)
+        if counter is None:
+            counter = self._by_event[event] = self._decisions.labels(event)
+        counter.inc()
