Make the race of two operators certain in its scenario

Shown: with a start 1.2 s apart the old step fails and the new one passes. Change: the stand-in log holds the two changes until both have been asked for, as slowness had been meant to do; what is checked stays as it was.

--- a/features/steps/configuration.py
+++ b/features/steps/configuration.py
@@ -107,7 +107,8 @@
             context.fleet.baobab("apply", str(path), str(register), check=False)
         )
 
-    context.fleet.switch(context.fleet.log_url, slow_seconds=0.5)
+    # Both have read the same revision before the change of either is appended.
+    context.fleet.switch(context.fleet.log_url, gather_config_appends=2)
     threads = [
         threading.Thread(target=apply, args=(name, limit))
         for name, limit in (("ana", 90), ("bo", 80))
--- a/packages/baobablane-standin/baobablane_standin/log_server.py
+++ b/packages/baobablane-standin/baobablane_standin/log_server.py
@@ -12,6 +12,8 @@
 
 from .log_store import LogStream
 
+CONFIG_STREAM = "config"
+
 
 class LogSwitches(msgspec.Struct):
     """Hold the failures that are switched on."""
@@ -19,6 +21,8 @@
     down: bool = False
     slow_seconds: float = 0.0
     lose_answers: bool = False
+    # Appends of the configuration wait until so many of them have been asked for.
+    gather_config_appends: int = 0
     # Clients, by the name that they send, that can neither read nor append.
     cut_clients: list[str] = []
 
@@ -33,6 +37,8 @@
         )
         self.switches = LogSwitches()
         self.appends = 0
+        self._gathered = 0
+        self._all_gathered = asyncio.Event()
         self.app = Starlette(
             routes=[
                 Route("/streams/{stream}/records", self._append, methods=["POST"]),
@@ -48,6 +54,7 @@
         if await self._fails(request):
             return Response(status_code=503)
         payloads = msgspec.json.decode(body, type=list[str])
+        await self._gather(request.path_params["stream"])
         stream = self.streams[request.path_params["stream"]]
         offsets = stream.append(payloads, time.time())
         self.appends += 1
@@ -55,6 +62,14 @@
             return Response(status_code=504)
         return JSONResponse({"offsets": offsets})
 
+    async def _gather(self, stream: str) -> None:
+        if stream != CONFIG_STREAM or not self.switches.gather_config_appends:
+            return
+        self._gathered += 1
+        if self._gathered >= self.switches.gather_config_appends:
+            self._all_gathered.set()
+        await self._all_gathered.wait()
+
     async def _read(self, request: Request) -> Response:
         if await self._fails(request):
             return Response(status_code=503)
@@ -74,6 +89,8 @@
 
     async def _switch(self, request: Request) -> Response:
         self.switches = msgspec.json.decode(await request.body(), type=LogSwitches)
+        self._gathered = 0
+        self._all_gathered = asyncio.Event()
         return JSONResponse({})
 
     async def _stats(self, request: Request) -> Response:
