Acknowledge an end only after its own record

Cause, found by reading the change: the ends recorded were kept by upstream id. Where an upstream restarted while the record was written, an end of the new incarnation could be acknowledged before it was recorded, and its task run again after a kill of the owner at that moment. Change: what is recorded belongs to the upstream's incarnation. Shown: the rule before, the smaller of both numbers, gives 1 where the new test expects 0.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -175,14 +175,13 @@
             self._start(self._sender.ask_advice(request))
         changed = self._scheduler.take_dirty()
         waves, self._instances.dirty = self._instances.dirty, set()
-        applied = {
-            upstream.id: upstream.applied_end
-            for upstream in self._scheduler.state.upstreams.values()
-        }
+        applied = self._scheduler.applied_ends()
         log_events(self._log, self._scheduler.take_events())
         if changed or waves:
             await self._record(changed, waves)
-        self._note_recorded(applied)
+        for upstream_id in self._scheduler.ends_recorded(applied):
+            if upstream_id in self._watches:
+                self._watches[upstream_id].recorded.set()
         for job_id in self._scheduler.retire():
             self._ended_jobs.add(job_id, now)
         await self._dropper.drop(now)
@@ -207,16 +206,6 @@
                 number, progress_by_wave[number].is_complete
             )
 
-    def _note_recorded(self, applied: dict[str, int]) -> None:
-        for upstream_id, number in applied.items():
-            upstream = self._scheduler.state.upstreams.get(upstream_id)
-            watch = self._watches.get(upstream_id)
-            if upstream is None or watch is None or number <= upstream.recorded_end:
-                continue
-            # A new incarnation counts its ends anew.
-            upstream.recorded_end = min(number, upstream.applied_end)
-            watch.recorded.set()
-
     async def _wait(self) -> None:
         try:
             async with asyncio.timeout(TICK_SECONDS):
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -235,6 +235,22 @@
         self.state.dirty.clear()
         return changed
 
+    def applied_ends(self) -> list[tuple[Upstream, int]]:
+        """Return the last end applied of each upstream, to be recorded now."""
+        return [(u, u.applied_end) for u in self.state.upstreams.values()]
+
+    def ends_recorded(self, applied: list[tuple[Upstream, int]]) -> list[str]:
+        """Let recorded ends be acknowledged; return the upstreams concerned.
+
+        An upstream that was replaced meanwhile by another incarnation counts anew.
+        """
+        moved: list[str] = []
+        for upstream, number in applied:
+            if number > upstream.recorded_end:
+                upstream.recorded_end = number
+                moved.append(upstream.id)
+        return moved
+
     def retire(self) -> list[str]:
         """Forget the recorded ends of jobs that run nothing; return their ids."""
         busy = {
--- a/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -5,10 +5,7 @@
 from baobablane.jobs import TaskId
 from baobablane.scheduling import StartResult
 
-from .fleet_model import (
-    ModelFleet,
-    make_job,
-)
+from .fleet_model import ModelFleet, make_job, make_step
 
 JOB = "0" * 16
 FIRST = TaskId(JOB, 0, 0, 0)
@@ -62,6 +59,24 @@
         fleet.hear_all()
         assert [again.run for again in fleet.plan()] == [2]
 
+    def test_end_of_a_new_incarnation_waits_for_its_own_record(self, fleet):
+        add(fleet, make_job(make_step(2)))
+        (first, _) = fleet.place()
+        fleet.finish(FIRST)
+        fleet.hear_all()
+        applied = fleet.scheduler.applied_ends()
+        fleet.upstreams[first.upstream].restart()
+        fleet.hear_all()
+        fleet.place()
+        (again, *_) = fleet.upstreams[first.upstream].running
+        fleet.finish(again)
+        fleet.hear_all()
+        known = fleet.scheduler.state.upstreams[first.upstream]
+        recorded_before = known.recorded_end
+        fleet.scheduler.ends_recorded(applied)
+        assert known.applied_end == 1
+        assert known.recorded_end == recorded_before
+
     def test_unanswered_start_that_took_effect_goes_on(self, fleet):
         add(fleet, make_job())
         (order,) = fleet.plan()
