--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -29,10 +29,25 @@
 KEEP_ALIVE_SECONDS = 60
 
 
-async def run_on_platform(settings_path: Path) -> None:
+async def run_on_platform(path: Path) -> None:
     """Serve until SIGTERM or SIGINT, then finish what is in flight."""
-    settings = read_process_settings(settings_path)
+    settings = read_process_settings(path)
     log = DecisionLog(settings.instance)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(path, settings, log))
+    # What start-up made lives as long as the process.
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
+    await serve_on_platform(settings, log, stop)
+
+
+async def serve_on_platform(
+    settings: ProcessSettings, log: DecisionLog, stop: asyncio.Event
+) -> None:
+    """Serve until `stop` is set, then finish what is in flight."""
     store = StoreClient(settings.store_address)
     views = Views(store, log)
     acceptor = Acceptor(store)
@@ -51,42 +66,38 @@
     )
     addresses = {settings.callers_address, settings.ready_address}
     servers = [_make_server(app, address) for address in sorted(addresses)]
-    gc.freeze()
-    gc.set_threshold(GARBAGE_THRESHOLD)
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _reload(settings_path, settings, log)
-    )
+    joining = loop.create_task(member.run())
     running = [
         loop.create_task(work)
         for work in (
             log.run(),
             views.run(),
             acceptor.run(),
-            member.run(),
             _run_owner(store, views, member, settings, log),
         )
     ]
     serving = [loop.create_task(server.serve()) for server in servers]
+    tasks = [joining, *running, *serving]
     log.info("started", zone=settings.zone, callers=settings.callers_address)
-    await _wait_for_stop(stop, [*running, *serving])
-    log.info("stopping")
-    actions.is_stopping = True
-    # Its last join ends first, so that the store does not take it in again.
-    running[3].cancel()
-    await member.step_down("stopping")
-    await asyncio.sleep(BALANCER_SECONDS)
-    for server in servers:
-        server.should_exit = True
-    await asyncio.wait(serving, timeout=FINISH_SECONDS)
-    for task in [*running, *serving]:
-        task.cancel()
-    await asyncio.gather(*running, *serving, return_exceptions=True)
-    await store.close()
-    log.info("stopped")
+    try:
+        await _wait_for_stop(stop, tasks)
+        log.info("stopping")
+        actions.is_stopping = True
+        # No join may follow the leave, or the store would take the member in again.
+        joining.cancel()
+        await member.step_down("stopping")
+        await asyncio.sleep(BALANCER_SECONDS)
+        for server in servers:
+            server.should_exit = True
+        await asyncio.wait(serving, timeout=FINISH_SECONDS)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await store.close()
+        log.info("stopped")
+        log.flush()
 
 
 async def _run_owner(
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test whole entry instances."""
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/platform/__init__.py
@@ -0,0 +1,17 @@
+"""Re-export the stand-in of the users' platform."""
+
+from ._deployment import PlatformStandin, StandinSettings
+from ._partition import Partition
+from ._server import PlatformServer
+from ._store import PlatformStore, StoreSwitches
+from ._upstream import StandinUpstream
+
+__all__ = [
+    "Partition",
+    "PlatformServer",
+    "PlatformStandin",
+    "PlatformStore",
+    "StandinSettings",
+    "StandinUpstream",
+    "StoreSwitches",
+]
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -0,0 +1,158 @@
+"""Serve the stand-in's store, upstreams and instance list over HTTP."""
+
+import base64
+import time
+
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from ._partition import Partition, PartitionError
+from ._store import PlatformStore
+from ._upstream import StandinUpstream
+
+LENGTH_BYTES = 4
+OFFSET_BYTES = 8
+
+
+class PlatformServer:
+    """Hold the applications of a stand-in platform."""
+
+    def __init__(self, store: PlatformStore, pool: str) -> None:
+        """Serve a store and the list of one pool's instances."""
+        self.store = store
+        self._pool = pool
+        self.upstreams: dict[str, StandinUpstream] = {}
+        self.app = Starlette(
+            routes=[
+                Route("/baobablane/log-append", self._append, methods=["POST"]),
+                Route("/baobablane/log-read", self._read, methods=["GET"]),
+                Route("/baobablane/log-newest", self._newest, methods=["GET"]),
+                Route("/baobablane/log-join", self._join, methods=["POST"]),
+                Route("/baobablane/log-leave", self._leave, methods=["POST"]),
+                Route("/baobablane/machines", self._instances, methods=["GET"]),
+            ]
+        )
+
+    def upstream_app(self, upstream: StandinUpstream) -> Starlette:
+        """Return the application of one upstream."""
+
+        async def start(request: Request) -> Response:
+            return _answer(upstream.start(msgspec.json.decode(await request.body())))
+
+        async def stop(request: Request) -> Response:
+            return _answer(upstream.stop(msgspec.json.decode(await request.body())))
+
+        async def hold(request: Request) -> Response:
+            order = msgspec.json.decode(await request.body())
+            return _answer(await upstream.hold(order))
+
+        self.upstreams[upstream.id] = upstream
+        return Starlette(
+            routes=[
+                Route("/baobablane/run-start", start, methods=["POST"]),
+                Route("/baobablane/run-stop", stop, methods=["POST"]),
+                Route("/baobablane/hold", hold, methods=["POST"]),
+            ]
+        )
+
+    async def _append(self, request: Request) -> Response:
+        query = request.query_params
+        body = await request.body()
+        if self.store.switches.is_down:
+            return Response(status_code=503)
+        producer = None
+        if "producer" in query:
+            producer = (
+                query["producer"],
+                int(query["epoch"]),
+                int(query["sequence"]),
+            )
+        try:
+            answer = self._partition(request).append(_split(body), producer)
+        except PartitionError as error:
+            return JSONResponse(error.answer, error.status)
+        if self.store.switches.loses_answers:
+            return Response(status_code=504)
+        return JSONResponse(answer)
+
+    async def _read(self, request: Request) -> Response:
+        if self.store.switches.is_down:
+            return Response(status_code=503)
+        partition = self._partition(request)
+        start = int(request.query_params["from"])
+        wait_seconds = int(request.query_params.get("waitMs", "0")) / 1000
+        if start < partition.first:
+            return JSONResponse({"first": partition.first}, 410)
+        await partition.wait_for(start, wait_seconds)
+        head = partition.end.to_bytes(OFFSET_BYTES, "big")
+        head += partition.first.to_bytes(OFFSET_BYTES, "big")
+        records = partition.records[start - partition.first :]
+        framed = [len(r).to_bytes(LENGTH_BYTES, "big") + r for r in records]
+        return Response(head + b"".join(framed))
+
+    async def _newest(self, request: Request) -> Response:
+        if self.store.switches.is_down:
+            return Response(status_code=503)
+        partition = self._partition(request)
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(partition.newest.items())
+        ]
+        return JSONResponse({"items": items, "hasMore": False, "end": partition.end})
+
+    async def _join(self, request: Request) -> Response:
+        if self.store.switches.is_down:
+            return Response(status_code=503)
+        join = msgspec.json.decode(await request.body())
+        answer = self.store.join(
+            join["group"],
+            join["member"],
+            join["topics"][0],
+            join["ttlMs"] / 1000,
+            time.monotonic(),
+        )
+        return JSONResponse(answer)
+
+    async def _leave(self, request: Request) -> Response:
+        if self.store.switches.is_down:
+            return Response(status_code=503)
+        leave = msgspec.json.decode(await request.body())
+        self.store.leave(leave["group"], leave["member"])
+        return JSONResponse({})
+
+    async def _instances(self, request: Request) -> Response:
+        machines = [
+            {
+                "machine": f"m-{upstream.id}",
+                "pool": upstream.pool,
+                "state": "up",
+                "zone": "zone-a",
+                "labels": ["a"],
+                "capacity": {"cpu": upstream.cores * 1000, "memMb": 65536, "gpu": 0},
+                "id": upstream.id,
+            }
+            for upstream in self.upstreams.values()
+        ]
+        return JSONResponse({"machines": machines, "nextToken": None})
+
+    def _partition(self, request: Request) -> Partition:
+        query = request.query_params
+        return self.store.partition(query["topic"], int(query["part"]))
+
+
+def _answer(result: tuple[int, dict[str, object]]) -> Response:
+    status, answer = result
+    return JSONResponse(answer, status)
+
+
+def _split(body: bytes) -> list[bytes]:
+    contents: list[bytes] = []
+    position = 0
+    while position < len(body):
+        start = position + LENGTH_BYTES
+        position = start + int.from_bytes(body[position:start], "big")
+        contents.append(body[start:position])
+    return contents
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stand-in platform."""
--- /dev/null
+++ b/packages/baobablane-standin/baobablane_standin/platform/tests/test_partition.py
@@ -0,0 +1,72 @@
+"""Test the stand-in store against what the platform promises."""
+
+import pytest
+
+from baobablane_standin.platform import Partition, PlatformStore
+from baobablane_standin.platform._partition import PartitionError
+
+
+def record(key, value=b"1"):
+    """Return a keyed record."""
+    return len(key).to_bytes(1, "big") + key.encode() + value
+
+
+class TestProducers:
+    """Test epochs and sequence numbers."""
+
+    def test_repeat_gets_the_first_answer(self):
+        partition = Partition(True)
+        first = partition.append([record("a")], ("p", 1, 0))
+        assert partition.append([record("a")], ("p", 1, 0)) == first
+        assert partition.end == 1
+
+    def test_lower_epoch_is_fenced(self):
+        partition = Partition(True)
+        partition.append([], ("p", 2, 0))
+        with pytest.raises(PartitionError, match="fenced"):
+            partition.append([record("a")], ("p", 1, 0))
+
+    def test_gap_is_refused_with_the_expected_sequence(self):
+        partition = Partition(True)
+        partition.append([record("a")], ("p", 1, 0))
+        with pytest.raises(PartitionError, match="seq") as error:
+            partition.append([record("a")], ("p", 1, 2))
+        assert error.value.answer["sequence"] == 1
+
+    def test_append_without_a_producer_is_never_fenced(self):
+        partition = Partition(True)
+        partition.append([], ("p", 2, 0))
+        assert partition.append([record("a")], None)["end"] == 1
+
+
+class TestKeys:
+    """Test the newest record of each key."""
+
+    def test_newest_outlives_what_is_forgotten(self):
+        partition = Partition(True)
+        partition.append([record("a", b"1"), record("a", b"2")], None)
+        partition.forget_before(2)
+        assert partition.newest["a"] == (1, b"2")
+        assert partition.first == 2
+
+    def test_record_without_value_drops_its_key(self):
+        partition = Partition(True)
+        partition.append([record("a"), record("a", b"")], None)
+        assert partition.newest == {}
+
+
+class TestGroups:
+    """Test who owns a partition."""
+
+    def test_partitions_move_when_a_member_lapses(self):
+        store = PlatformStore()
+        assert store.join("g", "a", "t", 1.0, 0.0)["parts"]
+        assert store.join("g", "b", "t", 1.0, 0.5)["parts"] == []
+        answer = store.join("g", "b", "t", 1.0, 1.2)
+        assert len(answer["parts"]) == 8
+
+    def test_generation_rises_with_each_change(self):
+        store = PlatformStore()
+        first = store.join("g", "a", "t", 1.0, 0.0)["generation"]
+        store.leave("g", "a")
+        assert store.join("g", "b", "t", 1.0, 0.1)["generation"] > first
--- a/packages/baobablane/baobablane/scheduling/_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_bounds.py
@@ -16,6 +16,10 @@
     # A run whose progress stands still for this long is taken to hang; progress comes
     # in hundredths of a run of at most some seconds.
     stall: float = 2.0
+    # The same for long tasks, as a part of the declared time: three hundredths.
+    stall_part: float = 0.03
+    # A task that stood still on so many upstreams is taken to be slow by itself.
+    most_stalls: int = 2
     # A lasting task that is not at work for this long after its start is hanging; a
     # sound start-up takes well under a second.
     lasting_start: float = 3.5
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -119,10 +119,7 @@
 ) -> None:
     task.failures += 1
     state.failed_on[task_id] = upstream.id
-    pool = [
-        u.id for u in state.upstreams.values() if u.entry.pool == upstream.entry.pool
-    ]
-    if state.ejections.failed(upstream.id, pool, now):
+    if state.blame(upstream, now):
         state.note("upstream-ejected", task_id, task.run, upstream=upstream.id)
     if step_run.step.is_lasting or run is None and task.state is TaskState.DONE:
         return
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -96,6 +96,7 @@
         step.is_lasting,
         step.is_filler,
         now,
+        step.estimated_ms / 1000,
         percent_since=now,
     )
     state.begin(run, upstream, now)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -315,6 +315,7 @@
             step.is_lasting,
             step.is_filler,
             now,
+            step.estimated_ms / 1000,
             settled_at=now if is_same else None,
             needs_stop=not is_same,
             percent_since=now,
@@ -349,12 +350,7 @@
             upstream.no_room_until = now + self.state.bounds.room_backoff
         elif result in (StartResult.REFUSED, StartResult.MALFORMED):
             upstream.no_room_until = now + self.state.bounds.room_backoff
-            pool = [
-                u.id
-                for u in self.state.upstreams.values()
-                if u.entry.pool == upstream.entry.pool
-            ]
-            self.state.ejections.failed(upstream.id, pool, now)
+            self.state.blame(upstream, now)
         elif result is StartResult.OTHER_INCARNATION:
             upstream.is_answering = False
         self.state.requeue(upstream, order.task, _NOT_RUN[result])
@@ -379,23 +375,18 @@
 
     def _judge_progress(self, upstream: Upstream, now: float) -> None:
         for run in upstream.runs.values():
-            if run.is_stalled or run.settled_at is None or run.pace < AT_WORK_PERCENT:
-                continue
-            still = now - max(run.percent_since, run.settled_at)
-            limit = self.state.bounds.stall
-            if run.is_lasting:
-                if run.percent >= AT_WORK_PERCENT:
-                    continue
-                limit = self.state.bounds.lasting_start
-            if still > limit:
+            if self._is_stalled(run, now):
                 run.is_stalled = True
-                self.state.failed_on[run.task] = upstream.id
-                pool = [
-                    u.id
-                    for u in self.state.upstreams.values()
-                    if u.entry.pool == upstream.entry.pool
-                ]
-                self.state.ejections.failed(upstream.id, pool, now)
-                self.state.note(
-                    "task-stalled", run.task, run.run, upstream=upstream.id, age=still
-                )
+                self.state.blame_stall(upstream, run, now)
+
+    def _is_stalled(self, run: Run, now: float) -> bool:
+        if run.is_stalled or run.settled_at is None or run.pace < AT_WORK_PERCENT:
+            return False
+        still = now - max(run.percent_since, run.settled_at)
+        bounds = self.state.bounds
+        if run.is_lasting:
+            return run.percent < AT_WORK_PERCENT and still > bounds.lasting_start
+        if self.state.stalls.get(run.task, 0) >= bounds.most_stalls:
+            # It stood still wherever it ran, so it is slow by itself.
+            return False
+        return still > max(bounds.stall, bounds.stall_part * run.declared_seconds)
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -34,6 +34,8 @@
         self.events: list[SchedulingEvent] = []
         # Upstreams on which a task failed last, by task.
         self.failed_on: dict[TaskId, str] = {}
+        # How often a task's runs stood still, by task.
+        self.stalls: dict[TaskId, int] = {}
         # When an upstream that answers was last seen to have left a start unanswered.
         self.orders_lost_at = float("-inf")
         # Runs that were stopped by a decision, so that their end is no failure.
@@ -83,6 +85,31 @@
             "task-waits-again", task, run.run, upstream=upstream.id, reason=reason
         )
 
+    def blame_stall(self, upstream: Upstream, run: Run, now: float) -> None:
+        """Count a run that stands still against its upstream and its task."""
+        self.stalls[run.task] = self.stalls.get(run.task, 0) + 1
+        self.failed_on[run.task] = upstream.id
+        is_ejected = self.blame(upstream, now)
+        reason = "upstream ejected" if is_ejected else ""
+        age = now - run.percent_since
+        self.note(
+            "task-stalled",
+            run.task,
+            run.run,
+            upstream=upstream.id,
+            age=age,
+            reason=reason,
+        )
+
+    def blame(self, upstream: Upstream, now: float) -> bool:
+        """Count a failure against an upstream; return whether that ejects it."""
+        pool = [
+            other.id
+            for other in self.upstreams.values()
+            if other.entry.pool == upstream.entry.pool
+        ]
+        return self.ejections.failed(upstream.id, pool, now)
+
     def settle(self, job_run: JobRun, state: JobState, reason: str) -> None:
         """Give a job its final state."""
         if job_run.state.is_final():
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -22,6 +22,7 @@
     is_lasting: bool
     is_filler: bool
     started_at: float
+    declared_seconds: float = 0.0
     # When its start, or a stop of it, was answered; a report asked for later must
     # list it. None while neither has been answered.
     settled_at: float | None = None
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -157,6 +157,17 @@
         (again,) = fleet.place()
         assert again.upstream != order.upstream
 
+    def test_task_that_stands_still_everywhere_is_left_alone(self, fleet):
+        add(fleet, make_job())
+        for _ in range(4):
+            fleet.place()
+            for _ in range(3):
+                fleet.now += 1.0
+                fleet.hear_all()
+            fleet.send_stops()
+            fleet.hear_all()
+        assert fleet.scheduler.state.jobs[JOB].steps[(0, 0)].tasks[0].run == 3
+
     def test_lasting_task_starts_again_however_often_it_fails(self, fleet):
         add(fleet, make_job(make_step(is_lasting=True)))
         for _ in range(5):
