--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -17,7 +17,7 @@
 from prometheus_client import make_asgi_app
 from starlette.types import ASGIApp
 
-from ._quiet_server import QuietServer
+from ._serving import make_server, wait_for_stop
 from .jobs import Acceptor, JobActions, Views
 from .owner import GroupMember, Owner
 from .tasks import DecisionLog
@@ -85,7 +85,7 @@
     tasks = [joining, *running, *serving]
     log.info("started", zone=settings.zone, callers=settings.callers_address)
     try:
-        await _wait_for_stop(stop, tasks)
+        await wait_for_stop(stop, tasks)
         log.info("stopping")
         actions.is_stopping = True
         # No join may follow the leave, or the store would take the member in again.
@@ -119,19 +119,6 @@
             await changed.wait()
 
 
-async def _wait_for_stop(
-    stop: asyncio.Event, tasks: list["asyncio.Task[None]"]
-) -> None:
-    stopping = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
-    )
-    stopping.cancel()
-    for task in done - {stopping}:
-        # A task that ends by itself has failed; its error ends the process.
-        task.result()
-
-
 def _reload(path: Path, settings: ProcessSettings, log: DecisionLog) -> None:
     changed = read_process_settings(path) != settings
     # Addresses and bounds hold for the life of a process.
@@ -140,20 +127,4 @@
 
 def _make_server(app: ASGIApp, address: str) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
-    config = uvicorn.Config(
-        app,
-        host=host,
-        port=int(port),
-        loop="asyncio",
-        http="httptools",
-        ws="none",
-        lifespan="off",
-        log_level="warning",
-        access_log=False,
-        proxy_headers=False,
-        server_header=False,
-        date_header=False,
-        timeout_keep_alive=KEEP_ALIVE_SECONDS,
-        timeout_graceful_shutdown=int(FINISH_SECONDS),
-    )
-    return QuietServer(config)
+    return make_server(app, host, int(port), FINISH_SECONDS, KEEP_ALIVE_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -4,7 +4,6 @@
 import gc
 import signal
 
-import uvicorn
 from baobablane_platform import (
     CONFIG_STREAM,
     DEFERRED_STREAM,
@@ -12,9 +11,8 @@
     MEMBERSHIP_STREAM,
     LogClient,
 )
-from starlette.types import ASGIApp
 
-from ._quiet_server import QuietServer
+from ._serving import make_server, wait_for_stop
 from .edge import make_callers_app, make_operators_app
 from .engine import (
     AtMostOnce,
@@ -75,9 +73,13 @@
     readers = [
         LogReaderTask(log, stream, engine.inbox, wait_seconds) for stream in STREAMS
     ]
+    host, stop_seconds = str(instance.host), settings.timing.stop_seconds
+    callers = make_callers_app(engine, calls)
     servers = [
-        _make_server(make_callers_app(engine, calls), instance.callers_port, settings),
-        _make_server(make_operators_app(engine), instance.operators_port, settings),
+        make_server(callers, host, instance.callers_port, stop_seconds),
+        make_server(
+            make_operators_app(engine), host, instance.operators_port, stop_seconds
+        ),
     ]
     # What start-up made lives as long as the process.
     gc.freeze()
@@ -103,7 +105,7 @@
     ]
     serving = [loop.create_task(server.serve()) for server in servers]
     decisions.info("started", incarnation=engine.incarnation)
-    await _wait_for_stop(stop, [*running, *serving])
+    await wait_for_stop(stop, [*running, *serving])
     await _drain(engine, calls, settings.timing.stop_seconds)
     for server in servers:
         server.should_exit = True
@@ -117,19 +119,6 @@
     decisions.info("stopped", incarnation=engine.incarnation)
 
 
-async def _wait_for_stop(
-    stop: asyncio.Event, tasks: list["asyncio.Task[None]"]
-) -> None:
-    stopping = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
-    )
-    stopping.cancel()
-    for task in done - {stopping}:
-        # A task that ends by itself has failed; its error ends the process.
-        task.result()
-
-
 async def _drain(engine: Engine, calls: CallServer, seconds: float) -> None:
     engine.stopping = True
     engine.decisions.info("stopping", in_flight=len(engine.dispatcher.requests_by_id))
@@ -152,20 +141,3 @@
 async def _send_peers(link: PeerLinkTask, outbox: "asyncio.Queue[PeerSend]") -> None:
     while True:
         await link.send(await outbox.get())
-
-
-def _make_server(app: ASGIApp, port: int, settings: DaemonSettings) -> uvicorn.Server:
-    config = uvicorn.Config(
-        app,
-        host=str(settings.instance.host),
-        port=port,
-        loop="asyncio",
-        http="httptools",
-        ws="none",
-        lifespan="off",
-        log_level="warning",
-        access_log=False,
-        proxy_headers=False,
-        timeout_graceful_shutdown=int(settings.timing.stop_seconds),
-    )
-    return QuietServer(config)
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_run.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_run.py
@@ -1,4 +1,4 @@
-"""Carry a request from its submission to its final answer."""
+"""Carry a request from its arrival to its final answer."""
 
 import asyncio
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -31,8 +31,9 @@
     boot_seconds,
     unix_ms,
 )
-from ..tasks import Decision, DecisionLog
+from ..tasks import DecisionLog
 from ._ended_jobs import EndedJobs
+from ._event_log import log_events
 from ._instances_task import InstancesTask
 from ._job_dropper import JobDropper
 from ._membership import GroupMember
@@ -178,7 +179,7 @@
             upstream.id: upstream.applied_end
             for upstream in self._scheduler.state.upstreams.values()
         }
-        self._log_events()
+        log_events(self._log, self._scheduler.take_events())
         if changed or waves:
             await self._record(changed, waves)
         self._note_recorded(applied)
@@ -300,16 +301,3 @@
         if error is not None and not self._failure.done():
             self._failure.set_exception(error)
             self._wake.set()
-
-    def _log_events(self) -> None:
-        for event in self._scheduler.take_events():
-            self._log.write(
-                Decision(
-                    event.event,
-                    request=event.job,
-                    attempt=f"{event.task}#{event.run}" if event.task else "",
-                    upstream=event.upstream,
-                    reason=event.reason,
-                    seconds=event.age,
-                )
-            )
--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -16,7 +16,7 @@
 POOL = "pool-a"
 KEY = "key-a"
 QUEUE_HOST = "queues.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
+from ._event import SchedulingEvent
 from ._fleet_view import FleetView
 from ._lease_bound import LeaseBound
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
@@ -21,6 +22,7 @@
     "PoolDemand",
     "RunningRow",
     "SchedulingBounds",
+    "SchedulingEvent",
     "Scheduler",
     "StartOrder",
     "StartResult",
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_full_pool.py
@@ -0,0 +1,112 @@
+"""Test who starts when a pool is full, and lasting tasks in waves."""
+
+import pytest
+
+from baobablane.jobs import TaskId
+
+from .fleet_model import (
+    CORE,
+    ModelFleet,
+    make_configuration,
+    make_job,
+    make_queue,
+    make_step,
+)
+
+JOB = "0" * 16
+FIRST = TaskId(JOB, 0, 0, 0)
+
+
+@pytest.fixture
+def fleet():
+    """Return two upstreams of four cores that have been heard."""
+    fleet = ModelFleet()
+    fleet.hear_all()
+    return fleet
+
+
+def add(fleet, job):
+    """Add a job that is new."""
+    fleet.scheduler.add_job(job, None, fleet.now)
+
+
+class TestOrder:
+    """Test who starts first when a pool is full."""
+
+    def test_job_that_can_still_be_in_time_goes_before_a_late_one(self):
+        fleet = ModelFleet(count=1, cpu=CORE)
+        fleet.now = 1000.0
+        fleet.hear_all()
+        add(fleet, make_job(name="1" * 16, accepted_ms=900_000))
+        add(fleet, make_job(name="2" * 16, accepted_ms=1_000_000))
+        assert [order.task.job for order in fleet.place()] == ["2" * 16]
+
+    def test_urgent_queue_goes_first(self):
+        queues = [make_queue("q", priority=1), make_queue("urgent", priority=0)]
+        fleet = ModelFleet(
+            count=1, cpu=CORE, configuration=make_configuration(queues=queues)
+        )
+        fleet.hear_all()
+        now_ms = round(fleet.now * 1000)
+        add(fleet, make_job(name="1" * 16, accepted_ms=now_ms))
+        add(fleet, make_job(name="2" * 16, queue="urgent", accepted_ms=now_ms))
+        assert [order.task.job for order in fleet.place()] == ["2" * 16]
+
+
+class TestStarvation:
+    """Test a full pool in which small tasks keep coming."""
+
+    def test_lasting_task_starts_though_small_tasks_would_fill_each_gap(self):
+        fleet = ModelFleet(count=1)
+        fleet.hear_all()
+        for number in range(4):
+            add(fleet, make_job(name=f"{number + 1:016x}"))
+        fleet.place()
+        add(fleet, make_job(make_step(cpu=2 * CORE, is_lasting=True), name="f" * 16))
+        for number in range(4):
+            fleet.finish(TaskId(f"{number + 1:016x}", 0, 0, 0))
+            fleet.hear_all()
+            add(fleet, make_job(name=f"{number + 9:016x}"))
+            fleet.place()
+        assert fleet.runs_of(TaskId("f" * 16, 0, 0, 0)) == 1
+
+    def test_lasting_task_that_fits_nowhere_holds_up_nothing(self):
+        fleet = ModelFleet(count=1)
+        fleet.hear_all()
+        add(fleet, make_job(make_step(cpu=9 * CORE, is_lasting=True), name="f" * 16))
+        add(fleet, make_job(name="1" * 16))
+        assert [order.task.job for order in fleet.place()] == ["1" * 16]
+
+
+class TestLastingTasks:
+    """Test which lasting tasks count as at work."""
+
+    def make_at_work(self, fleet):
+        """Start two lasting tasks, one on each upstream, and let them work."""
+        add(fleet, make_job(make_step(2, is_lasting=True, may_miss=1)))
+        fleet.place()
+        for model in fleet.upstreams.values():
+            model.percent = dict.fromkeys(model.running, 100)
+        fleet.hear_all()
+
+    def test_tasks_at_full_percent_are_at_work(self, fleet):
+        self.make_at_work(fleet)
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 0}
+
+    def test_tasks_of_a_silent_upstream_are_missing(self, fleet):
+        self.make_at_work(fleet)
+        fleet.scheduler.unheard("u0", fleet.now)
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 1}
+
+    def test_evicted_task_is_missing_until_it_works_elsewhere(self, fleet):
+        self.make_at_work(fleet)
+        view = fleet.scheduler.fleet.upstream_view("u0")
+        fleet.scheduler.fleet.evict(view.lasting_by_step[(JOB, 0)][0])
+        assert fleet.scheduler.fleet.missing_by_step() == {(JOB, 0): 1}
+
+    def test_report_of_an_upstream_that_was_taken_away_changes_nothing(self, fleet):
+        self.make_at_work(fleet)
+        report = fleet.upstreams["u0"].report(0)
+        fleet.scheduler.upstream_ended("u0", "upkeep")
+        fleet.scheduler.heard("u0", report, fleet.now, fleet.now)
+        assert "u0" not in fleet.scheduler.state.upstreams
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -0,0 +1,140 @@
+"""Test upstreams that fall silent, restarts and owners that take over."""
+
+import pytest
+
+from baobablane.jobs import TaskId
+from baobablane.scheduling import StartResult
+
+from .fleet_model import (
+    ModelFleet,
+    make_job,
+)
+
+JOB = "0" * 16
+FIRST = TaskId(JOB, 0, 0, 0)
+
+
+@pytest.fixture
+def fleet():
+    """Return two upstreams of four cores that have been heard."""
+    fleet = ModelFleet()
+    fleet.hear_all()
+    return fleet
+
+
+def add(fleet, job):
+    """Add a job that is new."""
+    fleet.scheduler.add_job(job, None, fleet.now)
+
+
+class TestSilence:
+    """Test upstreams that do not answer."""
+
+    def test_task_runs_again_once_the_last_lease_is_over(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.place()
+        fleet.now += 4.0
+        fleet.hear("u1" if order.upstream == "u0" else "u0")
+        fleet.scheduler.unheard(order.upstream, fleet.now)
+        assert fleet.plan() == []
+        fleet.now += 1.2
+        fleet.scheduler.unheard(order.upstream, fleet.now)
+        (again,) = fleet.plan()
+        assert again.upstream != order.upstream
+
+    def test_other_incarnation_has_lost_its_runs(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.place()
+        fleet.upstreams[order.upstream].restart()
+        fleet.hear_all()
+        assert [again.run for again in fleet.place()] == [2]
+
+    def test_unanswered_start_is_stopped_at_the_next_incarnation_first(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.plan()
+        fleet.scheduler.start_answered(order, StartResult.UNKNOWN, fleet.now)
+        fleet.upstreams[order.upstream].restart()
+        fleet.hear_all()
+        assert fleet.plan() == []
+        assert [stop.run for stop in fleet.send_stops()] == [1]
+        late = fleet.upstreams[order.upstream].start(order, 1, fleet.now + 4, fleet.now)
+        assert late is StartResult.OLD_RUN
+        fleet.hear_all()
+        assert [again.run for again in fleet.plan()] == [2]
+
+    def test_unanswered_start_that_took_effect_goes_on(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.plan()
+        fleet.upstreams[order.upstream].start(order, 1, fleet.now + 4, fleet.now)
+        fleet.scheduler.start_answered(order, StartResult.UNKNOWN, fleet.now)
+        fleet.hear_all()
+        assert fleet.send_stops() == []
+        assert fleet.plan() == []
+
+    def test_upstream_with_an_overdue_start_gets_no_more(self, fleet):
+        add(fleet, make_job())
+        fleet.plan()
+        fleet.now += 0.3
+        add(fleet, make_job(name="1" * 16))
+        (second,) = fleet.plan()
+        assert second.task.job == "1" * 16
+        holders = {
+            run.task.job: upstream.id
+            for upstream in fleet.scheduler.state.upstreams.values()
+            for run in upstream.runs.values()
+        }
+        assert len(set(holders.values())) == 2
+
+
+class TestTakeOver:
+    """Test an owner that begins from what is recorded."""
+
+    def take_over(self, fleet, recorded, job):
+        """Replace the owner."""
+        fleet.token += 1
+        fleet.scheduler = fleet.make_scheduler()
+        fleet.scheduler.add_job(job, recorded, fleet.now)
+
+    def test_running_task_goes_on(self, fleet):
+        job = make_job()
+        add(fleet, job)
+        fleet.scheduler.plan(fleet.now, 0)
+        recorded = fleet.scheduler.take_dirty()[JOB]
+        fleet.upstreams["u0"].running[FIRST] = 1
+        self.take_over(fleet, recorded, job)
+        fleet.hear_all()
+        assert fleet.place() == []
+        assert fleet.runs_of(FIRST) == 1
+
+    def test_start_that_never_came_is_repeated(self, fleet):
+        job = make_job()
+        add(fleet, job)
+        fleet.scheduler.plan(fleet.now, 0)
+        recorded = fleet.scheduler.take_dirty()[JOB]
+        self.take_over(fleet, recorded, job)
+        assert fleet.place() == []
+        fleet.hear_all()
+        assert [order.run for order in fleet.place()] == [2]
+
+    def test_unlisted_upstream_may_still_run_a_task(self, fleet):
+        job = make_job()
+        add(fleet, job)
+        (order,) = fleet.scheduler.plan(fleet.now, 0)
+        recorded = fleet.scheduler.take_dirty()[JOB]
+        del fleet.upstreams[order.upstream]
+        self.take_over(fleet, recorded, job)
+        fleet.hear_all()
+        fleet.scheduler.expire_unlisted(fleet.now)
+        assert fleet.place() == []
+        fleet.now += 7.0
+        fleet.scheduler.expire_unlisted(fleet.now)
+        fleet.hear_all()
+        assert len(fleet.place()) == 1
+
+    def test_cancelled_job_that_still_runs_is_stopped(self, fleet):
+        job = make_job()
+        add(fleet, job)
+        fleet.place()
+        fleet.scheduler = fleet.make_scheduler()
+        fleet.hear_all()
+        assert [stop.task for stop in fleet.send_stops()] == [FIRST]
