Count a failed run once, also after a take-over

Cause: an end that is recorded but not acknowledged is listed again to the next owner, which counted its failure a second time. Ruled out: an upstream that lists an end twice within one owner; ends have numbers. Change: the progress of a task names the latest run whose failure is counted. Before: test_recorded_failure_counts_once fails; after: it passes, with the race search.

--- a/packages/baobablane/baobablane/jobs/_task.py
+++ b/packages/baobablane/baobablane/jobs/_task.py
@@ -24,3 +24,5 @@
     upstream: str = ""
     incarnation: int = 0
     checkpoint: str = ""
+    # The latest run that is counted in `failures`: a new owner hears of it again.
+    failed_run: int = 0
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -125,6 +125,9 @@
     task_id: TaskId,
     task: Task,
 ) -> None:
+    if task.failed_run == task.run:
+        return
+    task.failed_run = task.run
     task.failures += 1
     state.failed_on[task_id] = upstream.id
     if step_run.step.is_lasting:
--- a/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from baobablane.jobs import TaskId
-from baobablane.scheduling import StartResult
+from baobablane.jobs import JobState, TaskId
+from baobablane.scheduling import EndReason, StartResult
 
 from .fleet_model import ModelFleet, make_job, make_step
 
@@ -146,6 +146,20 @@
         fleet.hear_all()
         assert len(fleet.place()) == 1
 
+    def test_recorded_failure_counts_once(self, fleet):
+        job = make_job()
+        add(fleet, job)
+        (order,) = fleet.place()
+        fleet.finish(FIRST, EndReason.FAILED)
+        fleet.hear(order.upstream)
+        recorded = fleet.scheduler.take_dirty()[JOB]
+        # The end is recorded, but the upstream did not hear of it.
+        self.take_over(fleet, recorded, job)
+        fleet.hear_all()
+        job_run = fleet.scheduler.state.jobs[JOB]
+        assert job_run.state is not JobState.FAILED
+        assert [again.run for again in fleet.place()] == [2]
+
     def test_cancelled_job_that_still_runs_is_stopped(self, fleet):
         job = make_job()
         add(fleet, job)
