Write log lines whole, and name the event alike in all of them

Change: pieces of whole lines of at most PIPE_BUF bytes; lines that are no decisions have their name under 'event', too. Before: no test; the constructor took no stream.

--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
@@ -4,6 +4,7 @@
 import logging
 import sys
 from collections import deque
+from collections.abc import Iterable, Iterator
 from time import time
 from typing import BinaryIO
 
@@ -16,6 +17,8 @@
 # Lines that are written at once; more would hold up the process. The rest is counted.
 MOST_LINES = 2_000
 FLUSH_SECONDS = 0.1
+# Bytes that a pipe takes at once (PIPE_BUF): a larger write may be cut in a line.
+MOST_BYTES = 4_096
 
 
 class Decision(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -41,19 +44,22 @@
     # Decisions are encoded in bulk: a log record for each would take longer than
     # the decision.
 
-    def __init__(self, instance: str) -> None:
-        """Log to standard output."""
-        handler = logging.StreamHandler(sys.stdout)
+    def __init__(self, instance: str, stream: BinaryIO | None = None) -> None:
+        """Log to a stream, by default to standard output."""
+        self._stream: BinaryIO = stream or sys.stdout.buffer
+        handler = _LineHandler(self._stream)
         handler.setFormatter(
             JsonFormatter(
-                "%(message)s", timestamp=True, static_fields={"instance": instance}
+                "%(message)s",
+                timestamp=True,
+                rename_fields={"message": "event"},
+                static_fields={"instance": instance},
             )
         )
         self._logger = logging.getLogger("baobablane")
         self._logger.handlers = [handler]
         self._logger.propagate = False
         self._logger.setLevel(logging.INFO)
-        self._stream: BinaryIO = sys.stdout.buffer
         self._latest: deque[Decision] = deque(maxlen=EXPLAINABLE_DECISIONS)
         self._unwritten: list[Decision] = []
         self._encoder = msgspec.json.Encoder()
@@ -77,10 +83,11 @@
             self.metrics.unwritten_lines.inc(left_out)
             del self._unwritten[MOST_LINES:]
             self._unwritten.append(Decision("lines-left-out", reason=str(left_out)))
-        lines = self._encoder.encode_lines(self._unwritten)
+        lines = [self._encoder.encode(decision) for decision in self._unwritten]
         self._unwritten = []
-        self._stream.write(lines)
-        self._stream.flush()
+        for piece in _join_lines(lines):
+            self._stream.write(piece)
+            self._stream.flush()
 
     def write(self, decision: Decision) -> None:
         """Log a decision and keep it for `explain`."""
@@ -97,3 +104,29 @@
     def explain(self, name: str) -> list[Decision]:
         """Return the latest decisions for a request or an upstream."""
         return [d for d in self._latest if name in (d.request, d.upstream)]
+
+
+class _LineHandler(logging.Handler):
+    """Write each record as a line of bytes."""
+
+    def __init__(self, stream: BinaryIO) -> None:
+        super().__init__()
+        self._stream = stream
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record at once."""
+        self._stream.write(self.format(record).encode() + b"\n")
+        self._stream.flush()
+
+
+def _join_lines(lines: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield pieces of whole lines, each small enough for a pipe if a line is."""
+    piece = bytearray()
+    for line in lines:
+        if piece and len(piece) + len(line) >= MOST_BYTES:
+            yield bytes(piece)
+            piece.clear()
+        piece += line
+        piece += b"\n"
+    if piece:
+        yield bytes(piece)
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the tasks of a process."""
