Let large instances own placement; replace a killed owner sooner

Cause: on deployments that mix sizes the owner may land on half a core and 10 Mbit/s. A killed owner was replaced only after 1.8 s. Ruled out: processor of the readers (0.03 of a core on average). Change: small instances stand for owner only after 3 s in which a confirmed view shows no record of one; an idle owner shows itself every 0.8 s. Membership lapses after 1.2 s.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -18,8 +18,8 @@
 from starlette.types import ASGIApp
 
 from ._serving import make_server, wait_for_stop
-from .jobs import Acceptor, JobActions, Views
-from .owner import GroupMember, Owner
+from .jobs import Acceptor, JobActions, Views, boot_seconds
+from .owner import Candidacy, GroupMember, Owner, is_large
 from .tasks import DecisionLog
 
 GARBAGE_THRESHOLD = 20_000
@@ -54,7 +54,14 @@
     acceptor = Acceptor(store)
     views.on_stored = acceptor.seen
     # A new name for each start: an earlier one may still be a member for a while.
-    member = GroupMember(store, log, f"{settings.instance}-{time.time_ns()}")
+    name = f"{settings.instance}-{time.time_ns()}"
+    candidacy = Candidacy(
+        is_large(settings),
+        lambda: views.owner_heard_at,
+        views.progress_tail.age,
+        boot_seconds(),
+    )
+    member = GroupMember(store, log, name, candidacy)
     actions = JobActions(settings, views, acceptor, log)
     app = make_platform_app(
         CallerActions(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -19,6 +19,7 @@
 )
 
 from ..tasks import DecisionLog
+from ._clock import boot_seconds
 from ._topic_tail import TopicTail
 
 # Written by any entry instance: jobs as they were accepted, and cancellations.
@@ -31,6 +32,8 @@
 WAVE_PREFIX = "wave/"
 ORDER_PREFIX = "order/"
 RISES_KEY = "rises"
+# Written by an owner that has nothing else to write, to show that there is one.
+OWNER_KEY = "owner"
 
 
 class Views:
@@ -46,6 +49,8 @@
         self.ordered_ms: dict[str, int] = {}
         # The rises of pools' demand that the latest owner recorded.
         self.rises: Rises = []
+        # When a record of an owner was last read.
+        self.owner_heard_at = float("-inf")
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
         self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job, PAUSE_SECONDS)
@@ -115,6 +120,9 @@
             self.on_change(job.id)
 
     def _on_progress(self, record: KeyedRecord) -> None:
+        self.owner_heard_at = boot_seconds()
+        if record.key == OWNER_KEY:
+            return
         if record.value is None:
             self.table.forget(record.key)
             return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
@@ -6,11 +6,14 @@
 
 from ..jobs import PROGRESS_TOPIC, boot_seconds
 from ..tasks import DecisionLog
+from ._candidacy import Candidacy
 
 GROUP = "owners"
-# A killed owner is replaced after this; a paused or slow one should outlast it.
-TTL_MS = 1800
-JOIN_SECONDS = 0.4
+# A killed owner is replaced after this. Most pauses of an owner last for seconds, and
+# its work waits meanwhile, so little more than the store's shortest, 1 s, is best.
+TTL_MS = 1200
+# A join that is lost leaves time for two more.
+JOIN_SECONDS = 0.3
 # For so long an owner that can't reach the store goes on renewing leases, so that with
 # a lease on top an outage of 8 s ends no work. It starts nothing meanwhile.
 UNCONFIRMED_SECONDS = 4.0
@@ -19,8 +22,12 @@
 class GroupMember:
     """Own this process's place in the group; tell when it owns the partition."""
 
-    def __init__(self, store: StoreClient, log: DecisionLog, member: str) -> None:
+    def __init__(
+        self, store: StoreClient, log: DecisionLog, member: str, candidacy: Candidacy
+    ) -> None:
         """Join under a name that no earlier incarnation had."""
+        self._candidacy = candidacy
+        self._is_member = False
         self._store = store
         self._log = log
         self._base_name = member
@@ -35,7 +42,11 @@
     async def run(self) -> None:
         """Stay in the group until cancelled."""
         while True:
-            await self._join()
+            if self.epoch is not None or self._candidacy.stands(boot_seconds()):
+                self._is_member = True
+                await self._join()
+            elif self._is_member:
+                await self.step_down("another owner was heard")
             await asyncio.sleep(JOIN_SECONDS)
 
     def is_confirmed(self, seconds: float) -> bool:
@@ -46,6 +57,9 @@
     async def step_down(self, reason: str) -> None:
         """Give up the ownership, and come back as a new member of the group."""
         self._end_ownership(reason)
+        if not self._is_member:
+            return
+        self._is_member = False
         old_name = self._name()
         self._renamed += 1
         try:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -179,6 +179,8 @@
         log_events(self._log, self._scheduler.take_events())
         if changed or waves:
             await self._record(changed, waves)
+        else:
+            await self._writer.beat()
         for upstream_id in self._scheduler.ends_recorded(applied):
             if upstream_id in self._watches:
                 self._watches[upstream_id].recorded.set()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -14,10 +14,12 @@
     encode_wave_status,
 )
 
-from ..jobs import PROGRESS_TOPIC
+from ..jobs import OWNER_KEY, PROGRESS_TOPIC, boot_seconds
 
 PRODUCER = "owner"
 RETRY_SECONDS = 0.05
+# Instances that stand for owner only when none is heard for 3 s hear it three times.
+BEAT_SECONDS = 0.8
 # A calm answer takes some 10 ms; one of a slow store may take a second or two.
 FIRST_TIMEOUT_SECONDS = 0.25
 LAST_TIMEOUT_SECONDS = 2.5
@@ -35,6 +37,7 @@
         self._sequence = 0
         self._status_sequence = 0
         self._lock = asyncio.Lock()
+        self._written_at = float("-inf")
 
     async def fence(self) -> None:
         """Refuse the appends of earlier owners from now on."""
@@ -56,6 +59,11 @@
         if batch:
             await self._append(batch)
 
+    async def beat(self) -> None:
+        """Show that there is an owner, unless a record has just shown it."""
+        if boot_seconds() - self._written_at > BEAT_SECONDS:
+            await self.write({OWNER_KEY: str(self._epoch).encode()})
+
     async def write_wave_status(self, wave: int, is_complete: bool) -> None:
         """Show operators a wave's status; an owner that was replaced writes none."""
         record = KeyedRecord(
@@ -73,6 +81,7 @@
             await self._append_until_stored(PROGRESS_TOPIC, records, producer)
             if records:
                 self._sequence += 1
+                self._written_at = boot_seconds()
 
     async def _append_until_stored(
         self, topic: str, records: list[KeyedRecord], producer: Producer
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the owner's parts without a platform."""
