--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -152,15 +152,15 @@
         fleet_cores = sum(i.capacity.cpu_millis for i in self._instances) / 1000
         even_cores = fleet_cores / max(1, len(configuration.pools_by_name))
         self._sizing.observe(demands, even_cores, now)
-        wanted = {
-            pool: self._sizing.wanted_cores(pool, demand, now)
+        targets = {
+            pool: self._sizing.target(pool, demand, now)
             for pool, demand in demands.items()
         }
         standby = min(configuration.standby_pools(), default="")
         busy = {order.instance for order in upkeep.orders}
         busy |= {i.id for i in self._instances if self._is_kept(i.id)}
         return plan_moves(
-            wanted,
+            targets,
             self._instances,
             self._scheduler.fleet.empty_upstreams() - upkeep.cordoned,
             standby,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_membership.py
@@ -14,6 +14,10 @@
 TTL_MS = 1200
 # A join that is lost leaves time for two more.
 JOIN_SECONDS = 0.3
+# While members come and go the store deals the partition anew, and a member learns of
+# it only when it joins again: for a while after each change it does so sooner.
+FORMING_JOIN_SECONDS = 0.1
+FORMING_SECONDS = 1.5
 # For so long an owner that can't reach the store goes on renewing leases, so that with
 # a lease on top an outage of 8 s ends no work. It starts nothing meanwhile.
 UNCONFIRMED_SECONDS = 4.0
@@ -35,6 +39,8 @@
         self._generation = 0
         self._last_epoch = 0
         self._confirmed_at = float("-inf")
+        # When the group's generation was last seen to change.
+        self._changed_at = float("-inf")
         # The generation in which the partition was got, or None.
         self.epoch: int | None = None
         self.changed = asyncio.Event()
@@ -47,7 +53,8 @@
                 await self._join()
             elif self._is_member:
                 await self.step_down("another owner was heard")
-            await asyncio.sleep(JOIN_SECONDS)
+            is_forming = boot_seconds() - self._changed_at < FORMING_SECONDS
+            await asyncio.sleep(FORMING_JOIN_SECONDS if is_forming else JOIN_SECONDS)
 
     def is_confirmed(self, seconds: float) -> bool:
         """Return whether the store confirmed the ownership within some seconds."""
@@ -83,6 +90,8 @@
             return
         if name != self._name():
             return
+        if membership.generation != self._generation:
+            self._changed_at = asked_at
         self._generation = membership.generation
         self._confirmed_at = asked_at
         if (PROGRESS_TOPIC, 0) not in membership.partitions:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -68,7 +68,7 @@
             or upstream.entry.incarnation != order.incarnation
         ):
             return StartResult.LATE
-        deadline_ms = watch.extend_lease()
+        deadline_ms = watch.start_deadline()
         if deadline_ms is None:
             return StartResult.LATE
         result = await self._orders.start(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -164,6 +164,7 @@
         self._take_changes()
         now = boot_seconds()
         self._scheduler.expire_unlisted(now)
+        self._scheduler.expire_silent(now)
         for upstream_id in self._scheduler.state.upstreams:
             self._watch(upstream_id)
         for stop in self._scheduler.stops(now):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -12,6 +12,8 @@
 # Outlasts the take-over from a killed owner: 1.8 s until the store names another,
 # 0.4 s until it asks, and its first calls.
 LEASE_SECONDS = 4.5
+# A start needs no longer lease than this: the next renewal comes 1 s later at most.
+LEAST_START_SECONDS = 2.5
 # A look at an upstream has its price; ends are answered at once all the same.
 WAIT_MS = 900
 # The longest that an upstream waits; it has nothing to tell while it runs nothing.
@@ -52,12 +54,14 @@
                 self._note_silence(str(error))
                 await asyncio.sleep(RETRY_SECONDS)
 
-    def extend_lease(self) -> int | None:
-        """Return a deadline for the next order, or None while its clock is unknown."""
+    def start_deadline(self) -> int | None:
+        """Return a deadline for the next start, or None while its clock is unknown."""
         upstream = self._scheduler.state.upstreams.get(self._id)
         if upstream is None or upstream.lease is None:
             return None
-        return upstream.lease.extend(boot_seconds(), LEASE_SECONDS)
+        return upstream.lease.deadline_for_start(
+            boot_seconds(), LEAST_START_SECONDS, LEASE_SECONDS
+        )
 
     async def _call(self) -> None:
         upstream = self._scheduler.state.upstreams[self._id]
@@ -73,7 +77,9 @@
         asked_at = boot_seconds()
         # An upstream that does not answer gets no longer lease, so that the time when
         # all its leases are over stands.
-        deadline_ms = self.extend_lease() if upstream.is_answering else None
+        deadline_ms = None
+        if upstream.is_answering and upstream.lease is not None:
+            deadline_ms = upstream.lease.extend(asked_at, LEASE_SECONDS)
         report = await self._orders.hold(
             entry, self._token, deadline_ms, upstream.recorded_end, wait_ms
         )
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -78,6 +78,7 @@
         ended.run,
         upstream=upstream.id,
         reason=ended.reason.value,
+        age=now - run.started_at if run else 0.0,
     )
     if task.run != ended.run or task.state is TaskState.DONE:
         return
--- a/packages/baobablane/baobablane/scheduling/_fleet_view.py
+++ b/packages/baobablane/baobablane/scheduling/_fleet_view.py
@@ -53,6 +53,7 @@
         lasting: dict[StepKey, list[StopOrder]] = {}
         allowances: dict[StepKey, int] = {}
         short_runs = 0
+        starting = 0
         for run in upstream.runs.values():
             job_run = self.state.jobs.get(run.task.job)
             if job_run is None or job_run.state.is_final():
@@ -65,6 +66,8 @@
             if run.percent >= AT_WORK_PERCENT:
                 stop = StopOrder(run.task, run.run, upstream_id)
                 lasting.setdefault(key, []).append(stop)
+            elif allowances[key] and not should_stop(self.state, run):
+                starting += 1
         return UpstreamView(
             upstream_id,
             upstream.entry.pool,
@@ -72,6 +75,7 @@
             upstream.is_answering,
             short_runs,
             lasting,
+            starting,
             allowances,
         )
 
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ..jobs import Job, JobProgress, JobState, Task, TaskId
+from ..jobs import Job, JobProgress, JobState, Task, TaskId, TaskState
 from ._step_run import StepRun
 
 
@@ -60,9 +60,15 @@
         return step_run, step_run.task(task.position)
 
     def progress(self) -> JobProgress:
-        """Return the job's progress as it is recorded."""
+        """Return the job's progress as it is recorded.
+
+        Every entry instance reads each record, so it holds only what an owner needs
+        to go on: nothing of the tasks of an ended job, little of those that are done.
+        """
+        if self.state.is_final():
+            return JobProgress(self.state)
         tasks = {
-            f"{occurrence}.{step}.{index}": task
+            f"{occurrence}.{step}.{index}": _recorded(task)
             for (occurrence, step), step_run in self.steps.items()
             for index, task in step_run.tasks.items()
             if task.run
@@ -130,3 +136,9 @@
                 key = (occurrence, number)
                 self.steps[key] = StepRun(self.job, occurrence, number)
         self._opened = max(self._opened, occurrences)
+
+
+def _recorded(task: Task) -> Task:
+    if task.state is TaskState.DONE:
+        return Task(TaskState.DONE, task.run)
+    return task
--- a/packages/baobablane/baobablane/scheduling/_lease_bound.py
+++ b/packages/baobablane/baobablane/scheduling/_lease_bound.py
@@ -27,6 +27,17 @@
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
+    def deadline_for_start(self, now: float, least: float, seconds: float) -> int:
+        """Return the granted deadline while that leaves `least` seconds, or extend.
+
+        A start that an upstream does not hear then does not put off the time at which
+        its leases are surely over.
+        """
+        left_ms = self._deadline_ms - self._clock_ms - (now - self._heard_at) * 1000
+        if left_ms >= least * 1000:
+            return self._deadline_ms
+        return self.extend(now, seconds)
+
     def surely_over_at(self) -> float:
         """Return the owner's time after which no granted lease can be valid."""
         lease_ms = max(0, self._deadline_ms - self._clock_ms)
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -2,6 +2,7 @@
 
 from ..deployment import Resources
 from ..jobs import TaskState
+from ._full_pools import FullPools
 from ._job_run import JobRun
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
@@ -22,15 +23,22 @@
             if not state.ejections.is_ejected(upstream.id, now):
                 sound.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
+    full = FullPools()
     # Pools of which an upstream is kept for a lasting task.
     kept: set[str] = set()
     state.advice.clear_wanted()
     for job_run in _in_order(state, unix_ms):
         pool = state.pool_of(job_run)
         for step_run in list(job_run.startable_steps()):
+            if full.has_no_room_for(pool, step_run.step):
+                continue
             if pool in sound:
                 candidates = _advised(state, step_run, sound[pool], now)
                 orders += _plan_step(state, step_run, candidates, now)
+                if step_run.waiting and state.usage.allows(
+                    job_run.job.account, step_run.step.needs
+                ):
+                    full.note_waiting(pool, step_run.step)
             # With no sound upstream left, any is better than none; a lasting task has
             # no last attempt to lose.
             is_stuck = step_run.step.is_lasting and step_run.waiting
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -22,6 +22,8 @@
     due_cores: float
     # Core-seconds of all jobs that ever arrived here.
     arrived_core_seconds: float
+    # How many of them there were.
+    arrived_jobs: int = 0
 
 
 def sum_demand(state: SchedulerState, unix_ms: int) -> dict[str, PoolDemand]:
@@ -41,7 +43,13 @@
         lasting[pool] += job_run.lasting_cores()
         due[pool] += _due_cores(state, job_run, unix_ms)
     return {
-        name: PoolDemand(cores[name], lasting[name], due[name], state.arrived[name])
+        name: PoolDemand(
+            cores[name],
+            lasting[name],
+            due[name],
+            state.arrived[name],
+            state.arrived_jobs[name],
+        )
         for name in names
     }
 
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -51,7 +51,9 @@
             return
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
-        self.state.arrived[self.state.pool_of(job_run)] += job_run.declared_work()
+        pool = self.state.pool_of(job_run)
+        self.state.arrived[pool] += job_run.declared_work()
+        self.state.arrived_jobs[pool] += 1
         if progress:
             for step_run in job_run.steps.values():
                 for index in step_run.started_indexes():
@@ -131,10 +133,13 @@
         if upstream is None:
             return
         upstream.is_answering = False
-        if now >= upstream.surely_empty_at(self.state.bounds.unheard):
-            for task, run in list(upstream.runs.items()):
-                if not may_still_arrive(self.state, run, now):
-                    self.state.requeue(upstream, task, "lease-over")
+        self._requeue_lapsed(upstream, now)
+
+    def expire_silent(self, now: float) -> None:
+        """Let tasks wait again whose last lease at a silent upstream is over."""
+        for upstream in self.state.upstreams.values():
+            if upstream.runs and not upstream.is_answering:
+                self._requeue_lapsed(upstream, now)
 
     def expire_unlisted(self, now: float) -> None:
         """Forget upstreams that were recorded as running work and never came back."""
@@ -271,6 +276,13 @@
         events, self.state.events = self.state.events, []
         return events
 
+    def _requeue_lapsed(self, upstream: Upstream, now: float) -> None:
+        if now < upstream.surely_empty_at(self.state.bounds.unheard):
+            return
+        for task, run in list(upstream.runs.items()):
+            if not may_still_arrive(self.state, run, now):
+                self.state.requeue(upstream, task, "lease-over")
+
     def _apply_refusal(
         self, upstream: Upstream, order: StartOrder, result: StartResult, now: float
     ) -> None:
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -32,6 +32,7 @@
         self.ejections = EjectionTable(EJECTION_POLICY)
         # Declared core-seconds of the jobs that ever arrived, by pool.
         self.arrived: dict[str, float] = defaultdict(float)
+        self.arrived_jobs: dict[str, int] = defaultdict(int)
         self.dirty: set[str] = set()
         self.events: list[SchedulingEvent] = []
         # Upstreams on which a task failed last, by task.
--- a/packages/baobablane/baobablane/scheduling/_upstream_view.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream_view.py
@@ -20,6 +20,8 @@
     short_runs: int
     # The stops of the lasting tasks at work here.
     lasting_by_step: dict[StepKey, list[StopOrder]]
+    # Lasting tasks with an allowance that are about to be at work here.
+    starting: int
     # How many tasks of each of these steps planned work may end at once; 0 where the
     # job says nothing of it.
     allowance_by_step: dict[StepKey, int]
--- a/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -39,6 +39,18 @@
         (again,) = fleet.plan()
         assert again.upstream != order.upstream
 
+    def test_lapse_is_seen_without_another_call(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.place()
+        fleet.scheduler.unheard(order.upstream, fleet.now)
+        fleet.now += 4.0
+        fleet.hear("u1" if order.upstream == "u0" else "u0")
+        fleet.scheduler.expire_silent(fleet.now)
+        assert fleet.plan() == []
+        fleet.now += 1.2
+        fleet.scheduler.expire_silent(fleet.now)
+        assert [again.run for again in fleet.plan()] == [2]
+
     def test_other_incarnation_has_lost_its_runs(self, fleet):
         add(fleet, make_job())
         (order,) = fleet.place()
@@ -160,6 +172,27 @@
         assert job_run.state is not JobState.FAILED
         assert [again.run for again in fleet.place()] == [2]
 
+    def test_record_holds_only_what_the_next_owner_needs(self, fleet):
+        job = make_job(make_step(2), make_step(after=(0,)))
+        add(fleet, job)
+        fleet.place()
+        fleet.finish(FIRST)
+        fleet.hear_all()
+        recorded = fleet.scheduler.take_dirty()[JOB]
+        assert recorded.tasks["0.0.0"].upstream == ""
+        assert recorded.tasks["0.0.1"].upstream != ""
+        self.take_over(fleet, recorded, job)
+        fleet.hear_all()
+        assert fleet.place() == []
+        fleet.finish(TaskId(JOB, 0, 0, 1))
+        fleet.hear_all()
+        assert len(fleet.place()) == 1
+        fleet.finish(TaskId(JOB, 0, 1, 0))
+        fleet.hear_all()
+        ended = fleet.scheduler.take_dirty()[JOB]
+        assert ended.state is JobState.COMPLETED
+        assert ended.tasks == {}
+
     def test_cancelled_job_that_still_runs_is_stopped(self, fleet):
         job = make_job()
         add(fleet, job)
--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -1,9 +1,11 @@
 """Plan moves of idle instances between pools and the standby pool."""
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..deployment import Instance, InstanceState
+from ._target import PoolTarget
 
 # Instances that a pool keeps, so that lasting tasks have a second place.
 LEAST_INSTANCES = 2
@@ -20,7 +22,7 @@
 
 
 def plan_moves(
-    wanted_cores: Mapping[str, float],
+    targets: Mapping[str, PoolTarget],
     instances: Sequence[Instance],
     empty_upstreams: Collection[str],
     standby: str,
@@ -33,9 +35,11 @@
     their way to a pool count there, closed ones do not. Only upstreams that run
     nothing are taken.
     """
-    cores: dict[str, float] = dict.fromkeys(wanted_cores, 0.0)
-    count: dict[str, int] = dict.fromkeys(wanted_cores, 0)
-    idle: dict[str, list[Instance]] = {name: [] for name in wanted_cores}
+    wanted_cores = {name: target.wanted for name, target in targets.items()}
+    needed_cores = {name: target.needed for name, target in targets.items()}
+    cores: dict[str, float] = dict.fromkeys(targets, 0.0)
+    count: dict[str, int] = dict.fromkeys(targets, 0)
+    idle: dict[str, list[Instance]] = {name: [] for name in targets}
     spare: list[Instance] = []
     for instance in instances:
         if instance.state is InstanceState.DOWN:
@@ -55,13 +59,32 @@
         ):
             spare.append(instance)
     given = _take_excess(wanted_cores, cores, count, idle)
+    missing = sum(max(0.0, needed_cores[name] - cores[name]) for name in targets)
+    at_hand = sum(i.capacity.cpu_millis for i in spare + given) / 1000
+    lent = _take_excess(needed_cores, cores, count, idle, missing - at_hand)
+    # A move from the standby pool ends nothing and takes nothing from a pool.
+    sources = [spare, given]
+    orders = _fill(needed_cores, cores, [*sources, lent], standby)
+    orders += _fill(wanted_cores, cores, sources, standby)
+    orders += [MoveOrder(i.id, standby, i.upstream) for i in given if standby]
+    return orders
+
+
+def _fill(
+    aimed_cores: Mapping[str, float],
+    cores: dict[str, float],
+    sources: Sequence[list[Instance]],
+    standby: str,
+) -> list[MoveOrder]:
     orders: list[MoveOrder] = []
-    for pool in _by_need(wanted_cores, cores):
-        while cores[pool] < wanted_cores[pool] and (spare or given):
-            instance = spare.pop() if spare else given.pop()
+    for pool in _by_need(aimed_cores, cores):
+        while cores[pool] < aimed_cores[pool]:
+            source = next((source for source in sources if source), None)
+            if source is None:
+                return orders
+            instance = source.pop()
             cores[pool] += instance.capacity.cpu_millis / 1000
             orders.append(MoveOrder(instance.id, pool, _upstream(instance, standby)))
-    orders += [MoveOrder(i.id, standby, i.upstream) for i in given if standby]
     return orders
 
 
@@ -70,20 +93,22 @@
 
 
 def _take_excess(
-    wanted: Mapping[str, float],
+    kept_cores: Mapping[str, float],
     cores: dict[str, float],
     count: dict[str, int],
     idle: Mapping[str, list[Instance]],
+    most_cores: float = math.inf,
 ) -> list[Instance]:
     given: list[Instance] = []
     for pool, instances in idle.items():
-        for instance in instances:
-            own = instance.capacity.cpu_millis / 1000
-            if count[pool] <= LEAST_INSTANCES or cores[pool] - own < wanted[pool]:
+        while instances and most_cores > 0.0:
+            own = instances[-1].capacity.cpu_millis / 1000
+            if count[pool] <= LEAST_INSTANCES or cores[pool] - own < kept_cores[pool]:
                 break
             cores[pool] -= own
             count[pool] -= 1
-            given.append(instance)
+            most_cores -= own
+            given.append(instances.pop())
     return given
 
 
--- /dev/null
+++ b/packages/baobablane/baobablane/sizing/_target.py
@@ -0,0 +1,12 @@
+"""Hold how many cores a pool should have."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PoolTarget:
+    """Hold the cores that a pool should have, and those that others may not borrow."""
+
+    wanted: float
+    # For the work that has arrived; the rest is held for work that may come.
+    needed: float
--- a/packages/baobablane/baobablane/sizing/tests/test_sizing.py
+++ b/packages/baobablane/baobablane/sizing/tests/test_sizing.py
@@ -6,6 +6,7 @@
 from baobablane.scheduling import PoolDemand
 from baobablane.sizing import (
     PoolSizing,
+    PoolTarget,
     TurnForecast,
     decode_rises,
     encode_rises,
@@ -131,7 +132,11 @@
 
     def plan(self, wanted, instances, empty=(), busy=(), closed=()):
         """Plan moves with the standby pool `spare`."""
-        return plan_moves(wanted, instances, set(empty), "spare", busy, closed)
+        targets = {
+            pool: cores if isinstance(cores, PoolTarget) else PoolTarget(cores, cores)
+            for pool, cores in wanted.items()
+        }
+        return plan_moves(targets, instances, set(empty), "spare", busy, closed)
 
     def test_standby_instances_come_first(self):
         instances = [make_instance(n, "a") for n in range(4)]
@@ -169,3 +174,68 @@
         instances.append(make_instance(9, "spare", upstream=""))
         (order,) = self.plan({"a": 64.0}, instances, closed=["u0"])
         assert order.instance == "m9"
+
+    def test_pool_lends_what_it_holds_for_a_turn_that_has_not_come(self):
+        instances = [make_instance(n, "a") for n in range(6)]
+        instances += [make_instance(n, "b") for n in range(6, 8)]
+        wanted = {"a": PoolTarget(192.0, 96.0), "b": PoolTarget(160.0, 160.0)}
+        orders = self.plan(wanted, instances, [f"u{n}" for n in range(6)])
+        assert [order.pool for order in orders] == ["b", "b", "b"]
+        assert {order.upstream for order in orders} <= {f"u{n}" for n in range(6)}
+
+    def test_standby_instances_are_used_before_any_is_lent(self):
+        instances = [make_instance(n, "a") for n in range(6)]
+        instances += [make_instance(n, "b") for n in range(6, 8)]
+        instances += [make_instance(n, "spare", upstream="") for n in range(8, 10)]
+        wanted = {"a": PoolTarget(192.0, 96.0), "b": PoolTarget(160.0, 160.0)}
+        orders = self.plan(wanted, instances, [f"u{n}" for n in range(6)])
+        assert [order.pool for order in orders] == ["b", "b", "b"]
+        assert [order.upstream for order in orders].count("") == 2
+
+    def test_nothing_is_lent_for_what_a_pool_only_holds(self):
+        instances = [make_instance(n, "a") for n in range(6)]
+        instances += [make_instance(n, "b") for n in range(6, 8)]
+        wanted = {"a": PoolTarget(192.0, 96.0), "b": PoolTarget(160.0, 64.0)}
+        assert self.plan(wanted, instances, [f"u{n}" for n in range(6)]) == []
+
+
+class TestGrowth:
+    """Test a turn that asks for more from second to second."""
+
+    def play(self, job_cores, jobs_a_second):
+        """Let a pool's arrivals grow for 3 s; return the wanted cores and the rate."""
+        sizing = PoolSizing()
+        arrived, jobs, now = 0.0, 0, 0.0
+        while now < 3.0:
+            now += STEP_SECONDS
+            count = round(jobs_a_second * now * STEP_SECONDS)
+            jobs += count
+            arrived += count * job_cores
+            demand = PoolDemand(EVEN_CORES, 10.0, 0.0, arrived, jobs)
+            sizing.observe({"a": demand}, EVEN_CORES, now)
+        rate = jobs_a_second * now * job_cores
+        return sizing.wanted_cores("a", demand, now), rate
+
+    def test_cores_are_wanted_for_the_time_at_which_they_come(self):
+        wanted, rate = self.play(4.0, 40.0)
+        assert wanted > 1.3 * rate
+
+    def test_few_large_jobs_are_no_growth(self):
+        few, rate = self.play(100.0, 1.6)
+        many, _ = self.play(4.0, 40.0)
+        assert few < many
+        assert rate == pytest.approx(480.0)
+
+
+class TestSecondTurn:
+    """Test a pool whose turn comes again."""
+
+    def test_peak_of_the_turn_before_is_wanted_from_its_beginning(self):
+        sizing = PoolSizing()
+        wanted = play_turns(sizing, 5, peak=400.0)
+        in_turn = [
+            cores["a"]
+            for now, _, cores in wanted
+            if 4 * TURN_SECONDS + 0.5 <= now < 5 * TURN_SECONDS
+        ]
+        assert min(in_turn) > 400.0
--- a/packages/baobablane/baobablane/upkeep/_plan.py
+++ b/packages/baobablane/baobablane/upkeep/_plan.py
@@ -93,6 +93,9 @@
         plan.cordoned.add(view.id)
         if not view.is_heard or (view.short_runs and not is_hurried):
             continue
+        if view.starting:
+            # They would be at work, and count, by the time the order is carried out.
+            continue
         over = _steps_over_allowance(view, missing)
         if over:
             _evict_one(plan, view, over, missing)
--- a/packages/baobablane/baobablane/upkeep/tests/test_plan.py
+++ b/packages/baobablane/baobablane/upkeep/tests/test_plan.py
@@ -28,7 +28,7 @@
         return dict(self.missing)
 
 
-def make_view(number, short=0, lasting=0, allowance=1, is_heard=True):
+def make_view(number, short=0, lasting=0, allowance=1, is_heard=True, starting=0):
     """Return what runs at an upstream."""
     stops = [
         StopOrder(TaskId(STEP[0], 0, 0, number * 10 + n), 1, f"u{number}")
@@ -36,7 +36,14 @@
     ]
     lasting_by_step = {STEP: stops} if stops else {}
     return UpstreamView(
-        f"u{number}", "pool", False, is_heard, short, lasting_by_step, {STEP: allowance}
+        f"u{number}",
+        "pool",
+        False,
+        is_heard,
+        short,
+        lasting_by_step,
+        starting,
+        {STEP: allowance},
     )
 
 
@@ -114,6 +121,12 @@
         result = plan([make_view(0, is_heard=False)], make_instances(1))
         assert result.orders == []
 
+    def test_tasks_that_are_starting_are_waited_for(self):
+        views = [make_view(0, starting=2)]
+        result = plan(views, make_instances(1), missing={STEP: 2})
+        assert result.orders == []
+        assert result.cordoned == {"u0"}
+
     def test_step_without_an_allowance_may_be_ended(self):
         views = [make_view(0, lasting=2, allowance=0)]
         assert len(plan(views, make_instances(1)).orders) == 1
