Claim the ownership by conditional appends; start copies; trust no repeated upkeep

(3) Stops of a stalled run are repeated every 0.6 s, and each answer put off the moment from which a report must list it: a run that was gone was never noticed. (4) Tasks that may run twice waited for leases. Change: a claim is a record under the next epoch that holds only where the partition ends as the claimer saw it; the owner shows itself every 0.4 s. After an upkeep's answer the instance list is asked. Only the first answer settles. Copies start after 0.3 s of silence. Leases of 3.8 s. A store that fails at once is not asked in a tight loop.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -19,7 +19,7 @@
 
 from ._serving import make_server, wait_for_stop
 from .jobs import Acceptor, JobActions, Views, boot_seconds
-from .owner import Candidacy, GroupMember, Owner, is_large
+from .owner import Candidacy, Owner, Ownership, is_large
 from .tasks import DecisionLog
 
 GARBAGE_THRESHOLD = 20_000
@@ -53,15 +53,16 @@
     views = Views(store, log)
     acceptor = Acceptor(store)
     views.on_stored = acceptor.seen
-    # A new name for each start: an earlier one may still be a member for a while.
+    # A new name for each start: a claim of an earlier one may still be read.
     name = f"{settings.instance}-{time.time_ns()}"
     candidacy = Candidacy(
+        name,
         is_large(settings),
-        lambda: views.owner_heard_at,
+        lambda: views.owner_sign,
         views.progress_tail.age,
         boot_seconds(),
     )
-    member = GroupMember(store, log, name, candidacy)
+    ownership = Ownership(store, views, log, name, is_large(settings), candidacy)
     actions = JobActions(settings, views, acceptor, log)
     app = make_platform_app(
         CallerActions(
@@ -79,26 +80,25 @@
         metrics = make_asgi_app(registry=log.metrics.registry)
         servers.append(_make_server(metrics, settings.metrics_address))
     loop = asyncio.get_running_loop()
-    joining = loop.create_task(member.run())
+    claiming = loop.create_task(ownership.run())
     running = [
         loop.create_task(work)
         for work in (
             log.run(),
             views.run(),
             acceptor.run(),
-            _run_owner(store, views, member, settings, log),
+            _run_owner(store, views, ownership, settings, log),
         )
     ]
     serving = [loop.create_task(server.serve()) for server in servers]
-    tasks = [joining, *running, *serving]
+    tasks = [claiming, *running, *serving]
     log.info("started", zone=settings.zone, callers=settings.callers_address)
     try:
         await wait_for_stop(stop, tasks)
         log.info("stopping")
         actions.is_stopping = True
-        # No join may follow the leave, or the store would take the member in again.
-        joining.cancel()
-        await member.step_down("stopping")
+        claiming.cancel()
+        ownership.stop()
         await asyncio.sleep(BALANCER_SECONDS)
         for server in servers:
             server.should_exit = True
@@ -115,14 +115,14 @@
 async def _run_owner(
     store: StoreClient,
     views: Views,
-    member: GroupMember,
+    ownership: Ownership,
     settings: ProcessSettings,
     log: DecisionLog,
 ) -> None:
     while True:
-        changed = member.changed
-        if member.epoch is not None:
-            await Owner(store, views, member, log, settings, member.epoch).run()
+        changed = ownership.changed
+        if ownership.epoch is not None:
+            await Owner(store, views, ownership, log, settings, ownership.epoch).run()
         else:
             await changed.wait()
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -3,6 +3,7 @@
 from ._acceptor import Acceptor
 from ._actions import JobActions
 from ._clock import boot_seconds, unix_ms
+from ._owner_sign import OwnerSign, decode_owner_sign, encode_owner_sign
 from ._topic_tail import TopicTail
 from ._views import (
     CANCEL_PREFIX,
@@ -25,8 +26,11 @@
     "Acceptor",
     "JobActions",
     "WAVE_PREFIX",
+    "OwnerSign",
     "TopicTail",
     "Views",
     "boot_seconds",
+    "decode_owner_sign",
+    "encode_owner_sign",
     "unix_ms",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -47,6 +47,11 @@
         # When the latest read that reached the end was asked for; -inf before that.
         self.confirmed_at = float("-inf")
 
+    @property
+    def position(self) -> int | None:
+        """Return the offset after the last record read, or None before the first."""
+        return self._next
+
     def age(self) -> float:
         """Return for how many seconds the view is unconfirmed."""
         return boot_seconds() - self.confirmed_at
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -19,7 +19,8 @@
 )
 
 from ..tasks import DecisionLog
-from ._clock import boot_seconds
+from ._clock import boot_seconds, unix_ms
+from ._owner_sign import OwnerSign, decode_owner_sign
 from ._topic_tail import TopicTail
 
 # Written by any entry instance: jobs as they were accepted, and cancellations.
@@ -32,7 +33,7 @@
 WAVE_PREFIX = "wave/"
 ORDER_PREFIX = "order/"
 RISES_KEY = "rises"
-# Written by an owner that has nothing else to write, to show that there is one.
+# Written by the owner, to show that there is one.
 OWNER_KEY = "owner"
 
 
@@ -49,8 +50,8 @@
         self.ordered_ms: dict[str, int] = {}
         # The rises of pools' demand that the latest owner recorded.
         self.rises: Rises = []
-        # When a record of an owner was last read.
-        self.owner_heard_at = float("-inf")
+        # What the owner last showed of itself.
+        self.owner_sign: OwnerSign | None = None
         self.table = JobTable()
         self.operator_tail = TopicTail(store, log, OPERATOR_TOPIC, self._on_operator)
         self.jobs_tail = TopicTail(store, log, JOBS_TOPIC, self._on_job, PAUSE_SECONDS)
@@ -120,9 +121,6 @@
             self.on_change(job.id)
 
     def _on_progress(self, record: KeyedRecord) -> None:
-        self.owner_heard_at = boot_seconds()
-        if record.key == OWNER_KEY:
-            return
         if record.value is None:
             self.table.forget(record.key)
             return
@@ -133,6 +131,10 @@
             elif record.key.startswith(ORDER_PREFIX):
                 instance = record.key.removeprefix(ORDER_PREFIX)
                 self.ordered_ms[instance] = int(record.value)
+            elif record.key == OWNER_KEY:
+                self.owner_sign = decode_owner_sign(
+                    record.value, self.owner_sign, unix_ms(), boot_seconds()
+                )
             elif record.key == RISES_KEY:
                 self.rises = decode_rises(record.value)
             else:
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test what every entry instance does with jobs."""
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instances_task.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from baobablane.deployment import Instance
+from baobablane.deployment import Instance, InstanceState
 from baobablane.scheduling import Scheduler
 from baobablane.sizing import MoveOrder, PoolSizing, Rises, encode_rises, plan_moves
 from baobablane.upkeep import UpkeepOrder, UpkeepPlan, WaveProgress, plan_upkeep
@@ -11,7 +11,7 @@
 
 from ..jobs import ORDER_PREFIX, RISES_KEY, Views, boot_seconds, unix_ms
 from ..tasks import DecisionLog
-from ._membership import GroupMember
+from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
 
 LIST_SECONDS = 0.25
@@ -33,7 +33,7 @@
         client: InstanceClient,
         views: Views,
         scheduler: Scheduler,
-        member: GroupMember,
+        ownership: Ownership,
         log: DecisionLog,
         epoch: int,
         order_lease_seconds: float,
@@ -44,7 +44,7 @@
         self._client = client
         self._views = views
         self._scheduler = scheduler
-        self._member = member
+        self._ownership = ownership
         self._log = log
         self._epoch = epoch
         self._on_change = on_change
@@ -169,7 +169,7 @@
         )
 
     async def _move(self, order: MoveOrder) -> None:
-        if not self._member.is_confirmed(CONFIRMED_SECONDS):
+        if not self._ownership.is_confirmed(CONFIRMED_SECONDS):
             return
         result = await self._client.move(order.instance, order.pool, self._epoch)
         self._log.info(
@@ -185,18 +185,20 @@
             self._scheduler.unsure(order.upstream)
 
     async def _maintain(self, order: UpkeepOrder) -> None:
-        if not self._member.is_confirmed(CONFIRMED_SECONDS):
+        if not self._ownership.is_confirmed(CONFIRMED_SECONDS):
             self._log.info("upkeep-waits", instance=order.instance)
             return
         key = (order.instance, order.wave)
         self._under_way.add(key)
         result = await self._client.maintain(order.instance, order.wave, self._epoch)
+        is_down = result is InstanceOrderResult.DONE and await self._is_down(order)
         self._log.info(
             "upkeep-ordered",
             instance=order.instance,
             wave=order.wave,
             upstream=order.upstream,
             result=result.name.lower(),
+            is_down=is_down,
         )
         self._under_way.discard(key)
         if result is InstanceOrderResult.UNKNOWN:
@@ -205,6 +207,21 @@
         if result is InstanceOrderResult.DONE:
             self.progress_by_wave[order.wave].begun.append(order.instance)
             self.dirty.add(order.wave)
-            if order.upstream:
+            if order.upstream and is_down:
                 self._scheduler.upstream_ended(order.upstream, "upkeep")
             self._on_change()
+
+    async def _is_down(self, order: UpkeepOrder) -> bool:
+        # An order that an earlier owner gave, and did not record as carried out, is
+        # answered alike; the upstream that came since then runs on.
+        try:
+            instances = await self._client.list_instances()
+        except InstanceListError as error:
+            self._log.info("instance-list-unread", reason=str(error))
+            return False
+        return not any(
+            i.id == order.instance
+            and i.state is InstanceState.UP
+            and i.upstream == order.upstream
+            for i in instances
+        )
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -1,7 +1,7 @@
 """Own the placement of all tasks while the store names this process the owner."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 
 import msgspec
 from baobablane.jobs import JobProgress, encode_progress
@@ -32,12 +32,13 @@
     unix_ms,
 )
 from ..tasks import DecisionLog
+from ._candidacy import is_large
 from ._ended_jobs import EndedJobs
 from ._event_log import log_events
 from ._instances_task import InstancesTask
 from ._job_dropper import JobDropper
-from ._membership import GroupMember
 from ._order_sender import OrderSender
+from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
 from ._upstream_watch import UpstreamWatch
 
@@ -53,7 +54,7 @@
         self,
         store: StoreClient,
         views: Views,
-        member: GroupMember,
+        ownership: Ownership,
         log: DecisionLog,
         settings: ProcessSettings,
         epoch: int,
@@ -61,11 +62,13 @@
         """Act under an epoch, which is also the fencing token of all orders."""
         self._store = store
         self._views = views
-        self._member = member
+        self._ownership = ownership
         self._log = log
         self._epoch = epoch
         self._scheduler = Scheduler(SchedulingBounds())
-        self._writer = ProgressWriter(store, epoch)
+        self._writer = ProgressWriter(
+            store, epoch, ownership.holder, is_large(settings), ownership.confirm
+        )
         self._orders = UpstreamOrders()
         self._watches: dict[str, UpstreamWatch] = {}
         self._wake = asyncio.Event()
@@ -85,7 +88,7 @@
             self._instance_client,
             views,
             self._scheduler,
-            member,
+            ownership,
             log,
             epoch,
             settings.limits.order_lease,
@@ -102,11 +105,13 @@
         """Place tasks until the ownership ends or is taken away."""
         try:
             await self._take_over()
-            while self._member.epoch == self._epoch:
+            while self._ownership.epoch == self._epoch:
                 await self._round()
                 await self._wait()
+            if self._ownership.is_stopping:
+                await self._writer.show_leaving()
         except (StoreFencedError, StoreSequenceError, UpstreamFencedError) as error:
-            await self._member.step_down(f"fenced: {error}")
+            self._ownership.give_up(f"fenced: {error}")
         finally:
             self._views.on_change = lambda job_id: None
             self._views.follow_closely(False)
@@ -121,22 +126,11 @@
             await self._sender.close()
 
     async def _take_over(self) -> None:
-        await self._writer.fence()
-        while True:
-            try:
-                await self._views.catch_up()
-                break
-            except StoreError as error:
-                self._log.info("take-over-waits", reason=str(error))
-                await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
         tail = TopicTail(self._store, self._log, UPSTREAM_TOPIC, self._on_upstream)
-        while True:
-            try:
-                await tail.catch_up()
-                break
-            except StoreError as error:
-                self._log.info("take-over-waits", reason=str(error))
-                await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
+        # The claim was stored, so no earlier owner adds to what is read.
+        await asyncio.gather(
+            self._catch_up(self._views.catch_up), self._catch_up(tail.catch_up)
+        )
         self._views.on_change = self._on_change
         self._views.follow_closely(True)
         self._apply_configuration()
@@ -160,6 +154,15 @@
         self._start(tail.run())
         self._start(self._instances.run())
 
+    async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await read()
+                return
+            except StoreError as error:
+                self._log.info("take-over-waits", reason=str(error))
+                await asyncio.sleep(TAKE_OVER_RETRY_SECONDS)
+
     async def _round(self) -> None:
         self._take_changes()
         now = boot_seconds()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -1,7 +1,8 @@
 """Write the owner's records, fenced by its epoch."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from hashlib import blake2b
 
 from baobablane_platform import (
     STATUS_TOPIC,
@@ -14,41 +15,71 @@
     encode_wave_status,
 )
 
-from ..jobs import OWNER_KEY, PROGRESS_TOPIC, boot_seconds
+from ..jobs import (
+    OWNER_KEY,
+    PROGRESS_TOPIC,
+    boot_seconds,
+    encode_owner_sign,
+    unix_ms,
+)
 
 PRODUCER = "owner"
+# Holders' numbers are 2**20 apart, more than an owner appends in a day, and below
+# 2**53, which every reader of JSON keeps exact.
+SEQUENCE_BYTES = 4
+SEQUENCES_EACH = 2**20
 RETRY_SECONDS = 0.05
-# Instances that stand for owner only when none is heard for 3 s hear it three times.
-BEAT_SECONDS = 0.8
+# A stop is not held up for longer by a store that does not answer.
+LEAVING_SECONDS = 0.5
+# Others stand for owner after 1.5 s without a sign, so that one may be lost or late.
+BEAT_SECONDS = 0.4
 # A calm answer takes some 10 ms; one of a slow store may take a second or two.
 FIRST_TIMEOUT_SECONDS = 0.25
 LAST_TIMEOUT_SECONDS = 2.5
+# Three lost answers in a row must not look like an owner that is gone.
+PATIENCE = 1.5
 # Well below the store's bound of a call, with room for the framing.
 MOST_BYTES = 1_000_000
 
 
+def first_sequence(holder: str) -> int:
+    """Return the sequence number of a holder's claim.
+
+    The store takes an append with the epoch and the number of another for its repeat,
+    and answers it alike, so no two holders may begin at the same number.
+    """
+    digest = blake2b(holder.encode(), digest_size=SEQUENCE_BYTES).digest()
+    return int.from_bytes(digest, "big") * SEQUENCES_EACH
+
+
 class ProgressWriter:
     """Own the sequence of the owner's appends; one is under way at a time."""
 
-    def __init__(self, store: StoreClient, epoch: int) -> None:
-        """Write under an epoch that no earlier owner had."""
+    def __init__(
+        self,
+        store: StoreClient,
+        epoch: int,
+        holder: str,
+        is_large: bool,
+        on_stored: Callable[[float], None],
+    ) -> None:
+        """Write under an epoch whose claim was its first record."""
+        self._holder = holder
+        self._is_large = is_large
+        self._on_stored = on_stored
         self._store = store
         self._epoch = epoch
-        self._sequence = 0
+        self._sequence = first_sequence(holder) + 1
         self._status_sequence = 0
         self._lock = asyncio.Lock()
-        self._written_at = float("-inf")
-
-    async def fence(self) -> None:
-        """Refuse the appends of earlier owners from now on."""
-        await self._append([])
+        self._shown_at = float("-inf")
 
     async def write(self, values_by_key: Mapping[str, bytes | None]) -> None:
         """Return once all is stored; raise StoreFencedError after a newer owner.
 
         A key without a value is dropped.
         """
-        batch: list[KeyedRecord] = []
+        batch = self._sign_if_due()
         size = 0
         for key, value in values_by_key.items():
             batch.append(KeyedRecord(key, value))
@@ -60,9 +91,31 @@
             await self._append(batch)
 
     async def beat(self) -> None:
-        """Show that there is an owner, unless a record has just shown it."""
-        if boot_seconds() - self._written_at > BEAT_SECONDS:
-            await self.write({OWNER_KEY: str(self._epoch).encode()})
+        """Show that there is an owner, unless that was done just now."""
+        await self.write({})
+
+    async def show_leaving(self) -> None:
+        """Tell the others that the ownership is given up, if the store is there."""
+        sign = self._sign(is_leaving=True)
+        try:
+            async with asyncio.timeout(LEAVING_SECONDS):
+                await self._append([sign])
+        except TimeoutError:
+            # They notice the silence a second later.
+            return
+
+    def _sign_if_due(self) -> list[KeyedRecord]:
+        now = boot_seconds()
+        if now - self._shown_at < BEAT_SECONDS:
+            return []
+        self._shown_at = now
+        return [self._sign()]
+
+    def _sign(self, is_leaving: bool = False) -> KeyedRecord:
+        value = encode_owner_sign(
+            unix_ms(), self._epoch, self._holder, self._is_large, is_leaving
+        )
+        return KeyedRecord(OWNER_KEY, value)
 
     async def write_wave_status(self, wave: int, is_complete: bool) -> None:
         """Show operators a wave's status; an owner that was replaced writes none."""
@@ -79,19 +132,21 @@
         async with self._lock:
             producer = Producer(PRODUCER, self._epoch, self._sequence)
             await self._append_until_stored(PROGRESS_TOPIC, records, producer)
-            if records:
-                self._sequence += 1
-                self._written_at = boot_seconds()
+            self._sequence += 1
 
     async def _append_until_stored(
         self, topic: str, records: list[KeyedRecord], producer: Producer
     ) -> None:
         timeout_seconds = FIRST_TIMEOUT_SECONDS
         while True:
+            asked_at = boot_seconds()
             try:
                 await self._store.append(topic, 0, records, producer, timeout_seconds)
+                self._on_stored(asked_at)
                 return
             except StoreRefusedError:
                 await asyncio.sleep(RETRY_SECONDS)
             except StoreUnknownError:
-                timeout_seconds = min(2 * timeout_seconds, LAST_TIMEOUT_SECONDS)
+                timeout_seconds = min(PATIENCE * timeout_seconds, LAST_TIMEOUT_SECONDS)
+                # It may have been answered at once, with an error.
+                await asyncio.sleep(RETRY_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_watch.py
@@ -9,9 +9,10 @@
 from ..jobs import boot_seconds
 from ..tasks import DecisionLog
 
-# Outlasts the take-over from a killed owner: 1.8 s until the store names another,
-# 0.4 s until it asks, and its first calls.
-LEASE_SECONDS = 4.5
+# Outlasts the loss of all owners' power at once: they are back after 2.2 s and hold all
+# upstreams 0.3 s later, and the last renewal may be 0.9 s old. What is lost with an
+# upstream waits so long before it may run elsewhere, so it is no longer than that.
+LEASE_SECONDS = 3.8
 # A start needs no longer lease than this: the next renewal comes 1 s later at most.
 LEAST_START_SECONDS = 2.5
 # A look at an upstream has its price; ends are answered at once all the same.
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
@@ -6,16 +6,29 @@
 from baobablane.deployment import PlatformLimits
 from baobablane_platform import ProcessSettings
 
-from baobablane_daemon.owner._candidacy import OWNERLESS_SECONDS, Candidacy, is_large
+from baobablane_daemon.jobs import OwnerSign
+from baobablane_daemon.owner._candidacy import (
+    SILENT_SECONDS,
+    SMALL_SILENT_SECONDS,
+    SPREAD_SECONDS,
+    Candidacy,
+    is_large,
+)
+
+JUST_STARTED = 100.0
 
 
 @dataclass
 class View:
     """Hold what an instance knows of the owner."""
 
-    heard_at: float = 0.0
+    sign: OwnerSign | None = None
     age: float = 0.1
 
+    def show(self, at, is_large=True, is_leaving=False):
+        """Let an owner show itself."""
+        self.sign = OwnerSign(at, round(at * 1000), 1, "other", is_large, is_leaving)
+
 
 @pytest.fixture
 def view():
@@ -23,40 +36,70 @@
     return View()
 
 
-def make_candidacy(view, is_preferred):
-    """Return a candidacy that begins at 0 s."""
-    return Candidacy(is_preferred, lambda: view.heard_at, lambda: view.age, 0.0)
+def make_candidacy(view, is_preferred=True):
+    """Return the candidacy of an instance that has just started."""
+    return Candidacy(
+        "entry-1", is_preferred, lambda: view.sign, lambda: view.age, JUST_STARTED
+    )
 
 
-class TestCandidacy:
-    """Test when an instance stands."""
+class TestLarge:
+    """Test when a large instance stands."""
 
-    def test_large_instance_always_stands(self, view):
-        assert make_candidacy(view, True).stands(0.0)
+    def test_first_start_of_all(self, view):
+        assert make_candidacy(view).stands(JUST_STARTED + SPREAD_SECONDS)
 
-    def test_small_instance_waits_for_large_ones_at_the_start(self, view):
-        candidacy = make_candidacy(view, False)
-        assert not candidacy.stands(OWNERLESS_SECONDS - 0.1)
-        assert candidacy.stands(OWNERLESS_SECONDS + 0.1)
+    def test_owner_is_heard(self, view):
+        candidacy = make_candidacy(view)
+        for step in range(1, 40):
+            now = JUST_STARTED + step * 0.4
+            view.show(now)
+            assert not candidacy.stands(now + 0.39)
 
-    def test_small_instance_stays_out_while_an_owner_records(self, view):
-        candidacy = make_candidacy(view, False)
-        for second in range(1, 20):
-            view.heard_at = float(second)
-            assert not candidacy.stands(second + 0.9)
+    def test_owner_is_silent(self, view):
+        candidacy = make_candidacy(view)
+        view.show(110.0)
+        assert not candidacy.stands(110.0 + SILENT_SECONDS - 0.01)
+        assert candidacy.stands(110.0 + SILENT_SECONDS + SPREAD_SECONDS)
 
-    def test_small_instance_stands_once_the_owner_is_silent(self, view):
-        candidacy = make_candidacy(view, False)
-        view.heard_at = 10.0
-        assert candidacy.stands(10.0 + OWNERLESS_SECONDS + 0.1)
+    def test_owner_leaves(self, view):
+        candidacy = make_candidacy(view)
+        view.show(110.0, is_leaving=True)
+        assert candidacy.stands(110.0 + SPREAD_SECONDS)
 
-    def test_time_without_a_view_does_not_count(self, view):
-        candidacy = make_candidacy(view, False)
+    def test_owner_was_gone_before_the_start(self, view):
+        view.show(JUST_STARTED - 2.2)
+        assert make_candidacy(view).stands(JUST_STARTED + 0.1)
+
+    def test_time_without_a_view_is_no_silence(self, view):
+        candidacy = make_candidacy(view)
+        view.show(110.0)
+        assert not candidacy.stands(110.1)
         view.age = 5.0
-        assert not candidacy.stands(8.0)
+        assert not candidacy.stands(118.0)
         view.age = 0.1
-        assert not candidacy.stands(8.4)
-        assert candidacy.stands(8.0 + OWNERLESS_SECONDS + 0.1)
+        assert not candidacy.stands(118.4)
+        assert candidacy.stands(118.0 + SILENT_SECONDS + SPREAD_SECONDS)
+
+
+class TestSmall:
+    """Test when a small instance stands."""
+
+    def test_waits_for_large_ones_at_the_start(self, view):
+        candidacy = make_candidacy(view, is_preferred=False)
+        assert not candidacy.stands(JUST_STARTED + SMALL_SILENT_SECONDS - 0.1)
+        assert candidacy.stands(JUST_STARTED + SMALL_SILENT_SECONDS + SPREAD_SECONDS)
+
+    def test_waits_for_large_ones_when_the_owner_falls_silent(self, view):
+        candidacy = make_candidacy(view, is_preferred=False)
+        view.show(110.0)
+        assert not candidacy.stands(110.0 + SMALL_SILENT_SECONDS - 0.1)
+        assert candidacy.stands(110.0 + SMALL_SILENT_SECONDS + SPREAD_SECONDS)
+
+    def test_replaces_a_small_owner_as_soon_as_a_large_one_would(self, view):
+        candidacy = make_candidacy(view, is_preferred=False)
+        view.show(110.0, is_large=False)
+        assert candidacy.stands(110.0 + SILENT_SECONDS + SPREAD_SECONDS)
 
 
 class TestIsLarge:
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_ownership.py
@@ -0,0 +1,85 @@
+"""Test who owns the placement when several instances claim it."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from baobablane_platform import StoreClient
+from baobablane_standin.platform import PlatformStandin
+
+from baobablane_daemon.jobs import Views, boot_seconds
+from baobablane_daemon.owner import Candidacy, Ownership
+from baobablane_daemon.owner._progress_writer import first_sequence
+from baobablane_daemon.tasks import DecisionLog
+
+HANG_SECONDS = 30.0
+
+
+@asynccontextmanager
+async def make_instances(count, is_running=False):
+    """Run instances that stand at the same moment, and yield their ownerships."""
+    async with PlatformStandin() as platform:
+        store = StoreClient(platform.address)
+        tasks, ownerships = [], []
+        for number in range(count):
+            log = DecisionLog(f"entry-{number}")
+            views = Views(store, log)
+            await views.catch_up()
+
+            def sign_of(views=views):
+                return views.owner_sign
+
+            # All have the same name here, and so stand at the same time.
+            now = boot_seconds() - 1.0
+            age = views.progress_tail.age
+            candidacy = Candidacy("entry", True, sign_of, age, now)
+            name = f"entry-{number}"
+            ownership = Ownership(store, views, log, name, True, candidacy)
+            ownerships.append(ownership)
+            tasks += [views.run(), ownership.run()] if is_running else []
+        running = [asyncio.create_task(task) for task in tasks]
+        try:
+            yield ownerships
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+            await store.close()
+
+
+async def wait_for(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(HANG_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class TestClaims:
+    """Test claims that race."""
+
+    @pytest.mark.parametrize("count", [2, 5])
+    async def test_one_of_many_claims_succeeds(self, count):
+        async with make_instances(count) as ownerships:
+            now = boot_seconds()
+            await asyncio.gather(*(o._claim(now) for o in ownerships))
+            epochs = [o.epoch for o in ownerships if o.epoch is not None]
+            assert epochs == [1]
+
+    async def test_next_claim_has_the_next_epoch(self):
+        async with make_instances(2, is_running=True) as ownerships:
+            await wait_for(lambda: any(o.epoch for o in ownerships))
+            (first,) = [o for o in ownerships if o.epoch]
+            (second,) = [o for o in ownerships if not o.epoch]
+            first.give_up("told to")
+            await wait_for(lambda: first.epoch or second.epoch)
+            assert {first.epoch, second.epoch} == {None, 2}
+
+
+class TestFirstSequence:
+    """Test the numbers at which holders begin."""
+
+    def test_holders_begin_far_apart(self):
+        numbers = sorted(first_sequence(f"entry-{n}") for n in range(50))
+        gaps = [b - a for a, b in zip(numbers, numbers[1:], strict=False)]
+        assert min(gaps) >= 2**20
+        assert numbers[-1] < 2**53
--- a/packages/baobablane-standin/baobablane_standin/platform/_partition.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_partition.py
@@ -41,12 +41,20 @@
         return self.first + len(self.records)
 
     def append(
-        self, contents: list[bytes], producer: tuple[str, int, int] | None
+        self,
+        contents: list[bytes],
+        producer: tuple[str, int, int] | None,
+        only_at: int | None = None,
     ) -> dict[str, int]:
         """Append records and return the answer, or raise PartitionError."""
         known = self._admit(producer) if producer else None
         if known is not None and producer is not None and producer[2] in known.answers:
+            # A repeat is answered before its condition is looked at.
             return known.answers[producer[2]]
+        if only_at is not None and only_at != self.end:
+            raise PartitionError(412, {"end": self.end})
+        if known is not None and producer is not None:
+            self._producers[producer[0]] = known
         answer = {"offset": self.end, "end": self.end + len(contents)}
         for content in contents:
             if self._is_keyed:
@@ -81,8 +89,7 @@
         name, epoch, sequence = producer
         known = self._producers.get(name)
         if known is None or epoch > known.epoch:
-            known = self._producers[name] = _Producer(epoch)
-            return known
+            return _Producer(epoch)
         if epoch < known.epoch:
             raise PartitionError(409, {"reason": "fenced"})
         expected = known.next_sequence
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -75,8 +75,9 @@
                 int(query["epoch"]),
                 int(query["sequence"]),
             )
+        only_at = int(query["at"]) if "at" in query else None
         try:
-            answer = self._partition(request).append(_split(body), producer)
+            answer = self._partition(request).append(_split(body), producer, only_at)
         except PartitionError as error:
             return JSONResponse(error.answer, error.status)
         if self.store.switches.loses_answers:
--- a/packages/baobablane-standin/baobablane_standin/platform/tests/test_partition.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/tests/test_partition.py
@@ -39,6 +39,28 @@
         assert partition.append([record("a")], None)["end"] == 1
 
 
+class TestConditions:
+    """Test appends that hold only at an offset."""
+
+    def test_other_offset_is_refused_and_tells_the_end(self):
+        partition = Partition(True)
+        partition.append([record("a")], None)
+        with pytest.raises(PartitionError) as error:
+            partition.append([record("b")], ("p", 1, 0), 0)
+        assert (error.value.status, error.value.answer) == (412, {"end": 1})
+
+    def test_repeat_is_answered_whatever_its_condition(self):
+        partition = Partition(True)
+        first = partition.append([record("a")], ("p", 1, 0), 0)
+        assert partition.append([record("b")], ("p", 1, 0), 0) == first
+
+    def test_other_number_of_the_same_epoch_is_refused(self):
+        partition = Partition(True)
+        partition.append([record("a")], ("p", 1, 10), 0)
+        with pytest.raises(PartitionError, match="seq"):
+            partition.append([record("b")], ("p", 1, 20), 0)
+
+
 class TestKeys:
     """Test the newest record of each key."""
 
--- a/packages/baobablane/baobablane/scheduling/_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_bounds.py
@@ -10,6 +10,9 @@
     # A start refused for room is not repeated on that upstream for this long, about
     # the time that a stopped task may take to free its room.
     room_backoff: float = 0.3
+    # An upstream that is silent for this long may be lost, and tasks that may run twice
+    # start elsewhere: a new owner has heard all others by then.
+    copy_silence: float = 0.3
     # An order without an answer is sent again after this long: twice the slowest
     # round trip seen on calm links.
     order_retry: float = 0.6
--- a/packages/baobablane/baobablane/scheduling/_ends.py
+++ b/packages/baobablane/baobablane/scheduling/_ends.py
@@ -1,6 +1,7 @@
 """Apply an upstream's report of what runs and what has ended."""
 
 from ..jobs import JobState, Task, TaskId, TaskState
+from ._copies import take_back_copy
 from ._report import EndedRun, EndReason, HoldReport, RunningRow
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -54,6 +55,7 @@
         run.percent = row.percent
         run.percent_since = now
     run.measure = row.measure
+    take_back_copy(state, run)
     job_run = state.jobs.get(row.task.job)
     found = job_run.find(row.task) if job_run else None
     if found is not None and row.checkpoint:
@@ -80,7 +82,7 @@
         reason=ended.reason.value,
         age=now - run.started_at if run else 0.0,
     )
-    if task.run != ended.run or task.state is TaskState.DONE:
+    if task.state is TaskState.DONE or not _counts(step_run, task, ended):
         return
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
@@ -91,12 +93,19 @@
             state.settle(job_run, JobState.COMPLETED, "all tasks done")
         return
     if ended.reason is EndReason.FAILED:
-        _apply_failure(state, upstream, step_run, ended.task, task)
+        _apply_failure(state, upstream, step_run, ended, task)
+    if task.run != ended.run:
+        return
     if task.state is TaskState.STARTED:
         task.state = TaskState.WAITING
         step_run.waiting.add(ended.task.position)
 
 
+def _counts(step_run: StepRun, task: Task, ended: EndedRun) -> bool:
+    # The first copy that finishes counts, and so does each copy's failure.
+    return task.run == ended.run or step_run.step.may_run_twice
+
+
 def _judge_upstream(
     state: SchedulerState, upstream: Upstream, run: Run, ended: EndedRun, now: float
 ) -> None:
@@ -123,18 +132,18 @@
     state: SchedulerState,
     upstream: Upstream,
     step_run: StepRun,
-    task_id: TaskId,
+    ended: EndedRun,
     task: Task,
 ) -> None:
-    if task.failed_run == task.run:
+    if task.failed_run >= ended.run:
         return
-    task.failed_run = task.run
+    task.failed_run = ended.run
     task.failures += 1
-    state.failed_on[task_id] = upstream.id
+    state.failed_on[ended.task] = upstream.id
     if step_run.step.is_lasting:
         return
     queue = state.configuration.queues_by_name.get(step_run.job.queue)
     if queue is not None and task.failures >= queue.max_attempts:
         state.settle(
-            state.jobs[task_id.job], JobState.FAILED, f"{task.failures} failed runs"
+            state.jobs[ended.task.job], JobState.FAILED, f"{task.failures} failed runs"
         )
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -6,6 +6,7 @@
 from ..jobs import Job, JobProgress, JobState
 from ._advice import AdviceRequest
 from ._bounds import SchedulingBounds
+from ._copies import release_copies
 from ._ends import apply_report
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
@@ -138,8 +139,14 @@
     def expire_silent(self, now: float) -> None:
         """Let tasks wait again whose last lease at a silent upstream is over."""
         for upstream in self.state.upstreams.values():
-            if upstream.runs and not upstream.is_answering:
-                self._requeue_lapsed(upstream, now)
+            if upstream.is_answering:
+                upstream.silent_since = None
+                continue
+            if upstream.silent_since is None:
+                upstream.silent_since = now
+            if now - upstream.silent_since >= self.state.bounds.copy_silence:
+                release_copies(self.state, upstream)
+            self._requeue_lapsed(upstream, now)
 
     def expire_unlisted(self, now: float) -> None:
         """Forget upstreams that were recorded as running work and never came back."""
@@ -176,7 +183,8 @@
         """Note that an upstream has stopped a run, or will refuse it."""
         upstream = self.state.upstreams.get(order.upstream)
         run = upstream.runs.get(order.task) if upstream else None
-        if run is not None and run.run == order.run:
+        # Stops are repeated; the first answer settles what later reports must list.
+        if run is not None and run.run == order.run and run.settled_at is None:
             run.settled_at = now
 
     def plan(self, now: float, unix_ms: int) -> list[StartOrder]:
--- a/packages/baobablane/baobablane/scheduling/_stalls.py
+++ b/packages/baobablane/baobablane/scheduling/_stalls.py
@@ -1,5 +1,6 @@
 """Judge which runs hang, and which must be stopped."""
 
+from ._copies import is_superseded
 from ._ends import AT_WORK_PERCENT
 from ._state import SchedulerState
 from ._upstream import Run, Upstream
@@ -18,7 +19,9 @@
     job_run = state.jobs.get(run.task.job)
     if job_run is None or job_run.state.is_final():
         return True
-    return run.needs_stop or run.is_stalled or run.is_evicted
+    return (
+        run.needs_stop or run.is_stalled or run.is_evicted or is_superseded(state, run)
+    )
 
 
 def may_still_arrive(state: SchedulerState, run: Run, now: float) -> bool:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -62,6 +62,8 @@
     no_room_until: float = 0.0
     # Whether its latest call was answered.
     is_answering: bool = False
+    # Since when it has not answered, as far as that was looked at.
+    silent_since: float | None = None
     # Runs that it lists and that nobody wants, by task.
     strays: dict[TaskId, int] = field(default_factory=dict)
 
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_copies.py
@@ -0,0 +1,90 @@
+"""Test tasks that may run twice while an upstream is silent."""
+
+import pytest
+
+from baobablane.jobs import JobState, TaskId
+from baobablane.scheduling import EndReason
+
+from .fleet_model import ModelFleet, make_job, make_step
+
+JOB = "0" * 16
+FIRST = TaskId(JOB, 0, 0, 0)
+
+
+@pytest.fixture
+def fleet():
+    """Return two upstreams that have been heard, and a task that may run twice."""
+    fleet = ModelFleet()
+    fleet.hear_all()
+    job = make_job(make_step(may_run_twice=True))
+    fleet.scheduler.add_job(job, None, fleet.now)
+    return fleet
+
+
+def fall_silent(fleet, upstream):
+    """Let an upstream be silent for long enough."""
+    fleet.scheduler.unheard(upstream, fleet.now)
+    fleet.scheduler.expire_silent(fleet.now)
+    fleet.now += 0.4
+    fleet.hear("u1" if upstream == "u0" else "u0")
+    fleet.scheduler.expire_silent(fleet.now)
+
+
+class TestSilentUpstream:
+    """Test a run whose upstream falls silent."""
+
+    def test_copy_starts_elsewhere_at_once(self, fleet):
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        (copy,) = fleet.place()
+        assert copy.upstream != order.upstream
+        assert copy.run == 2
+
+    def test_task_that_may_not_run_twice_waits(self, fleet):
+        fleet.place()
+        only_once = make_job(name="1" * 16)
+        fleet.scheduler.add_job(only_once, None, fleet.now)
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        assert [o for o in fleet.place() if o.task.job == "1" * 16] == []
+
+    def test_new_owner_hears_upstreams_before_it_copies(self, fleet):
+        (order,) = fleet.place()
+        fleet.scheduler.unheard(order.upstream, fleet.now)
+        fleet.scheduler.expire_silent(fleet.now)
+        fleet.now += 0.1
+        fleet.scheduler.expire_silent(fleet.now)
+        assert fleet.place() == []
+
+    def test_run_goes_on_if_its_upstream_comes_back_before_a_copy(self, fleet):
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        fleet.hear(order.upstream)
+        assert fleet.place() == []
+        assert fleet.send_stops() == []
+
+    def test_first_run_is_stopped_once_a_copy_runs(self, fleet):
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        fleet.place()
+        fleet.hear(order.upstream)
+        assert [stop.run for stop in fleet.send_stops()] == [1]
+
+    def test_end_of_the_first_run_counts(self, fleet):
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        fleet.place()
+        fleet.upstreams[order.upstream].end(FIRST, EndReason.DONE)
+        fleet.hear(order.upstream)
+        assert fleet.scheduler.state.jobs[JOB].state is JobState.COMPLETED
+        assert [stop.run for stop in fleet.send_stops()] == [2]
+
+    def test_failures_of_both_runs_count(self, fleet):
+        (order,) = fleet.place()
+        fall_silent(fleet, order.upstream)
+        fleet.place()
+        fleet.upstreams[order.upstream].end(FIRST, EndReason.FAILED)
+        fleet.hear(order.upstream)
+        fleet.finish(FIRST, EndReason.FAILED)
+        fleet.hear_all()
+        assert fleet.scheduler.state.jobs[JOB].state is JobState.FAILED
--- a/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -89,6 +89,22 @@
         assert known.applied_end == 1
         assert known.recorded_end == recorded_before
 
+    def test_repeated_stops_do_not_hide_that_a_run_is_gone(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.place()
+        model = fleet.upstreams[order.upstream]
+        fleet.scheduler.state.upstreams[order.upstream].runs[FIRST].is_stalled = True
+        del model.running[FIRST]
+        for _ in range(3):
+            asked_at = fleet.now
+            # A stop is answered while the report is waited for.
+            fleet.now += 0.7
+            fleet.send_stops()
+            fleet.now += 0.2
+            report = model.report(0)
+            fleet.scheduler.heard(order.upstream, report, asked_at, fleet.now)
+        assert [again.run for again in fleet.plan()] == [2]
+
     def test_unanswered_start_that_took_effect_goes_on(self, fleet):
         add(fleet, make_job())
         (order,) = fleet.plan()
