Go on from the page that did not come when a topic is read anew

Cause: the newest records of a topic were read from the first page again after each call without an answer.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -43,6 +43,9 @@
         self._on_record = on_record
         self._next: int | None = None
         self._newest_lock = asyncio.Lock()
+        # How far the newest records were read: the last key, and the end noted first.
+        self._newest_after: str | None = None
+        self._newest_end: int | None = None
         self._is_reachable = True
         # When the latest read that reached the end was asked for; -inf before that.
         self.confirmed_at = float("-inf")
@@ -98,18 +101,19 @@
         return len(page.contents)
 
     async def _read_newest(self) -> None:
-        after: str | None = None
-        end: int | None = None
+        # A page that did not come is asked for again, not those before it: through a
+        # narrow link that many share, all of them may take longer than one call.
         while True:
-            page = await self._store.newest(self._topic, 0, after)
-            # Pages are no snapshot: what came since the first is read again.
-            end = page.end if end is None else end
+            page = await self._store.newest(self._topic, 0, self._newest_after)
+            if self._newest_end is None:
+                # Pages are no snapshot: what came since the first is read again.
+                self._newest_end = page.end
             for record in page.records:
                 self._on_record(record)
-            after = page.next_after
-            if after is None:
+            self._newest_after = page.next_after
+            if page.next_after is None:
                 break
-        self._next = end
+        self._next, self._newest_end = self._newest_end, None
 
     def _apply(self, content: bytes) -> None:
         try:
