--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -213,3 +213,8 @@
     def runs_of(self, task):
         """Return how many runs of a task go on."""
         return sum(task in model.running for model in self.upstreams.values())
+
+
+def add(fleet, job):
+    """Give a fleet's scheduler a job that is new."""
+    fleet.scheduler.add_job(job, None, fleet.now)
--- a/packages/baobablane/baobablane/scheduling/tests/test_copies.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_copies.py
@@ -5,19 +5,16 @@
 from baobablane.jobs import JobState, TaskId
 from baobablane.scheduling import EndReason
 
-from .fleet_model import ModelFleet, make_job, make_step
+from .fleet_model import add, make_job, make_step
 
 JOB = "0" * 16
 FIRST = TaskId(JOB, 0, 0, 0)
 
 
 @pytest.fixture
-def fleet():
+def fleet(fleet):
     """Return two upstreams that have been heard, and a task that may run twice."""
-    fleet = ModelFleet()
-    fleet.hear_all()
-    job = make_job(make_step(may_run_twice=True))
-    fleet.scheduler.add_job(job, None, fleet.now)
+    add(fleet, make_job(make_step(may_run_twice=True)))
     return fleet
 
 
@@ -42,8 +39,7 @@
 
     def test_task_that_may_not_run_twice_waits(self, fleet):
         fleet.place()
-        only_once = make_job(name="1" * 16)
-        fleet.scheduler.add_job(only_once, None, fleet.now)
+        add(fleet, make_job(name="1" * 16))
         (order,) = fleet.place()
         fall_silent(fleet, order.upstream)
         assert [o for o in fleet.place() if o.task.job == "1" * 16] == []
--- a/packages/baobablane/baobablane/scheduling/tests/test_full_pool.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_full_pool.py
@@ -1,12 +1,11 @@
 """Test who starts when a pool is full, and lasting tasks in waves."""
 
-import pytest
-
 from baobablane.jobs import TaskId
 
 from .fleet_model import (
     CORE,
     ModelFleet,
+    add,
     make_configuration,
     make_job,
     make_queue,
@@ -17,19 +16,6 @@
 FIRST = TaskId(JOB, 0, 0, 0)
 
 
-@pytest.fixture
-def fleet():
-    """Return two upstreams of four cores that have been heard."""
-    fleet = ModelFleet()
-    fleet.hear_all()
-    return fleet
-
-
-def add(fleet, job):
-    """Add a job that is new."""
-    fleet.scheduler.add_job(job, None, fleet.now)
-
-
 class TestOrder:
     """Test who starts first when a pool is full."""
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -1,6 +1,5 @@
 """Test the placement of tasks and what becomes of their runs."""
 
-import pytest
 from msgspec.structs import replace
 
 from baobablane.deployment import Resources
@@ -10,6 +9,7 @@
 from .fleet_model import (
     CORE,
     ModelFleet,
+    add,
     make_configuration,
     make_job,
     make_step,
@@ -19,19 +19,6 @@
 FIRST = TaskId(JOB, 0, 0, 0)
 
 
-@pytest.fixture
-def fleet():
-    """Return two upstreams of four cores that have been heard."""
-    fleet = ModelFleet()
-    fleet.hear_all()
-    return fleet
-
-
-def add(fleet, job):
-    """Add a job that is new."""
-    fleet.scheduler.add_job(job, None, fleet.now)
-
-
 class TestSteps:
     """Test the order of steps and the end of a job."""
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_take_over.py
@@ -1,29 +1,14 @@
 """Test upstreams that fall silent, restarts and owners that take over."""
 
-import pytest
-
 from baobablane.jobs import JobState, TaskId
 from baobablane.scheduling import EndReason, StartResult
 
-from .fleet_model import ModelFleet, make_job, make_step
+from .fleet_model import add, make_job, make_step
 
 JOB = "0" * 16
 FIRST = TaskId(JOB, 0, 0, 0)
 
 
-@pytest.fixture
-def fleet():
-    """Return two upstreams of four cores that have been heard."""
-    fleet = ModelFleet()
-    fleet.hear_all()
-    return fleet
-
-
-def add(fleet, job):
-    """Add a job that is new."""
-    fleet.scheduler.add_job(job, None, fleet.now)
-
-
 class TestSilence:
     """Test upstreams that do not answer."""
 
