--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_clock.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_clock.py
@@ -1,5 +1,6 @@
 """Read the time of day, and a monotonic clock that includes suspended time."""
 
+import math
 import time
 
 
@@ -11,3 +12,11 @@
 def unix_ms() -> int:
     """Return the time of day in Unix milliseconds."""
     return round(time.time() * 1000)
+
+
+def loggable_age(seconds: float) -> float | None:
+    """Return an age in milliseconds' precision, or None for that of a missing view.
+
+    JSON has no infinity.
+    """
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -12,7 +12,7 @@
 )
 
 from ..tasks import DecisionLog
-from ._clock import boot_seconds
+from ._clock import boot_seconds, loggable_age
 
 # The store responds to a read that finds no records after this time, which confirms the
 # view. A lost connection is detected within this time plus the timeout of the read.
@@ -52,6 +52,7 @@
         self._newest_last_key: str | None = None
         self._newest_end_offset: int | None = None
         self._is_reachable = True
+        self._failed_reads = 0
         # When the latest read that reached the end was sent; -inf before the first.
         self.confirmed_at = float("-inf")
 
@@ -94,6 +95,7 @@
             self._log.info("topic-read-anew", topic=self._topic, offset=start)
             self._next_offset = None
             return 0
+        self._count_read(requested_at, page.size_bytes)
         for offset, content in enumerate(page.raw_records, start):
             if self._next_offset is not None and offset >= self._next_offset:
                 self._next_offset = offset + 1
@@ -101,15 +103,16 @@
         if self._next_offset is not None and self._next_offset >= page.end_offset:
             self.confirmed_at = max(self.confirmed_at, requested_at)
         if not self._is_reachable:
-            self._is_reachable = True
-            self._log.info("store-regained", topic=self._topic)
+            self._log_recovery(requested_at, page.size_bytes)
         return len(page.raw_records)
 
     async def _read_newest(self) -> None:
         # Only the page that failed is requested again, not those before it: over a
         # low-bandwidth shared link, all of them may take longer than one call.
         while True:
+            requested_at = boot_seconds()
             page = await self._store.read_newest(self._topic, 0, self._newest_last_key)
+            self._count_read(requested_at, page.size_bytes)
             if self._newest_end_offset is None:
                 # Pages are not one snapshot, so reads continue from the end offset of
                 # the first one.
@@ -129,7 +132,31 @@
             return
         self._on_record(record)
 
+    def _count_read(self, requested_at: float, size_bytes: int) -> None:
+        metrics = self._log.metrics
+        seconds = boot_seconds() - requested_at
+        metrics.store_read_seconds.labels(self._topic).observe(seconds)
+        metrics.store_read_bytes.labels(self._topic).inc(size_bytes)
+
     def _log_failure(self, error: StoreError) -> None:
+        self._log.metrics.store_read_failures.labels(self._topic).inc()
+        self._failed_reads += 1
         if self._is_reachable:
             self._is_reachable = False
-            self._log.info("store-lost", topic=self._topic, reason=str(error))
+            self._log.info(
+                "store-lost",
+                topic=self._topic,
+                reason=str(error),
+                view_seconds=loggable_age(self.age()),
+            )
+
+    def _log_recovery(self, requested_at: float, size_bytes: int) -> None:
+        self._is_reachable = True
+        self._log.info(
+            "store-regained",
+            topic=self._topic,
+            failed_reads=self._failed_reads,
+            read_seconds=round(boot_seconds() - requested_at, 3),
+            size_bytes=size_bytes,
+        )
+        self._failed_reads = 0
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -19,7 +19,7 @@
 )
 
 from ..tasks import DecisionLog
-from ._clock import boot_seconds, unix_ms
+from ._clock import boot_seconds, loggable_age, unix_ms
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
 from ._topic_tail import TopicTail
 
@@ -92,7 +92,9 @@
     def _on_operator_record(self, record: KeyedRecord) -> None:
         try:
             if record.key == CONFIGURATION_KEY and record.value:
-                self._apply_configuration(decode_configuration(record.value))
+                self._apply_configuration(
+                    decode_configuration(record.value), len(record.value)
+                )
             elif record.key.startswith(WAVE_KEY_PREFIX) and record.value:
                 wave = decode_wave(record.value)
                 self.waves[wave.number] = wave
@@ -102,11 +104,19 @@
             return
         self.on_change("")
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
+    def _apply_configuration(
+        self, configuration: Configuration, size_bytes: int
+    ) -> None:
         if self.configuration and configuration.version <= self.configuration.version:
             return
         self.configuration = configuration
-        self._log.info("configuration-in-force", version=configuration.version)
+        self._log.info(
+            "configuration-in-force",
+            version=configuration.version,
+            queues=len(configuration.queues_by_name),
+            size_bytes=size_bytes,
+            view_seconds=loggable_age(self.operator_tail.age()),
+        )
 
     def _on_job_record(self, record: KeyedRecord) -> None:
         self.on_job_read(record.key)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -1,5 +1,9 @@
 """Test how the newest records of a topic are read."""
 
+import asyncio
+import io
+import json
+
 import pytest
 from baobablane_platform import (
     KeyedRecord,
@@ -11,6 +15,8 @@
 from baobablane_daemon.jobs import TopicTail
 from baobablane_daemon.tasks import DecisionLog
 
+# Far longer than any step here takes, so only a hang reaches it.
+HANG_TIMEOUT_SECONDS = 60.0
 PAGES = {
     None: NewestPage(7, [KeyedRecord("a", b"1")], "a"),
     "a": NewestPage(8, [KeyedRecord("b", b"1")], "b"),
@@ -37,6 +43,7 @@
     async def read(self, topic, partition, start, wait_ms):
         """Return a page without records."""
         self.read_starts.append(start)
+        await asyncio.sleep(0)
         return RecordPage(start, 0, [])
 
 
@@ -66,3 +73,24 @@
         store = PagedStore([1])
         await catch_up(store)
         assert store.read_starts[0] == 7
+
+
+class TestLog:
+    """Test that the log tells why and for how long a topic could not be read."""
+
+    async def test_loss_and_recovery_are_logged_with_their_extent(self):
+        stream = io.BytesIO()
+        log = DecisionLog("entry-1", stream)
+        store = PagedStore([0, 1])
+        tail = TopicTail(store, log, "keyed.jobs", lambda record: None)
+        task = asyncio.create_task(tail.run())
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            while b"store-regained" not in stream.getvalue():
+                await asyncio.sleep(0)
+        task.cancel()
+        lost, regained = map(json.loads, stream.getvalue().splitlines())
+        assert (lost["event"], lost["view_seconds"]) == ("store-lost", None)
+        assert lost["reason"] == "no response"
+        assert (regained["event"], regained["failed_reads"]) == ("store-regained", 2)
+        failures = log.metrics.store_read_failures.labels("keyed.jobs")
+        assert failures._value.get() == 2
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
@@ -29,6 +29,25 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.store_read_seconds = Histogram(
+            "baobablane_store_read_seconds",
+            "Time of a successful read of a topic, with the wait for a record",
+            ["topic"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.store_read_bytes = Counter(
+            "baobablane_store_read_bytes",
+            "Bytes of successful reads of a topic",
+            ["topic"],
+            registry=self.registry,
+        )
+        self.store_read_failures = Counter(
+            "baobablane_store_read_failures",
+            "Failed reads of a topic",
+            ["topic"],
+            registry=self.registry,
+        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
