Add failing tests: a large configuration over a slow link

Change: the stand-in's store can limit the bandwidth of each response and counts those that the client did not read to the end.

--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -14,6 +14,7 @@
     HOST,
     PATH_PREFIX,
     QUEUE_HOST,
+    extra_path_prefix,
 )
 
 from baobablane_daemon import serve_on_platform
@@ -238,6 +239,43 @@
             await deployment.wait_for(is_rejected)
 
 
+class TestSlowLink:
+    """Test an entry instance that reads the store over a low-bandwidth link."""
+
+    async def test_large_configuration_is_not_read_again_from_its_start(self):
+        async with run_deployment() as deployment:
+            (entry,) = deployment.entries
+            platform = deployment.platform
+            # The record takes more than 2 s.
+            platform.store.switches.read_bandwidth = 100_000
+            platform.write_config(2, [API_KEY], extra_queue_count=1500)
+
+            async def is_served_or_aborted():
+                path = extra_path_prefix(1499)
+                status, _ = await deployment.call(entry, "GET", path)
+                return status == 200 or platform.aborted_read_count() > 0
+
+            await deployment.wait_for(is_served_or_aborted)
+            assert platform.aborted_read_count() == 0
+
+    async def test_restarted_instance_reads_a_large_configuration_once(self):
+        async with run_deployment(0) as deployment:
+            platform = deployment.platform
+            # The record takes more than 4 s, as the newest one of its key.
+            platform.store.switches.read_bandwidth = 100_000
+            platform.write_config(2, [API_KEY], extra_queue_count=2000)
+            start = asyncio.create_task(deployment.start_entry("entry-0"))
+
+            async def is_ready_or_aborted():
+                return start.done() or platform.aborted_read_count() > 0
+
+            await deployment.wait_for(is_ready_or_aborted)
+            assert platform.aborted_read_count() == 0
+            entry = await start
+            status, _ = await deployment.call(entry, "GET", extra_path_prefix(1999))
+            assert status == 200
+
+
 class TestFailures:
     """Test store outages, lost writes and responses, lost owners and restarts."""
 
--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -63,27 +63,30 @@
         """Return the number of append requests that the store has received."""
         return self._platform_server.append_count if self._platform_server else 0
 
+    def aborted_read_count(self) -> int:
+        """Return how many responses of the store were not read to the end."""
+        return self._platform_server.aborted_read_count if self._platform_server else 0
+
     def register_upstream(self, upstream: StandinUpstream) -> None:
         """Write an upstream's registration to the store."""
         registration = json.dumps(upstream.registration(1)).encode()
         self.store.put("keyed.servers", upstream.id, registration)
 
-    def write_config(self, version: int, keys: list[str]) -> None:
-        """Write a configuration with one queue, one pool and one client account."""
-        route = {
-            "name": "queue-a",
-            "host": QUEUE_HOST,
-            "pathPrefix": PATH_PREFIX,
-            "service": POOL,
-            "priority": 0,
-            "maxAttempts": 2,
-            "slackFactor": 2.0,
-            "targetLatencyMs": 1000,
-        }
+    def write_config(
+        self, version: int, keys: list[str], extra_queue_count: int = 0
+    ) -> None:
+        """Write a configuration with one pool and one client account.
+
+        It has one queue at PATH_PREFIX, and `extra_queue_count` more at the paths that
+        `extra_path_prefix` returns.
+        """
+        routes = [_make_route("queue-a", PATH_PREFIX)]
+        for number in range(extra_queue_count):
+            routes.append(_make_route(f"extra-{number}", extra_path_prefix(number)))
         tenant = {"name": "account-a", "apiKeys": keys, "weight": 1, "cap": {}}
         config = {
             "version": version,
-            "routes": [route],
+            "routes": routes,
             "services": [{"name": POOL}],
             "tenants": [tenant],
         }
@@ -100,3 +103,21 @@
         loop = asyncio.get_running_loop()
         self._serve_tasks.append(loop.create_task(server.serve(sockets=[listener])))
         return f"{HOST}:{listener.getsockname()[1]}"
+
+
+def extra_path_prefix(number: int) -> str:
+    """Return the path prefix of an extra queue, which are numbered from 0."""
+    return f"/extra-{number}/"
+
+
+def _make_route(name: str, path_prefix: str) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": QUEUE_HOST,
+        "pathPrefix": path_prefix,
+        "service": POOL,
+        "priority": 0,
+        "maxAttempts": 2,
+        "slackFactor": 2.0,
+        "targetLatencyMs": 1000,
+    }
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -1,12 +1,14 @@
 """Serve the stand-in's store, upstreams and instance list over HTTP."""
 
+import asyncio
 import base64
 import time
+from collections.abc import AsyncIterator
 
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from ._partition import AppendRejectedError, Partition
@@ -15,6 +17,8 @@
 
 LENGTH_BYTES = 4
 OFFSET_BYTES = 8
+# Interval at which a response of limited bandwidth is continued.
+CHUNK_INTERVAL_SECONDS = 0.02
 
 
 class PlatformServer:
@@ -27,6 +31,8 @@
         self.upstreams: dict[str, StandinUpstream] = {}
         # Append requests received, including those that failed.
         self.append_count = 0
+        # Responses that the client did not read to the end.
+        self.aborted_read_count = 0
         self.app = Starlette(
             routes=[
                 Route("/baobablane/log-append", self._append, methods=["POST"]),
@@ -103,7 +109,7 @@
         header += partition.first_offset.to_bytes(OFFSET_BYTES, "big")
         records = partition.records[start - partition.first_offset :]
         frames = [len(r).to_bytes(LENGTH_BYTES, "big") + r for r in records]
-        return Response(header + b"".join(frames))
+        return self._send_page(header + b"".join(frames))
 
     async def _read_newest(self, request: Request) -> Response:
         if self.store.switches.is_down:
@@ -113,9 +119,29 @@
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in sorted(partition.newest.items())
         ]
-        return JSONResponse(
-            {"items": items, "hasMore": False, "end": partition.end_offset}
-        )
+        page = {"items": items, "hasMore": False, "end": partition.end_offset}
+        return self._send_page(msgspec.json.encode(page))
+
+    def _send_page(self, body: bytes) -> Response:
+        bandwidth = self.store.switches.read_bandwidth
+        if bandwidth is None:
+            return Response(body)
+        headers = {"Content-Length": str(len(body))}
+        return StreamingResponse(self._limit_bandwidth(body, bandwidth), 200, headers)
+
+    async def _limit_bandwidth(
+        self, body: bytes, bandwidth: float
+    ) -> AsyncIterator[bytes]:
+        chunk_bytes = max(1, round(bandwidth * CHUNK_INTERVAL_SECONDS))
+        position = 0
+        try:
+            while position < len(body):
+                await asyncio.sleep(CHUNK_INTERVAL_SECONDS)
+                yield body[position : position + chunk_bytes]
+                position += chunk_bytes
+        finally:
+            if position < len(body):
+                self.aborted_read_count += 1
 
     async def _join(self, request: Request) -> Response:
         if self.store.switches.is_down:
--- a/packages/baobablane-standin/baobablane_standin/platform/_store.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_store.py
@@ -9,13 +9,15 @@
 
 @dataclass(slots=True)
 class StoreSwitches:
-    """Store the failures that are switched on."""
+    """Store the failures that are switched on, and the bandwidth of reads."""
 
     is_down: bool = False
     # Appends have no effect and get no response (simulated by status 504).
     loses_writes: bool = False
     # Appends take effect, but their responses are lost (simulated by status 504).
     loses_responses: bool = False
+    # Bandwidth of each read's response, in bytes per second; None for no limit.
+    read_bandwidth: float | None = None
 
 
 @dataclass(slots=True)
