Don't deny a queue or key by an unconfirmed configuration

Cause: 404 and 401 were given by whatever configuration an instance had, however old. Jobs and their states were already refused with 503 by an old view, denials were not. Callers saw: 404 from an instance that was reading a newer configuration, and didn't try again. Change: past 1.3 s without confirmation the answer is 503 with Retry-After, since a newer configuration may allow the request. Each denial is logged with path, version, result code and the age of the view; until now there was no line for it. Result: `test_unconfirmed_view_does_not_deny_a_queue_or_key` got 404 and 401 before, 503 now. The tests of the daemon and of the platform folder pass.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -72,6 +72,7 @@
         CallerActions(
             actions.is_ready,
             actions.configuration,
+            actions.deny,
             actions.submit,
             actions.state,
             actions.cancel,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -19,6 +19,8 @@
 # A read takes at most 0.45 s, so the age of a view is at most 0.9 s. If it is greater
 # than this, the store is unreachable, and callers should use other instances.
 MAX_VIEW_AGE_SECONDS = 1.3
+# Callers choose host and path, so the part of them that is logged is limited.
+MAX_LOGGED_CHARACTERS = 200
 # A fault of the store, or of the connection to it, lasts for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
 
@@ -67,6 +69,29 @@
             )
         return configuration
 
+    def deny(self, code: ResultCode, detail: str) -> RejectedError:
+        """Return the error for a request that the configuration doesn't allow.
+
+        A newer configuration may allow it. So unless the view was confirmed recently,
+        the error is VIEW_NOT_CONFIRMED, after which callers try again.
+        """
+        configuration = self._views.configuration
+        version = configuration.version if configuration else 0
+        age = self._views.operator_tail.age()
+        self._log.write(
+            Decision(
+                "request-denied",
+                reason=f"{detail[:MAX_LOGGED_CHARACTERS]} at version {version}",
+                result=int(code),
+                seconds=age,
+            )
+        )
+        if age > MAX_VIEW_AGE_SECONDS:
+            detail = f"the configuration's view is {age:.1f} s old"
+            code = ResultCode.VIEW_NOT_CONFIRMED
+            return RejectedError(code, detail, RETRY_AFTER_SECONDS)
+        return RejectedError(code, detail)
+
     async def submit(self, job: Job, queue: Queue) -> None:
         """Store a job unless it is already known, or raise RejectedError.
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -276,6 +276,24 @@
             assert status == 200
 
 
+class TestStaleConfiguration:
+    """Test requests that depend on a configuration that can't be confirmed."""
+
+    @pytest.mark.parametrize("path, key", [("/added/", API_KEY), (PATH_PREFIX, "new")])
+    async def test_unconfirmed_view_does_not_deny_a_queue_or_key(self, path, key):
+        async with run_deployment() as deployment:
+            (entry,) = deployment.entries
+            deployment.platform.store.switches.is_down = True
+
+            async def is_not_ready():
+                status, _ = await deployment.call(entry, "GET", "/baobablane/ready")
+                return status == 503
+
+            await deployment.wait_for(is_not_ready)
+            status, _ = await deployment.call(entry, "GET", path, key=key)
+            assert status == 503
+
+
 class TestFailures:
     """Test store outages, lost writes and responses, lost owners and restarts."""
 
