Accept no job after a newer configuration may be due

Cause: the age of the configuration limited only requests with a key, to 4.2 s. The users' bound for a configuration to be in force is 2 or 3 s. An instance whose reads of the configuration lagged or failed, while its other reads succeeded, accepted jobs by the old one; for a public queue without any limit. Change: a job is accepted only while the view was confirmed within the platform's bound less 0.2 s; otherwise 503 with Retry-After. So a slow or failed read can delay an acceptance but not break the bound. The log line names host and path also where no view is read or the view is too old.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -1,5 +1,7 @@
 """Carry out callers' requests: submit, query and cancel jobs."""
 
+import math
+
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobState, encode_job
@@ -16,6 +18,8 @@
 
 # Covers the time from reading the view's age to the answer, and the error of the clock.
 KEY_MARGIN_SECONDS = 0.8
+# Covers the error of the clock.
+CONFIGURATION_MARGIN_SECONDS = 0.2
 # A read takes at most 0.45 s, so the age of a view is at most 0.9 s. If it is greater
 # than this, the store is unreachable, and callers should use other instances.
 MAX_VIEW_AGE_SECONDS = 1.3
@@ -39,6 +43,10 @@
         self._max_key_view_age_seconds = (
             settings.limits.key_withdrawal_seconds - KEY_MARGIN_SECONDS
         )
+        # A configuration that is confirmed after the view was is not yet due this long.
+        self._max_configuration_age_seconds = (
+            settings.limits.configuration_seconds - CONFIGURATION_MARGIN_SECONDS
+        )
         self._views = views
         self._job_writer = job_writer
         self._log = log
@@ -52,45 +60,56 @@
             and self._views.operator_tail.age() < MAX_VIEW_AGE_SECONDS
         )
 
-    def configuration(self, checks_keys: bool) -> Configuration:
+    def configuration(
+        self, target: str, checks_keys: bool, accepts_job: bool
+    ) -> Configuration:
         """Return the configuration in force, or raise RejectedError.
 
         With `checks_keys`, reject requests also if the view is too old to show whether
-        a key was withdrawn.
+        a key was withdrawn, and with `accepts_job`, if a newer configuration may be
+        due. `target`, the host and path of the request, is logged.
         """
         configuration = self._views.configuration
         if configuration is None:
-            raise RejectedError(ResultCode.NOT_READY, "", RETRY_AFTER_SECONDS)
+            raise self._log_denial(ResultCode.NOT_READY, target, math.inf)
+        max_age_seconds = min(
+            self._max_key_view_age_seconds if checks_keys else math.inf,
+            self._max_configuration_age_seconds if accepts_job else math.inf,
+        )
         age = self._views.operator_tail.age()
-        if checks_keys and age > self._max_key_view_age_seconds:
-            detail = f"the keys' view is {age:.1f} s old"
-            raise RejectedError(
-                ResultCode.VIEW_NOT_CONFIRMED, detail, RETRY_AFTER_SECONDS
-            )
+        if age > max_age_seconds:
+            raise self._log_denial(ResultCode.VIEW_NOT_CONFIRMED, target, age)
         return configuration
 
-    def deny(self, code: ResultCode, detail: str) -> RejectedError:
+    def deny(self, code: ResultCode, target: str) -> RejectedError:
         """Return the error for a request that the configuration doesn't allow.
 
         A newer configuration may allow it. So unless the view was confirmed recently,
-        the error is VIEW_NOT_CONFIRMED, after which callers try again.
+        the error is VIEW_NOT_CONFIRMED, after which callers try again. `target`, the
+        host and path of the request, is logged.
         """
-        configuration = self._views.configuration
-        version = configuration.version if configuration else 0
         age = self._views.operator_tail.age()
+        if age > MAX_VIEW_AGE_SECONDS:
+            code = ResultCode.VIEW_NOT_CONFIRMED
+        return self._log_denial(code, target, age)
+
+    def _log_denial(self, code: ResultCode, target: str, age: float) -> RejectedError:
+        configuration = self._views.configuration
+        version = configuration.version if configuration else None
         self._log.write(
             Decision(
                 "request-denied",
-                reason=f"{detail[:MAX_LOGGED_CHARACTERS]} at version {version}",
+                reason=f"{target[:MAX_LOGGED_CHARACTERS]}, version {version}",
                 result=int(code),
                 seconds=age,
             )
         )
-        if age > MAX_VIEW_AGE_SECONDS:
+        if code is ResultCode.VIEW_NOT_CONFIRMED:
             detail = f"the configuration's view is {age:.1f} s old"
-            code = ResultCode.VIEW_NOT_CONFIRMED
             return RejectedError(code, detail, RETRY_AFTER_SECONDS)
-        return RejectedError(code, detail)
+        if code is ResultCode.NOT_READY:
+            return RejectedError(code, "", RETRY_AFTER_SECONDS)
+        return RejectedError(code, target)
 
     async def submit(self, job: Job, queue: Queue) -> None:
         """Store a job unless it is already known, or raise RejectedError.
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -70,7 +70,7 @@
         coroutine = serve_on_platform(settings, DecisionLog(name), stop)
         entry = EntryInstance(address, stop, asyncio.create_task(coroutine))
         self.entries.append(entry)
-        await self.wait_for(lambda: self._is_ready(entry))
+        await self.wait_for(lambda: self.is_ready(entry))
         return entry
 
     async def call(self, entry, method, path, body=None, key=API_KEY):
@@ -119,7 +119,8 @@
             if start[0].startswith(job)
         ]
 
-    async def _is_ready(self, entry):
+    async def is_ready(self, entry):
+        """Return whether an entry instance is ready for callers."""
         try:
             status, _ = await self.call(entry, "GET", "/baobablane/ready")
         except aiohttp.ClientError:
@@ -293,6 +294,31 @@
             status, _ = await deployment.call(entry, "GET", path, key=key)
             assert status == 503
 
+    async def test_no_job_is_accepted_after_a_newer_configuration_may_be_due(self):
+        limits = PlatformLimits(
+            key_withdrawal_seconds=1000.0, configuration_seconds=2.0
+        )
+        async with run_deployment(limits=limits) as deployment:
+            (entry,) = deployment.entries
+            platform = deployment.platform
+            platform.store.switches.unreadable_topics.add("keyed.op")
+            platform.write_config(2, ["new"])
+
+            statuses = []
+
+            async def is_rejected():
+                statuses.append(await deployment.submit(entry))
+                return statuses[-1] == 503
+
+            await deployment.wait_for(is_rejected)
+            assert set(statuses) == {200, 503}
+            platform.store.switches.unreadable_topics.clear()
+
+            async def is_denied():
+                return await deployment.submit(entry) == 401
+
+            await deployment.wait_for(is_denied)
+
 
 class TestFailures:
     """Test store outages, lost writes and responses, lost owners and restarts."""
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -97,7 +97,7 @@
         return JSONResponse(response)
 
     async def _read(self, request: Request) -> Response:
-        if self.store.switches.is_down:
+        if not self._is_readable(request):
             return Response(status_code=503)
         partition = self._partition(request)
         start = int(request.query_params["from"])
@@ -105,6 +105,8 @@
         if start < partition.first_offset:
             return JSONResponse({"first": partition.first_offset}, 410)
         await partition.wait_for_record(start, wait_seconds)
+        if not self._is_readable(request):
+            return Response(status_code=503)
         header = partition.end_offset.to_bytes(OFFSET_BYTES, "big")
         header += partition.first_offset.to_bytes(OFFSET_BYTES, "big")
         records = partition.records[start - partition.first_offset :]
@@ -112,7 +114,7 @@
         return self._send_page(header + b"".join(frames))
 
     async def _read_newest(self, request: Request) -> Response:
-        if self.store.switches.is_down:
+        if not self._is_readable(request):
             return Response(status_code=503)
         partition = self._partition(request)
         items = [
@@ -122,6 +124,11 @@
         page = {"items": items, "hasMore": False, "end": partition.end_offset}
         return self._send_page(msgspec.json.encode(page))
 
+    def _is_readable(self, request: Request) -> bool:
+        switches = self.store.switches
+        topic = request.query_params["topic"]
+        return not switches.is_down and topic not in switches.unreadable_topics
+
     def _send_page(self, body: bytes) -> Response:
         bandwidth = self.store.switches.read_bandwidth
         if bandwidth is None:
--- a/packages/baobablane/baobablane/deployment/_limits.py
+++ b/packages/baobablane/baobablane/deployment/_limits.py
@@ -11,6 +11,8 @@
     max_lease_seconds: float = 10.0
     # Maximum time from a key's withdrawal until every process rejects the key.
     key_withdrawal_seconds: float = 5.0
+    # Maximum time from a configuration's confirmation until it is in force everywhere.
+    configuration_seconds: float = 2.0
     # Minimum time between orders for one instance by two different owners.
     order_lease_seconds: float = 3.0
     # Maximum time that a process may take to stop after it is terminated.
