Judge readiness by arriving data and by what was read

Cause: an instance took the age of its view for a lost store. While a large configuration arrived, the view got older than 1.3 s, and the instance was not ready and rejected jobs as "the store is unreachable". And it was ready as soon as it had a configuration, while it rejected every job until its first read of the jobs. Change: the store counts as unreachable if no part of a successful response has arrived for 1.3 s; the age of the configuration limits readiness at the bound at which no job is accepted any more. Before the configuration, the jobs and the progress have each been read to their end, an instance is not ready. Result: three tests, failing before (`{200, 503} == {200}` in one, ready too early in two), pass.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -20,9 +20,12 @@
 KEY_MARGIN_SECONDS = 0.8
 # Covers the error of the clock.
 CONFIGURATION_MARGIN_SECONDS = 0.2
-# A read takes at most 0.45 s, so the age of a view is at most 0.9 s. If it is greater
-# than this, the store is unreachable, and callers should use other instances.
+# A read takes at most 0.45 s unless its response is large, so the age of a view is at
+# most 0.9 s. A view that is older than this may lack what others have read.
 MAX_VIEW_AGE_SECONDS = 1.3
+# If nothing arrives for longer than this, the store is unreachable, and callers should
+# use other instances.
+MAX_SILENCE_SECONDS = 1.3
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
 # A fault of the store, or of the connection to it, lasts for seconds at least.
@@ -54,10 +57,12 @@
 
     def is_ready(self) -> bool:
         """Return whether new callers should be routed to this instance."""
+        views = self._views
         return (
             not self.is_stopping
-            and self._views.configuration is not None
-            and self._views.operator_tail.age() < MAX_VIEW_AGE_SECONDS
+            and views.has_read_all()
+            and views.operator_tail.silence() < MAX_SILENCE_SECONDS
+            and views.operator_tail.age() < self._max_configuration_age_seconds
         )
 
     def configuration(
@@ -119,7 +124,7 @@
         if job.id in self._views.job_table.jobs_by_id:
             self._log_decision("job-known", job, queue.name)
             return
-        if self._views.jobs_tail.age() > MAX_VIEW_AGE_SECONDS:
+        if self._views.jobs_tail.silence() > MAX_SILENCE_SECONDS:
             # Nothing is sent to the store, so the job certainly will not run.
             self._log_decision(
                 "job-refused", job, queue.name, "the store is unreachable"
@@ -201,6 +206,6 @@
                 team=job.account,
                 queue=queue,
                 reason=reason,
-                seconds=self._views.jobs_tail.age(),
+                seconds=self._views.jobs_tail.silence(),
             )
         )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -53,6 +53,8 @@
         self._newest_end_offset: int | None = None
         self._is_reachable = True
         self._failed_reads = 0
+        # When a part of a successful response last arrived; -inf before the first.
+        self._data_at = float("-inf")
         # When the latest read that reached the end was sent; -inf before the first.
         self.confirmed_at = float("-inf")
 
@@ -65,6 +67,13 @@
         """Return the seconds since the view was last confirmed as complete."""
         return boot_seconds() - self.confirmed_at
 
+    def silence(self) -> float:
+        """Return the seconds since the store last sent a part of a response.
+
+        It is less than `age` while a large response arrives.
+        """
+        return boot_seconds() - self._data_at
+
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
@@ -90,7 +99,9 @@
             return 0
         requested_at = boot_seconds()
         try:
-            page = await self._store.read(self._topic, 0, start, wait_ms)
+            page = await self._store.read(
+                self._topic, 0, start, wait_ms, self._note_data
+            )
         except StoreExpiredError:
             self._log.info("topic-read-anew", topic=self._topic, offset=start)
             self._next_offset = None
@@ -132,6 +143,9 @@
             return
         self._on_record(record)
 
+    def _note_data(self) -> None:
+        self._data_at = boot_seconds()
+
     def _count_read(self, requested_at: float, size_bytes: int) -> None:
         metrics = self._log.metrics
         seconds = boot_seconds() - requested_at
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -1,6 +1,7 @@
 """Maintain this entry instance's views of the records in the store."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -75,6 +76,13 @@
         """Read new jobs without a pause while this process is the owner."""
         self.jobs_tail.pause_seconds = 0.0 if is_owner else READ_PAUSE_SECONDS
 
+    def has_read_all(self) -> bool:
+        """Return whether there is a configuration and all topics were read once."""
+        tails = (self.operator_tail, self.jobs_tail, self.progress_tail)
+        return self.configuration is not None and all(
+            math.isfinite(tail.confirmed_at) for tail in tails
+        )
+
     async def run(self) -> None:
         """Follow all topics until cancelled."""
         await asyncio.gather(
