Limit the stall of other reads whose responses grow

Change: `stall_timeout` limits the time without data, and these reads use it like those of the store. Calls with responses of bounded size (orders, renewals of leases, advice, appends) keep a total limit: their late answer would be of no use.

--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_instance_list.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_instance_list.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import msgspec
+from baobablane_platform import stall_timeout
 
 POLL_INTERVAL_SECONDS = 0.5
 TIMEOUT_SECONDS = 2.0
@@ -36,7 +37,7 @@
 
     async def run(self) -> None:
         """Poll until cancelled; a list that can't be read is not reported."""
-        timeout = aiohttp.ClientTimeout(total=TIMEOUT_SECONDS)
+        timeout = stall_timeout(TIMEOUT_SECONDS)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 unavailable = await self._read(session)
