Limit the bytes of an append of jobs

Cause: appends of accepted jobs were limited in records, 200, not in bytes. The store rejects a call of more than 2 MB as a whole, so some large jobs accepted at the same time would all be rejected. Callers would see: 503 for each of them, as often as they try together. Change: a batch ends before 256 KB, or holds a single larger record. Result: `test_no_append_exceeds_the_limit_of_the_store`: appends of 50 and 80 MB before for 200 records of 250 and 400 KB; passes now, as do the other tests of the folder.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -15,6 +15,9 @@
 # Records are batched: an append occupies the partition for some milliseconds, whatever
 # its size.
 MAX_RECORDS_PER_APPEND = 200
+# Well below the limit of the store for one call, and 0.2 s over 10 Mbit/s. A single
+# record may be larger.
+MAX_BYTES_PER_APPEND = 256_000
 # Maximum number of appends that wait for a response; more than one, so that a lost
 # response delays only the records of its own append.
 MAX_APPENDS_IN_FLIGHT = 8
@@ -76,8 +79,7 @@
     async def _start_append(self) -> None:
         if len(self._in_flight) >= MAX_APPENDS_IN_FLIGHT:
             await asyncio.wait(self._in_flight, return_when=asyncio.FIRST_COMPLETED)
-        batch = self._unsent[:MAX_RECORDS_PER_APPEND]
-        del self._unsent[:MAX_RECORDS_PER_APPEND]
+        batch = _take_batch(self._unsent)
         task = asyncio.get_running_loop().create_task(self._append(batch))
         self._in_flight.add(task)
         task.add_done_callback(self._in_flight.discard)
@@ -117,3 +119,16 @@
             # If the caller was cancelled, asyncio would otherwise log that nobody
             # retrieved the exception.
             future.exception()
+
+
+def _take_batch(unsent: list[KeyedRecord]) -> list[KeyedRecord]:
+    """Remove and return the records of the next append, of which there is one."""
+    count = size_bytes = 0
+    for record in unsent[:MAX_RECORDS_PER_APPEND]:
+        size_bytes += len(record.key) + len(record.value or b"")
+        if count and size_bytes > MAX_BYTES_PER_APPEND:
+            break
+        count += 1
+    batch = unsent[:count]
+    del unsent[:count]
+    return batch
