Add the time over the link to the time limits of appends

The first attempt of an append has 0.25 s in all, less than 160 KB need over 5 Mbit/s, and is then sent again from its first byte. Change: the time that the records take over this instance's link, by the platform's settings, is added to the time for the store's response. Result: `test_append_has_the_time_that_its_records_take_over_the_link` failed before and passes now.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -53,7 +53,7 @@
     settings: ProcessSettings, log: DecisionLog, stop: asyncio.Event
 ) -> None:
     """Serve until `stop` is set, then finish the requests in flight."""
-    store = StoreClient(settings.store_address)
+    store = StoreClient(settings.store_address, settings.link_mbit)
     views = Views(store, log)
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
