Read only the newest configuration after a backlog

Cause: an instance that couldn't reach the store read every configuration written meanwhile, one by one, though only the newest counts. While more are written, a slow link never catches up. Change: if a page of the operators' topic leaves two records or more unread, the newest of each key are read instead, as at a start, with a line `backlog-skipped`. Jobs and progress are still read one by one. Result: `test_superseded_records_are_not_read` read 12 of 12 records before, 2 now.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -18,6 +18,8 @@
 # view. A lost connection is detected within this time plus the timeout of the read.
 READ_WAIT_MS = 400
 READ_RETRY_SECONDS = 0.1
+# With fewer unread records, reading them is cheaper than reading the newest records.
+MIN_SKIPPED_RECORDS = 2
 
 
 class TopicTail:
@@ -34,12 +36,16 @@
         topic: str,
         on_record: Callable[[KeyedRecord], None],
         pause_seconds: float = 0.0,
+        skips_superseded: bool = False,
     ) -> None:
         """Follow partition 0, the only one of an unpartitioned topic.
 
         A read that found records is followed by a pause of `pause_seconds`, so that
-        many small changes take few calls.
+        many small changes take few calls. With `skips_superseded`, records of which a
+        page leaves several unread are not read one by one: only the newest of each key
+        is, so that a backlog takes no longer than a start.
         """
+        self._skips_superseded = skips_superseded
         self.pause_seconds = pause_seconds
         self._store = store
         self._log = log
@@ -113,6 +119,7 @@
                 self._apply(content)
         if self._next_offset is not None and self._next_offset >= page.end_offset:
             self.confirmed_at = max(self.confirmed_at, requested_at)
+        self._skip_superseded(page.end_offset)
         if not self._is_reachable:
             self._log_recovery(requested_at, page.size_bytes)
         return len(page.raw_records)
@@ -135,6 +142,19 @@
                 break
         self._next_offset, self._newest_end_offset = self._newest_end_offset, None
 
+    def _skip_superseded(self, end_offset: int) -> None:
+        if not self._skips_superseded or self._next_offset is None:
+            return
+        unread_count = end_offset - self._next_offset
+        if unread_count >= MIN_SKIPPED_RECORDS:
+            self._log.info(
+                "backlog-skipped",
+                topic=self._topic,
+                offset=self._next_offset,
+                records=unread_count,
+            )
+            self._next_offset = None
+
     def _apply(self, content: bytes) -> None:
         try:
             record = decode_record(content)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -59,7 +59,11 @@
         self.owner_heartbeat: OwnerHeartbeat | None = None
         self.job_table = JobTable()
         self.operator_tail = TopicTail(
-            store, log, OPERATOR_TOPIC, self._on_operator_record
+            store,
+            log,
+            OPERATOR_TOPIC,
+            self._on_operator_record,
+            skips_superseded=True,
         )
         self.jobs_tail = TopicTail(
             store, log, JOBS_TOPIC, self._on_job_record, READ_PAUSE_SECONDS
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -75,6 +75,66 @@
         assert store.read_starts[0] == 7
 
 
+class RecordStore:
+    """Return one record with each read, and the newest of the only key."""
+
+    def __init__(self, record_count):
+        """Store records whose values are their offsets."""
+        self.record_count = record_count
+        self.read_starts = []
+
+    async def read_newest(self, topic, partition, after):
+        """Return the newest record, or none if nothing was appended."""
+        records = []
+        if self.record_count:
+            value = str(self.record_count - 1).encode()
+            records.append(KeyedRecord("config", value))
+        return NewestPage(self.record_count, records, None)
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return one record, or none at the end."""
+        self.read_starts.append(start)
+        records = []
+        if start < self.record_count:
+            records.append(b"\x06config" + str(start).encode())
+        return RecordPage(self.record_count, 0, records)
+
+
+class TestBacklog:
+    """Test a view that is several records behind."""
+
+    @pytest.mark.parametrize("skips, values", [(True, [0, 11]), (False, range(12))])
+    async def test_superseded_records_are_not_read(self, skips, values):
+        store = RecordStore(0)
+        read_values = []
+        tail = TopicTail(
+            store,
+            DecisionLog("entry-1"),
+            "keyed.op",
+            lambda record: read_values.append(int(record.value)),
+            skips_superseded=skips,
+        )
+        await tail.catch_up()
+        store.record_count = 12
+        await tail.catch_up()
+        assert read_values == list(values)
+
+    async def test_one_superseded_record_is_read(self):
+        store = RecordStore(0)
+        read_values = []
+        tail = TopicTail(
+            store,
+            DecisionLog("entry-1"),
+            "keyed.op",
+            lambda record: read_values.append(int(record.value)),
+            skips_superseded=True,
+        )
+        await tail.catch_up()
+        store.record_count = 2
+        await tail.catch_up()
+        assert (read_values, store.read_starts) == ([0, 1], [0, 0, 1])
+
+
 class TestLog:
     """Test that the log tells why and for how long a topic could not be read."""
 
