Answer a query for an unknown job within the callers' time

Cause: a query for an unknown job reads the jobs first. Since reads have no total time limit any more, that could last as long as the data trickles in, until the caller's deadline. Change: such a query waits 1 s for the read, then gets 503 with Retry-After.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -1,5 +1,6 @@
 """Carry out callers' requests: submit, query and cancel jobs."""
 
+import asyncio
 import math
 
 from baobablane.deployment import Configuration, Queue
@@ -28,6 +29,8 @@
 MAX_SILENCE_SECONDS = 1.3
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
+# Callers wait 3 s in all, and may get an answer from another instance within the rest.
+CATCH_UP_TIMEOUT_SECONDS = 1.0
 # A fault of the store, or of the connection to it, lasts for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
 
@@ -192,8 +195,9 @@
 
     async def _catch_up(self) -> None:
         try:
-            await self._views.jobs_tail.catch_up()
-        except StoreError as error:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+                await self._views.jobs_tail.catch_up()
+        except (StoreError, TimeoutError) as error:
             raise RejectedError(
                 ResultCode.VIEW_NOT_CONFIRMED, "", RETRY_AFTER_SECONDS
             ) from error
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -294,6 +294,15 @@
             await deployment.wait_for(is_in_force)
             assert statuses == {200}
 
+    async def test_query_is_not_held_until_a_slow_read_ends(self):
+        async with run_deployment() as deployment:
+            (entry,) = deployment.entries
+            # The record takes 20 s.
+            deployment.platform.store.switches.read_bandwidth = 5_000
+            deployment.platform.store.put("keyed.jobs", "other", b"v" * 100_000)
+            status, _ = await deployment.call(entry, "GET", PATH_PREFIX + JOB)
+            assert status == 503
+
 
 class TestReadiness:
     """Test when an entry instance asks for callers."""
