--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -29,7 +29,7 @@
 MAX_SILENCE_SECONDS = 1.3
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
-# Callers wait 3 s in all, and may get an answer from another instance within the rest.
+# Callers wait for 3 s, so after a rejection they have time to try another instance.
 CATCH_UP_TIMEOUT_SECONDS = 1.0
 # A fault of the store, or of the connection to it, lasts for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
@@ -49,7 +49,7 @@
         self._max_key_view_age_seconds = (
             settings.limits.key_withdrawal_seconds - KEY_MARGIN_SECONDS
         )
-        # A configuration that is confirmed after the view was is not yet due this long.
+        # Until a view is older than this, no configuration that it lacks is due.
         self._max_configuration_age_seconds = (
             settings.limits.configuration_seconds - CONFIGURATION_MARGIN_SECONDS
         )
@@ -79,14 +79,14 @@
         """
         configuration = self._views.configuration
         if configuration is None:
-            raise self._log_denial(ResultCode.NOT_READY, target, math.inf)
+            raise self._make_denial(ResultCode.NOT_READY, target, math.inf)
         max_age_seconds = min(
             self._max_key_view_age_seconds if checks_keys else math.inf,
             self._max_configuration_age_seconds if accepts_job else math.inf,
         )
         age = self._views.operator_tail.age()
         if age > max_age_seconds:
-            raise self._log_denial(ResultCode.VIEW_NOT_CONFIRMED, target, age)
+            raise self._make_denial(ResultCode.VIEW_NOT_CONFIRMED, target, age)
         return configuration
 
     def deny(self, code: ResultCode, target: str) -> RejectedError:
@@ -99,9 +99,9 @@
         age = self._views.operator_tail.age()
         if age > MAX_VIEW_AGE_SECONDS:
             code = ResultCode.VIEW_NOT_CONFIRMED
-        return self._log_denial(code, target, age)
+        return self._make_denial(code, target, age)
 
-    def _log_denial(self, code: ResultCode, target: str, age: float) -> RejectedError:
+    def _make_denial(self, code: ResultCode, target: str, age: float) -> RejectedError:
         configuration = self._views.configuration
         version = configuration.version if configuration else None
         self._log.write(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_clock.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_clock.py
@@ -15,7 +15,7 @@
 
 
 def loggable_age(seconds: float) -> float | None:
-    """Return an age in milliseconds' precision, or None for that of a missing view.
+    """Return an age rounded to milliseconds, or None if it is infinite.
 
     JSON has no infinity.
     """
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -122,7 +122,7 @@
 
 
 def _take_batch(unsent: list[KeyedRecord]) -> list[KeyedRecord]:
-    """Remove and return the records of the next append, of which there is one."""
+    """Remove and return the records of the next append, at least one."""
     count = size_bytes = 0
     for record in unsent[:MAX_RECORDS_PER_APPEND]:
         size_bytes += len(record.key) + len(record.value or b"")
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -41,9 +41,9 @@
         """Follow partition 0, the only one of an unpartitioned topic.
 
         A read that found records is followed by a pause of `pause_seconds`, so that
-        many small changes take few calls. With `skips_superseded`, records of which a
-        page leaves several unread are not read one by one: only the newest of each key
-        is, so that a backlog takes no longer than a start.
+        many small changes take few calls. With `skips_superseded`, if a page leaves
+        several records unread, only the newest of each key is read, so that a backlog
+        takes no longer than a start.
         """
         self._skips_superseded = skips_superseded
         self.pause_seconds = pause_seconds
