--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -100,39 +100,33 @@
         return RecordPage(self.record_count, 0, records)
 
 
+async def read_backlog(record_count, skips_superseded):
+    """Catch up, then again after appends; return the values and the reads' starts."""
+    store = RecordStore(0)
+    values = []
+    tail = TopicTail(
+        store,
+        DecisionLog("entry-1"),
+        "keyed.op",
+        lambda record: values.append(int(record.value)),
+        skips_superseded=skips_superseded,
+    )
+    await tail.catch_up()
+    store.record_count = record_count
+    await tail.catch_up()
+    return values, store.read_starts
+
+
 class TestBacklog:
     """Test a view that is several records behind."""
 
-    @pytest.mark.parametrize("skips, values", [(True, [0, 11]), (False, range(12))])
-    async def test_superseded_records_are_not_read(self, skips, values):
-        store = RecordStore(0)
-        read_values = []
-        tail = TopicTail(
-            store,
-            DecisionLog("entry-1"),
-            "keyed.op",
-            lambda record: read_values.append(int(record.value)),
-            skips_superseded=skips,
-        )
-        await tail.catch_up()
-        store.record_count = 12
-        await tail.catch_up()
-        assert read_values == list(values)
+    @pytest.mark.parametrize("skips, expected", [(True, [0, 11]), (False, range(12))])
+    async def test_superseded_records_are_not_read(self, skips, expected):
+        values, _ = await read_backlog(12, skips)
+        assert values == list(expected)
 
     async def test_one_superseded_record_is_read(self):
-        store = RecordStore(0)
-        read_values = []
-        tail = TopicTail(
-            store,
-            DecisionLog("entry-1"),
-            "keyed.op",
-            lambda record: read_values.append(int(record.value)),
-            skips_superseded=True,
-        )
-        await tail.catch_up()
-        store.record_count = 2
-        await tail.catch_up()
-        assert (read_values, store.read_starts) == ([0, 1], [0, 0, 1])
+        assert await read_backlog(2, True) == ([0, 1], [0, 0, 1])
 
 
 class TestLog:
