Reject jobs that no owner could hold or record

Cause: decode_job_request took any integer. A job of 89 bytes with 10^9 occurrences that are all due was stored and answered with 200; each owner then opened every occurrence until its memory was exhausted, so nothing was placed any more. Negative resources, 10^18 of anything, specs over the platform's 4,000 bytes and 45,000 predecessor links were accepted too (a check of the old decoder: "accepted" in all five cases), and a body nested 100,000 deep raised RecursionError. A body was read whole whatever its size, and a job larger than the store's limit for a record failed the append, and with it the other jobs of the batch.

Change: check_job names a range for each field, for the tasks of an occurrence (what fits in one record of progress), for all tasks and for all predecessors. The adapter translates the field's name, so the answer (status 400, result 220) has the field, the value and the range before anything is stored.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -53,6 +53,7 @@
         self._max_configuration_age_seconds = (
             settings.limits.configuration_seconds - CONFIGURATION_MARGIN_SECONDS
         )
+        self._max_record_bytes = settings.limits.max_record_bytes
         self._views = views
         self._job_writer = job_writer
         self._log = log
@@ -133,9 +134,15 @@
                 "job-refused", job, queue.name, "the store is unreachable"
             )
             raise RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
+        record = KeyedRecord(job.id, encode_job(job))
+        if record.size_bytes() > self._max_record_bytes:
+            # The store would reject it together with the other records of its append.
+            detail = f"the job takes {record.size_bytes()} bytes to store"
+            self._log_decision("job-refused", job, queue.name, detail)
+            raise RejectedError(ResultCode.BODY_TOO_LARGE, detail)
         try:
             with self._log.metrics.accept_seconds.time():
-                await self._job_writer.write(KeyedRecord(job.id, encode_job(job)))
+                await self._job_writer.write(record)
         except StoreRejectedError as error:
             self._log_decision("job-refused", job, queue.name, str(error))
             raise RejectedError(
--- a/packages/baobablane/baobablane/deployment/_limits.py
+++ b/packages/baobablane/baobablane/deployment/_limits.py
@@ -25,3 +25,5 @@
     # Maximum time for which other tasks may keep a serving task above its target
     # latency.
     interference_seconds: float = 4.0
+    # Maximum size of one record of the store in bytes, with its key.
+    max_record_bytes: int = 262_144
--- a/packages/baobablane/baobablane/errors/_error.py
+++ b/packages/baobablane/baobablane/errors/_error.py
@@ -78,3 +78,25 @@
         self.code = code
         self.retry_after_seconds = retry_after_seconds
         super().__init__(detail)
+
+
+class JobLimitError(BaobablaneError, ValueError):
+    """Report a field of a job that is out of its range."""
+
+    code = ResultCode.FIELD_OUT_OF_RANGE
+
+    def __init__(
+        self, field: str, value: int, minimum: int, maximum: int, unit: str = ""
+    ) -> None:
+        """Store the range, which includes both ends; `unit` says what is counted."""
+        self.field = field
+        self.value = value
+        self.minimum = minimum
+        self.maximum = maximum
+        self.unit = unit
+        amount = f"{value} {unit}" if unit else str(value)
+        super().__init__(f"{field}: {amount} is not in {minimum} to {maximum}")
+
+    def with_field(self, field: str) -> "JobLimitError":
+        """Return the same error for a field under another name."""
+        return JobLimitError(field, self.value, self.minimum, self.maximum, self.unit)
--- a/packages/baobablane/baobablane/errors/_result_code.py
+++ b/packages/baobablane/baobablane/errors/_result_code.py
@@ -33,6 +33,7 @@
     DEFERRED_NOT_ALLOWED = 217
     NOT_STARTED = 218
     KEY_REUSED = 219
+    FIELD_OUT_OF_RANGE = 220
     CONNECTION_LOST = 300
     TIMEOUT = 301
     ANSWER_CROSSED = 302
@@ -43,6 +44,8 @@
     ANSWER_NOT_KEPT = 307
     # An earlier request may have run under the key while the key was valid.
     KEY_VALIDITY_PASSED = 308
+    # An unexpected error; the request may have taken effect before it.
+    INTERNAL_ERROR = 309
     INPUT_INVALID = 400
     CHANGE_CONFLICT = 401
     OPERATOR_LOG_UNAVAILABLE = 402
@@ -112,6 +115,9 @@
     ResultCode.KEY_REUSED: ResultDescription(
         422, "the idempotency key belongs to another request", False
     ),
+    ResultCode.FIELD_OUT_OF_RANGE: ResultDescription(
+        400, "a field is out of its range", False
+    ),
     ResultCode.CONNECTION_LOST: ResultDescription(
         502, "the connection to the upstream was lost", False
     ),
@@ -136,6 +142,7 @@
     ResultCode.ANSWER_NOT_KEPT: ResultDescription(
         410, "the request is done, but its answer was not kept", False
     ),
+    ResultCode.INTERNAL_ERROR: ResultDescription(500, "an unexpected error", True),
     ResultCode.INPUT_INVALID: ResultDescription(400, "the input is invalid", False),
     ResultCode.CHANGE_CONFLICT: ResultDescription(
         409, "another change came first", False
--- a/packages/baobablane/baobablane/jobs/__init__.py
+++ b/packages/baobablane/baobablane/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Re-export jobs, their steps and tasks, and their progress."""
 
+from ._check_job import MAX_TASKS_PER_OCCURRENCE, check_job
 from ._codec import decode_job, decode_progress, encode_job, encode_progress
 from ._job import Job
 from ._job_state import JobState
@@ -10,6 +11,7 @@
 from ._task_id import TaskId
 
 __all__ = [
+    "MAX_TASKS_PER_OCCURRENCE",
     "Job",
     "JobProgress",
     "JobState",
@@ -18,6 +20,7 @@
     "Task",
     "TaskId",
     "TaskState",
+    "check_job",
     "decode_job",
     "decode_progress",
     "encode_job",
