Set a job apart on which work raises, and open occurrences as room allows

Cause: any exception while a job was added, ordered, placed, recorded or found in a report left the scheduler, ended the owner and with it the process; the job is stored, so each next owner met it again. open_due_occurrences opened every due occurrence in one loop, and the record of progress grew with each of them.

Change: each step of work on one job catches its error, frees room that was reserved and not recorded, and sets the job apart with one line (job-set-apart, id, error); its runs are left alone, and a cancellation stops them. A record of the earlier format is resumed. An owner checks the limits of stored jobs too.

--- a/packages/baobablane/baobablane/jobs/_progress.py
+++ b/packages/baobablane/baobablane/jobs/_progress.py
@@ -12,3 +12,5 @@
     state: JobState = JobState.PENDING
     # The key is "occurrence.step.position", as in TaskId.
     tasks: dict[str, Task] = {}
+    # All tasks of the occurrences before this one are done, and are left out.
+    first_open: int = 0
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -2,9 +2,21 @@
 
 from collections.abc import Iterator
 
-from ..jobs import Job, JobProgress, JobState, Task, TaskId, TaskState
+from ..jobs import (
+    MAX_TASKS_PER_OCCURRENCE,
+    Job,
+    JobProgress,
+    JobState,
+    Task,
+    TaskId,
+    TaskState,
+)
 from ._step_run import StepRun
 
+# No more occurrences are opened while more tasks than this would be open, so that the
+# record of a job's progress stays as small as that of one occurrence.
+MAX_OPEN_TASKS = MAX_TASKS_PER_OCCURRENCE
+
 
 class JobRun:
     """Track the steps of the occurrences of a job that have become due."""
@@ -15,25 +27,41 @@
         self.state = progress.state if progress else JobState.PENDING
         self.added_at = added_at
         self.steps: dict[tuple[int, int], StepRun] = {}
-        self._opened = 0
+        # Occurrences before `_first_open` are done; from `_opened` on, none is open.
+        self._first_open = progress.first_open if progress else 0
+        self._opened = self._first_open
+        self._tasks_per_occurrence = sum(step.count for step in job.steps)
         self.declared_critical_path_ms = self._critical_path_ms(done=frozenset())
         for key, task in (progress.tasks if progress else {}).items():
-            occurrence, step, index = map(int, key.split("."))
-            self._open_until(occurrence + 1)
-            self.steps[(occurrence, step)].restore(index, task)
+            self._restore(key, task)
+        self.close_ended_occurrences()
 
     def occurrences(self) -> int:
         """Return the number of occurrences of the job."""
         return max(1, self.job.occurrences)
 
     def open_due_occurrences(self, unix_ms: int) -> None:
-        """Create the steps of the occurrences that have become due."""
+        """Create the steps of the due occurrences, as far as MAX_OPEN_TASKS allows.
+
+        At least one occurrence is open.
+        """
         while (
             self._opened < self.occurrences()
             and self.job.due_ms(self._opened) <= unix_ms
+            and self._may_open_another()
         ):
             self._open_until(self._opened + 1)
 
+    def close_ended_occurrences(self) -> None:
+        """Drop the steps of the leading occurrences of which every task is done."""
+        while self._first_open < self._opened and all(
+            self.steps[(self._first_open, number)].is_done()
+            for number in range(len(self.job.steps))
+        ):
+            for number in range(len(self.job.steps)):
+                del self.steps[(self._first_open, number)]
+            self._first_open += 1
+
     def next_due_ms(self) -> int | None:
         """Return the next occurrence's due time in Unix ms, or None after the last."""
         if self._opened >= self.occurrences():
@@ -46,14 +74,21 @@
             if step_run.waiting and self._are_predecessors_done(step_run):
                 yield step_run
 
+    def has_started(self) -> bool:
+        """Return whether any task was started."""
+        return self._first_open > 0 or any(
+            step_run.tasks for step_run in self.steps.values()
+        )
+
     def is_complete(self) -> bool:
         """Return whether every task of every occurrence is done."""
-        return self._opened >= self.occurrences() and all(
-            step_run.is_done() for step_run in self.steps.values()
-        )
+        return self._first_open >= self.occurrences()
 
     def find_task(self, task: TaskId) -> tuple[StepRun, Task] | None:
-        """Return a task's step and progress, or None if the job has no such task."""
+        """Return a task's step and progress, or None if its occurrence is not open.
+
+        Also return None if the job has no such task.
+        """
         step_run = self.steps.get((task.occurrence, task.step))
         if step_run is None or not 0 <= task.position < step_run.step.count:
             return None
@@ -73,7 +108,7 @@
             for index, task in step_run.tasks.items()
             if task.run
         }
-        return JobProgress(self.state, tasks)
+        return JobProgress(self.state, tasks, self._first_open)
 
     def declared_core_seconds(self) -> float:
         """Return one occurrence's declared core-seconds, except long-running tasks."""
@@ -133,6 +168,22 @@
             for predecessor in step_run.step.after
         )
 
+    def _may_open_another(self) -> bool:
+        open_occurrences = self._opened - self._first_open
+        open_tasks = (open_occurrences + 1) * self._tasks_per_occurrence
+        return open_occurrences == 0 or open_tasks <= MAX_OPEN_TASKS
+
+    def _restore(self, key: str, task: Task) -> None:
+        occurrence, step, index = _parse_task_key(key)
+        if (
+            not self._first_open <= occurrence < self.occurrences()
+            or occurrence - self._first_open > MAX_OPEN_TASKS
+            or not 0 <= step < len(self.job.steps)
+        ):
+            raise ValueError(f"the job has no open task {key!r}")
+        self._open_until(occurrence + 1)
+        self.steps[(occurrence, step)].restore(index, task)
+
     def _open_until(self, occurrences: int) -> None:
         for occurrence in range(self._opened, occurrences):
             for number in range(len(self.job.steps)):
@@ -141,6 +192,14 @@
         self._opened = max(self._opened, occurrences)
 
 
+def _parse_task_key(key: str) -> tuple[int, int, int]:
+    parts = key.split(".")
+    if len(parts) != 3 or not all(part.isdecimal() for part in parts):
+        raise ValueError(f"malformed key of a task: {key!r}")
+    occurrence, step, index = map(int, parts)
+    return occurrence, step, index
+
+
 def _recorded_task(task: Task) -> Task:
     if task.state is TaskState.DONE:
         return Task(TaskState.DONE, task.run)
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -1,5 +1,7 @@
 """Decide which tasks start now, and where."""
 
+from dataclasses import dataclass, field
+
 from ..deployment import Resources
 from ..jobs import TaskState
 from ._full_pools import FullPools
@@ -12,6 +14,18 @@
 from ._urgency import urgency_key
 
 
+@dataclass(slots=True)
+class _RoundRoom:
+    """Hold the upstreams of each pool that take tasks in this round."""
+
+    usable: dict[str, list[Upstream]]
+    # Without those that are ejected.
+    healthy: dict[str, list[Upstream]]
+    full: FullPools = field(default_factory=FullPools)
+    # Pools in which an upstream is reserved for a long-running task.
+    reserved_pools: set[str] = field(default_factory=set)
+
+
 def plan_starts(state: SchedulerState, now: float, unix_ms: int) -> list[StartOrder]:
     """Return the starts that fit now, and count their resources as used.
 
@@ -26,36 +40,41 @@
             if not state.ejections.is_ejected(upstream.id, now):
                 healthy.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
-    full = FullPools()
-    # Pools in which an upstream is reserved for a long-running task.
-    reserved_pools: set[str] = set()
+    room = _RoundRoom(usable, healthy)
     state.advice.clear_pending()
     for job_run in _jobs_by_urgency(state, unix_ms):
-        pool = state.pool_of(job_run)
-        for step_run in list(job_run.startable_steps()):
-            if full.has_no_room_for(pool, step_run.step):
-                continue
-            if pool in healthy:
-                candidates = _advised_candidates(state, step_run, healthy[pool], now)
-                orders += _plan_step(state, step_run, candidates, now)
-                if step_run.waiting and state.usage.allows(
-                    job_run.job.account, step_run.step.needs
-                ):
-                    full.record_no_room(pool, step_run.step)
-            # Without a healthy upstream, an ejected one is better than none. A
-            # long-running task may always use one, because its failed attempts are not
-            # limited.
-            is_stuck = step_run.step.is_lasting and step_run.waiting
-            if pool in usable and (pool not in healthy or is_stuck):
-                candidates = _advised_candidates(state, step_run, usable[pool], now)
-                orders += _plan_step(state, step_run, candidates, now)
-            if (
-                step_run.step.is_lasting
-                and step_run.waiting
-                and pool not in reserved_pools
+        try:
+            orders += _plan_job(state, job_run, room, now)
+        except Exception as error:
+            state.set_apart(job_run.job.id, error)
+    return orders
+
+
+def _plan_job(
+    state: SchedulerState, job_run: JobRun, room: _RoundRoom, now: float
+) -> list[StartOrder]:
+    orders: list[StartOrder] = []
+    pool = state.pool_of(job_run)
+    usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
+    for step_run in list(job_run.startable_steps()):
+        if room.full.has_no_room_for(pool, step_run.step):
+            continue
+        if healthy:
+            candidates = _advised_candidates(state, step_run, healthy, now)
+            orders += _plan_step(state, step_run, candidates, now)
+            if step_run.waiting and state.usage.allows(
+                job_run.job.account, step_run.step.needs
             ):
-                reserved_pools.add(pool)
-                _reserve_upstream(step_run, healthy.get(pool, []), usable.get(pool, []))
+                room.full.record_no_room(pool, step_run.step)
+        # Without a healthy upstream, an ejected one is better than none. A long-running
+        # task may always use one, because its failed attempts are not limited.
+        is_stuck = step_run.step.is_lasting and bool(step_run.waiting)
+        if usable and (pool not in room.healthy or is_stuck):
+            candidates = _advised_candidates(state, step_run, usable, now)
+            orders += _plan_step(state, step_run, candidates, now)
+        if is_stuck and step_run.waiting and pool not in room.reserved_pools:
+            room.reserved_pools.add(pool)
+            _reserve_upstream(step_run, healthy, usable)
     return orders
 
 
@@ -97,22 +116,34 @@
 
 def _jobs_by_urgency(state: SchedulerState, unix_ms: int) -> list[JobRun]:
     keyed = []
-    for job_run in state.jobs.values():
-        if job_run.state.is_final():
+    for job_run in list(state.jobs.values()):
+        try:
+            key = _job_key(state, job_run, unix_ms)
+        except Exception as error:
+            state.set_apart(job_run.job.id, error)
             continue
-        job_run.open_due_occurrences(unix_ms)
-        if next(job_run.startable_steps(), None) is None:
-            continue
-        job = job_run.job
-        queue = state.configuration.queues_by_name.get(job.queue)
-        key = urgency_key(
-            job_run, queue, unix_ms, state.usage.cores_per_weight(job.account)
-        )
-        keyed.append((key, job.id, job_run))
+        if key is not None:
+            keyed.append((key, job_run.job.id, job_run))
     keyed.sort()
     return [job_run for _, _, job_run in keyed]
 
 
+def _job_key(
+    state: SchedulerState, job_run: JobRun, unix_ms: int
+) -> tuple[float, float, float, float] | None:
+    """Return a job's urgency, or None if no step of it can start."""
+    if job_run.state.is_final():
+        return None
+    job_run.open_due_occurrences(unix_ms)
+    if next(job_run.startable_steps(), None) is None:
+        return None
+    job = job_run.job
+    queue = state.configuration.queues_by_name.get(job.queue)
+    return urgency_key(
+        job_run, queue, unix_ms, state.usage.cores_per_weight(job.account)
+    )
+
+
 def _plan_step(
     state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
 ) -> list[StartOrder]:
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -23,11 +23,17 @@
     for ended in report.ended:
         if ended.end_number > upstream.applied_end:
             upstream.applied_end = ended.end_number
-            _apply_end(state, upstream, ended, now)
+            try:
+                _apply_end(state, upstream, ended, now)
+            except Exception as error:
+                state.set_apart(ended.task.job, error)
     listed = {row.task for row in report.running}
     upstream.orphan_runs = {}
     for row in report.running:
-        _apply_running(state, upstream, row, now)
+        try:
+            _apply_running(state, upstream, row, now)
+        except Exception as error:
+            state.set_apart(row.task.job, error)
     for task, run in list(upstream.runs.items()):
         if task in listed:
             continue
@@ -90,6 +96,7 @@
     state.dirty_jobs.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
         _finish_task(step_run, ended.task, task)
+        job_run.close_ended_occurrences()
         if job_run.is_complete():
             state.finish_job(job_run, JobState.COMPLETED, "all tasks done")
         return
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 from ..deployment import Configuration, UpstreamEntry
-from ..jobs import Job, JobProgress, JobState
+from ..jobs import Job, JobProgress, JobState, check_job
 from ._advice import AdviceRequest
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
@@ -47,9 +47,20 @@
         self.state.usage.set_accounts(configuration.accounts_by_name)
 
     def add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
-        """Schedule a job, resuming from its recorded progress if there is any."""
-        if job.id in self.state.jobs:
+        """Schedule a job, resuming from its recorded progress if there is any.
+
+        If that raises an error, the job is set apart: a job is stored, so an error that
+        ended this owner would end each later one too.
+        """
+        if job.id in self.state.jobs or job.id in self.state.errors_by_job:
             return
+        try:
+            self._add_job(job, progress, now)
+        except Exception as error:
+            self.state.set_apart(job.id, error)
+
+    def _add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
+        check_job(job)
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
         pool = self.state.pool_of(job_run)
@@ -64,6 +75,8 @@
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended, so that its runs are stopped."""
+        # Without this entry, runs of an unknown job are stopped.
+        self.state.errors_by_job.pop(job_id, None)
         job_run = self.state.jobs.get(job_id)
         if job_run is not None:
             self.state.finish_job(
@@ -253,16 +266,17 @@
     def pop_dirty_progress(self) -> dict[str, JobProgress]:
         """Return the progress of the jobs that changed since the previous call."""
         changed: dict[str, JobProgress] = {}
-        for job_id in self.state.dirty_jobs:
+        dirty_jobs, self.state.dirty_jobs = self.state.dirty_jobs, set()
+        for job_id in dirty_jobs:
             job_run = self.state.jobs.get(job_id)
             if job_run is None:
                 continue
-            if job_run.state is JobState.PENDING and any(
-                step_run.tasks for step_run in job_run.steps.values()
-            ):
-                job_run.state = JobState.RUNNING
-            changed[job_id] = job_run.progress()
-        self.state.dirty_jobs.clear()
+            try:
+                if job_run.state is JobState.PENDING and job_run.has_started():
+                    job_run.state = JobState.RUNNING
+                changed[job_id] = job_run.progress()
+            except Exception as error:
+                self.state.set_apart(job_id, error)
         return changed
 
     def applied_ends(self) -> list[tuple[Upstream, int]]:
--- a/packages/baobablane/baobablane/scheduling/_stalls.py
+++ b/packages/baobablane/baobablane/scheduling/_stalls.py
@@ -17,7 +17,9 @@
 def should_stop(state: SchedulerState, run: Run) -> bool:
     """Return whether a run is unwanted, stalled or evicted."""
     job_run = state.jobs.get(run.task.job)
-    if job_run is None or job_run.state.is_final():
+    if job_run is None:
+        return run.task.job not in state.errors_by_job
+    if job_run.state.is_final() or job_run.find_task(run.task) is None:
         return True
     return (
         run.needs_stop or run.is_stalled or run.is_evicted or is_superseded(state, run)
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -44,6 +44,9 @@
         # When a report of any upstream last showed that a start or its response had
         # been lost.
         self.last_message_loss_at = float("-inf")
+        # Jobs on which work raised an error, with its description. They are not placed,
+        # and their runs are left alone.
+        self.errors_by_job: dict[str, str] = {}
         # How many runs were requeued, by reason.
         self.requeued_by_reason: dict[str, int] = defaultdict(int)
 
@@ -121,6 +124,20 @@
         ]
         return self.ejections.record_failure(upstream.id, upstreams_in_pool, now)
 
+    def set_apart(self, job_id: str, error: Exception) -> None:
+        """Stop all work on a job after an unexpected error, so that others go on.
+
+        A run without a number was never recorded, so its room is freed.
+        """
+        self.errors_by_job[job_id] = repr(error)
+        self.jobs.pop(job_id, None)
+        self.dirty_jobs.discard(job_id)
+        for upstream in self.upstreams.values():
+            for task, run in list(upstream.runs.items()):
+                if task.job == job_id and not run.number:
+                    self.remove_run(upstream, task)
+        self.events.append(SchedulingEvent("job-set-apart", job_id, reason=repr(error)))
+
     def finish_job(self, job_run: JobRun, state: JobState, reason: str) -> None:
         """Set a job's final state, unless it has one."""
         if job_run.state.is_final():
