Let no malformed record, row or unexpected error end a process

Cause: an exception in a read of the store, an order, a poll, the instance planning or a round of the owner ended the owner, its tasks or the process; wave/ and order/ records with a bad number, rows of a report with a numeric task name, an unknown state of an instance and values that are not base64 were such. An error while a job was appended left its caller without an answer.

Change: records and rows are decoded one by one and skipped with a line that has key or row and reason; a tail, poller and instance manager go on after an unexpected error; a start that raised counts as unknown; an owner that fails gives up the ownership, claims none for 6 s, and goes on serving callers; a request that raises gets 500 with result 309. Each such error is one line with the place that raised it, and counts in baobablane_unexpected_errors.

test_malformed_rows_raise_only_expected_errors is replaced: it asked that one malformed row makes the whole report unusable. Its three rows and two more are now checked to be left out and named while the other rows are kept, and hypothesis feeds arbitrary rows and documents to every decoder of stored and received data.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -77,6 +77,7 @@
             actions.state,
             actions.cancel,
             actions.pending_count,
+            actions.report_error,
         )
     )
     addresses = {settings.callers_address, settings.ready_address}
@@ -127,7 +128,14 @@
     while True:
         changed = ownership.changed
         if ownership.epoch is not None:
-            await Owner(store, views, ownership, log, settings, ownership.epoch).run()
+            try:
+                await Owner(
+                    store, views, ownership, log, settings, ownership.epoch
+                ).run()
+            except Exception as error:
+                # Callers are still served, and another instance becomes the owner.
+                log.error("owner-failed", error, epoch=ownership.epoch)
+                ownership.end_after_error()
         else:
             await changed.wait()
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -200,6 +200,10 @@
         """Return how many of a queue's jobs are pending, except periodic ones."""
         return self._views.job_table.pending_count(queue)
 
+    def report_error(self, error: Exception, path: str) -> None:
+        """Log an unexpected error in a request."""
+        self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
+
     async def _catch_up(self) -> None:
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -103,6 +103,11 @@
                 await asyncio.sleep(READ_BACK_SECONDS)
                 if not any(record.key in self._futures_by_key for record in batch):
                     return
+            except Exception as failure:
+                # Otherwise, the callers would wait for as long as they can.
+                error = StoreUnknownOutcomeError(f"unexpected error: {failure!r}")
+                may_be_stored = True
+                break
         if error is not None and may_be_stored:
             error = StoreUnknownOutcomeError(f"append has unknown outcome: {error}")
         for record in batch:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -89,6 +89,10 @@
             except StoreError as error:
                 self._log_failure(error)
                 await asyncio.sleep(READ_RETRY_SECONDS)
+            except Exception as error:
+                # The view gets old, and then rejects what it can't answer.
+                self._log.error("read-failed", error, topic=self._topic)
+                await asyncio.sleep(READ_RETRY_SECONDS)
 
     async def catch_up(self) -> None:
         """Read everything stored so far, or raise a StoreError."""
@@ -135,8 +139,10 @@
                 # Pages are not one snapshot, so reads continue from the end offset of
                 # the first one.
                 self._newest_end_offset = page.end_offset
+            for key in page.malformed_keys:
+                self._log_skipped(key, "the value is not in base64")
             for record in page.records:
-                self._on_record(record)
+                self._pass_on(record)
             self._newest_last_key = page.continuation_key
             if page.continuation_key is None:
                 break
@@ -159,9 +165,19 @@
         try:
             record = decode_record(content)
         except (IndexError, UnicodeError) as error:
-            self._log.info("record-skipped", topic=self._topic, reason=repr(error))
+            self._log_skipped("", repr(error))
             return
-        self._on_record(record)
+        self._pass_on(record)
+
+    def _pass_on(self, record: KeyedRecord) -> None:
+        try:
+            self._on_record(record)
+        except Exception as error:
+            # Each process reads the record, so an error must not end any of them.
+            self._log_skipped(record.key, repr(error))
+
+    def _log_skipped(self, key: str, reason: str) -> None:
+        self._log.info("record-skipped", topic=self._topic, key=key, reason=reason)
 
     def _note_data(self) -> None:
         self._data_at = boot_seconds()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -18,7 +18,13 @@
     encode_burst_starts,
     plan_moves,
 )
-from baobablane_platform import InstanceClient, InstanceListError, InstanceOrderResult
+from baobablane_platform import (
+    InstanceClient,
+    InstanceListError,
+    InstanceOrderResult,
+    StoreFencedError,
+    StoreSequenceError,
+)
 
 from ..jobs import BURST_STARTS_KEY, INSTANCE_ORDER_PREFIX, Views, boot_seconds, unix_ms
 from ..tasks import DecisionLog
@@ -93,7 +99,12 @@
     async def run(self) -> None:
         """Plan and send orders until cancelled."""
         while True:
-            await self._run_round()
+            try:
+                await self._run_round()
+            except (StoreFencedError, StoreSequenceError):
+                raise
+            except Exception as error:
+                self._log.error("instances-unplanned", error)
             await asyncio.sleep(LIST_INTERVAL_SECONDS)
 
     def _add_new_waves(self) -> None:
@@ -215,8 +226,13 @@
             return
         key = (order.instance, order.wave)
         self._in_flight.add(key)
-        result = await self._client.maintain(order.instance, order.wave, self._epoch)
-        is_down = result is InstanceOrderResult.DONE and await self._is_down(order)
+        try:
+            result = await self._client.maintain(
+                order.instance, order.wave, self._epoch
+            )
+            is_down = result is InstanceOrderResult.DONE and await self._is_down(order)
+        finally:
+            self._in_flight.discard(key)
         self._log.info(
             "upkeep-ordered",
             instance=order.instance,
@@ -225,7 +241,6 @@
             result=result.name.lower(),
             is_down=is_down,
         )
-        self._in_flight.discard(key)
         if result is InstanceOrderResult.UNKNOWN:
             # Maintenance may have begun. The order is idempotent and is sent again.
             self._scheduler.mark_unreachable(order.upstream)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -53,8 +53,15 @@
 
         Raise UpstreamFencedError if the upstream has served a newer owner.
         """
-        with self._log.metrics.start_seconds.time():
-            result = await self._try_start(order)
+        try:
+            with self._log.metrics.start_seconds.time():
+                result = await self._try_start(order)
+        except UpstreamFencedError:
+            raise
+        except Exception as error:
+            # The order may have been sent.
+            self._log.error("start-failed", error, task=str(order.task))
+            result = StartResult.UNKNOWN
         self._scheduler.start_answered(order, result, boot_seconds())
         if result is not StartResult.STARTED:
             self._on_response()
@@ -102,7 +109,11 @@
         # The advisor handles one call per entry instance at a time.
         async with self._advice_lock:
             requested_at = boot_seconds()
-            advice = await self._advisor.request_advice(request)
+            try:
+                advice = await self._advisor.request_advice(request)
+            except Exception as error:
+                self._log.error("advice-failed", error, step=str(request.step))
+                advice = None
         if advice is None:
             self._log.info("advice-missing", step=str(request.step))
             await asyncio.sleep(ADVICE_RETRY_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -35,6 +35,8 @@
 
 # Maximum interval between rounds, which check due times and expired leases.
 MAX_IDLE_SECONDS = 0.1
+# Errors that show that another process owns the placement.
+OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
 TAKEOVER_RETRY_SECONDS = 0.1
 
 
@@ -101,7 +103,7 @@
                 await self._wait_for_wake()
             if self._ownership.is_stopping:
                 await self._writer.announce_leaving()
-        except (StoreFencedError, StoreSequenceError, UpstreamFencedError) as error:
+        except OWNERSHIP_ERRORS as error:
             self._ownership.end(f"fenced: {error}")
         finally:
             self._views.on_change = lambda job_id: None
@@ -287,6 +289,12 @@
         if task.cancelled():
             return
         error = task.exception()
-        if error is not None and not self._failure.done():
-            self._failure.set_exception(error)
-            self._wake.set()
+        if error is None:
+            return
+        if isinstance(error, OWNERSHIP_ERRORS):
+            if not self._failure.done():
+                self._failure.set_exception(error)
+                self._wake.set()
+        elif isinstance(error, Exception):
+            # An order is repeated when its response is overdue.
+            self._log.error("order-failed", error)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -33,6 +33,10 @@
 # Together with the last lease, tasks thus survive a store outage of 7 s.
 MAX_UNCONFIRMED_SECONDS = 4.0
 
+# After an unexpected error, others get this much time to become the owner: a heartbeat
+# has to time out and a small instance waits for longer.
+ERROR_BACKOFF_SECONDS = 6.0
+
 
 class Ownership:
     """Claim, confirm and end this process's right to place all tasks.
@@ -59,6 +63,7 @@
         self._is_large = is_large
         self._candidacy = candidacy
         self._last_epoch = 0
+        self._no_claim_until = 0.0
         self._confirmed_at = float("-inf")
         # The epoch under which this process is the owner, or None.
         self.epoch: int | None = None
@@ -78,7 +83,7 @@
                 epoch := self._epoch_of_own_claim(self._views.owner_heartbeat)
             ) is not None:
                 self._begin_ownership(epoch, now)
-            elif self._candidacy.should_claim(now):
+            elif now >= self._no_claim_until and self._candidacy.should_claim(now):
                 await self._claim(now)
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
@@ -102,6 +107,11 @@
         self.epoch = None
         self._notify_changed()
 
+    def end_after_error(self) -> None:
+        """End the ownership after an unexpected error, and claim none for a while."""
+        self._no_claim_until = boot_seconds() + ERROR_BACKOFF_SECONDS
+        self.end("unexpected error")
+
     def stop(self) -> None:
         """End the ownership because the process stops; `Owner.run` announces that."""
         self.is_stopping = True
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from baobablane.scheduling import LeaseTracker, RenewalReport, Scheduler
-from baobablane_platform import UpstreamOrderClient, UpstreamUnreachableError
+from baobablane_platform import (
+    UpstreamFencedError,
+    UpstreamOrderClient,
+    UpstreamUnreachableError,
+)
 
 from ..jobs import boot_seconds
 from ..tasks import DecisionLog
@@ -48,6 +52,8 @@
         # Set by the owner after it has recorded the ends of tasks.
         self.ends_recorded = asyncio.Event()
         self._is_reachable = False
+        # Rows of the latest report that could not be decoded; each is logged once.
+        self._malformed_rows: set[str] = set()
 
     async def run(self) -> None:
         """Poll until the upstream is removed, or raise UpstreamFencedError."""
@@ -57,6 +63,11 @@
             except UpstreamUnreachableError as error:
                 self._handle_unreachable(str(error))
                 await asyncio.sleep(POLL_RETRY_SECONDS)
+            except UpstreamFencedError:
+                raise
+            except Exception as error:
+                self._log.error("poll-failed", error, upstream=self._id)
+                await asyncio.sleep(POLL_RETRY_SECONDS)
 
     def start_deadline_ms(self) -> int | None:
         """Return a lease deadline for the next start, in ms of the upstream's clock.
@@ -97,6 +108,7 @@
 
     def _apply(self, report: RenewalReport, requested_at: float) -> None:
         now = boot_seconds()
+        self._log_malformed_rows(report)
         self._scheduler.report_received(self._id, report, requested_at, now)
         upstream = self._scheduler.state.upstreams.get(self._id)
         if upstream is None:
@@ -111,6 +123,12 @@
             self._log.info("upstream-regained", upstream=self._id)
         self._on_report()
 
+    def _log_malformed_rows(self, report: RenewalReport) -> None:
+        new_rows = set(report.malformed_rows) - self._malformed_rows
+        self._malformed_rows = set(report.malformed_rows)
+        for row in new_rows:
+            self._log.info("report-row-skipped", upstream=self._id, reason=row)
+
     async def _wait_until_recorded(self) -> None:
         try:
             async with asyncio.timeout(RECORD_WAIT_SECONDS):
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_decision_log.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import sys
+import traceback
 from collections import deque
 from collections.abc import Iterable, Iterator
 from time import time
@@ -102,6 +103,13 @@
         self.flush()
         self._logger.info(event, extra=fields)
 
+    def error(self, event: str, error: Exception, **fields: object) -> None:
+        """Log an unexpected error with the place that raised it."""
+        frames = traceback.extract_tb(error.__traceback__)
+        place = f"{frames[-1].name}:{frames[-1].lineno}" if frames else ""
+        self.metrics.unexpected_errors.inc()
+        self.info(event, reason=repr(error), place=place, **fields)
+
     def explain(self, name: str) -> list[Decision]:
         """Return the latest decisions for a request or an upstream."""
         return [
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
@@ -17,6 +17,11 @@
             "Decisions left out of the log",
             registry=self.registry,
         )
+        self.unexpected_errors = Counter(
+            "baobablane_unexpected_errors",
+            "Errors that cost a log line instead of the process",
+            registry=self.registry,
+        )
         self.accept_seconds = Histogram(
             "baobablane_accept_seconds",
             "Time from a job's arrival until it is stored",
--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -67,6 +67,11 @@
         """Return how many responses of the store were not read to the end."""
         return self._platform_server.aborted_read_count if self._platform_server else 0
 
+    def set_instance_state(self, state: str) -> None:
+        """Set the state that the instance list shows for all instances."""
+        if self._platform_server:
+            self._platform_server.instance_state = state
+
     def register_upstream(self, upstream: StandinUpstream) -> None:
         """Write an upstream's registration to the store."""
         registration = json.dumps(upstream.registration(1)).encode()
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -29,6 +29,8 @@
         self.store = store
         self._pool = pool
         self.upstreams: dict[str, StandinUpstream] = {}
+        # State of all instances in the list.
+        self.instance_state = "up"
         # Append requests received, including those that failed.
         self.append_count = 0
         # Responses that the client did not read to the end.
@@ -175,7 +177,7 @@
             {
                 "machine": f"m-{upstream.id}",
                 "pool": upstream.pool,
-                "state": "up",
+                "state": self.instance_state,
                 "zone": "zone-a",
                 "labels": ["a"],
                 "capacity": {"cpu": upstream.cores * 1000, "memMb": 65536, "gpu": 0},
--- a/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
@@ -37,6 +37,8 @@
     starts: list[tuple[str, int]] = field(default_factory=list)
     # Unhealthy: rejects every start order with status 503.
     rejects_orders: bool = False
+    # Rows added to the running tasks of each report, for example malformed ones.
+    extra_rows: list[object] = field(default_factory=list)
     _running: dict[str, _Run] = field(default_factory=dict)
     # Rows of end number, task, run, reason and checkpoint.
     _unacknowledged_ends: list[list[object]] = field(default_factory=list)
@@ -125,10 +127,11 @@
             await asyncio.sleep(POLL_SECONDS)
             self._end_due_runs()
         now = time.monotonic()
-        running = [
+        running: list[object] = [
             [task, run.number, "", run.percent_done(now), 0]
             for task, run in self._running.items()
         ]
+        running += self.extra_rows
         return 200, self._with_clock(
             {"running": running, "ended": list(self._unacknowledged_ends)}
         )
--- a/packages/baobablane/baobablane/scheduling/_report.py
+++ b/packages/baobablane/baobablane/scheduling/_report.py
@@ -52,3 +52,5 @@
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    # Rows that could not be decoded, each with the error.
+    malformed_rows: tuple[str, ...] = ()
