Size bursts by what they sustain, and take no large job for growth

Load pattern: a burst of small jobs with a few very large ones among them.

A single job of several hundred core-seconds raises the rate averaged over a second; that counted as growth, as the height of the burst, and was kept until the burst's end.

Change: the standard error of the rate comes from the sum of the squared sizes of jobs, not from their number, and what lies within it is no growth; the height of a burst is its rate averaged over 2.5 s; cores added in a burst decay with 4 s instead of being held.

--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -23,8 +23,9 @@
     # Declared core-seconds of all jobs that the scheduler ever got for the pool, with
     # one occurrence of each job.
     arrived_core_seconds: float
-    # Number of those jobs.
-    arrived_jobs: int = 0
+    # Sum of the squares of those jobs' core-seconds, which tells how much the rate at
+    # which work arrives varies by chance.
+    arrived_squares: float = 0.0
 
 
 def sum_demand(state: SchedulerState, unix_ms: int) -> dict[str, PoolDemand]:
@@ -49,7 +50,7 @@
             lasting[name],
             due[name],
             state.arrived_core_seconds[name],
-            state.arrived_jobs[name],
+            state.arrived_squares[name],
         )
         for name in names
     }
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -64,8 +64,9 @@
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
         pool = self.state.pool_of(job_run)
-        self.state.arrived_core_seconds[pool] += job_run.declared_core_seconds()
-        self.state.arrived_jobs[pool] += 1
+        core_seconds = job_run.declared_core_seconds()
+        self.state.arrived_core_seconds[pool] += core_seconds
+        self.state.arrived_squares[pool] += core_seconds**2
         if progress:
             for step_run in job_run.steps.values():
                 for index in step_run.started_indexes():
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -31,9 +31,9 @@
         self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
         # Declared core-seconds of one occurrence of every job ever added to the
-        # scheduler, by pool, and the number of these jobs.
+        # scheduler, by pool, and the sum of their squares.
         self.arrived_core_seconds: dict[str, float] = defaultdict(float)
-        self.arrived_jobs: dict[str, int] = defaultdict(int)
+        self.arrived_squares: dict[str, float] = defaultdict(float)
         self.dirty_jobs: set[str] = set()
         self.events: list[SchedulingEvent] = []
         # The upstream where each task last failed or stalled, or that became
--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -18,6 +18,12 @@
 RATE_TIME_CONSTANT_SECONDS = 1.0
 # Time constant of the fast average, which detects the start of a burst early.
 FAST_RATE_TIME_CONSTANT_SECONDS = 0.5
+# Time constant of the sustained average, which measures how high a burst was: about the
+# objective of a job, within which the work of a few large jobs can be spread.
+SUSTAINED_RATE_TIME_CONSTANT_SECONDS = 2.5
+# Time constant with which cores that were added in a burst are given up again. Each
+# release and return costs two moves, so a dip of a second or two is waited out.
+BURST_CORES_TIME_CONSTANT_SECONDS = 4.0
 # Declared task sizes are inexact, and cores can only be moved by whole instances.
 HEADROOM_FACTOR = 1.25
 # A burst starts when the arrival rate exceeds the first fraction of the pool's equal
@@ -43,37 +49,40 @@
 @dataclass(slots=True)
 class _PoolDemandHistory:
     arrived_core_seconds: float
-    arrived_jobs: int
+    arrived_squares: float
     equal_share_cores: float = 0.0
     # Averages of the arrival rate, in cores (core-seconds per second).
     rate: float = 0.0
     fast_rate: float = 0.0
-    # Jobs per second, averaged with the time constant of `rate`.
-    job_rate: float = 0.0
+    sustained_rate: float = 0.0
+    # Average rate of the squared core-seconds of jobs, smoothed like `rate`.
+    square_rate: float = 0.0
     is_in_burst: bool = False
-    # Peak rates of the latest burst and of the one before, in cores.
+    # Peaks of the sustained rate in the latest burst and in the one before, in cores.
     peak_rate: float = 0.0
     previous_peak_rate: float = 0.0
-    # Most cores wanted so far in the current burst.
+    # Cores that were wanted in the current burst, decaying with time.
     burst_cores: float = 0.0
 
     def is_past_peak(self) -> bool:
         """Return whether the rate has dropped well below the burst's peak."""
-        return self.rate < PAST_PEAK_FRACTION * self.peak_rate
+        return self.sustained_rate < PAST_PEAK_FRACTION * self.peak_rate
 
     def expected_rate(self) -> float:
         """Return the rate, in cores, at the time when cores ordered now are usable."""
         # Under linear growth, each average lags by its time constant, so the slope
-        # follows from their difference. With few jobs, the fast average also deviates
-        # by chance; this sampling error does not count as growth.
-        sampled_jobs = 2 * FAST_RATE_TIME_CONSTANT_SECONDS * self.job_rate
-        sampling_error = self.fast_rate / math.sqrt(max(1.0, sampled_jobs))
-        growth = max(0.0, self.fast_rate - sampling_error - self.rate)
+        # follows from their difference. With few or very different jobs, the fast
+        # average also deviates by chance; its standard error does not count as growth.
+        sampling_error = math.sqrt(
+            self.square_rate / (2 * FAST_RATE_TIME_CONSTANT_SECONDS)
+        )
+        certain_rate = max(self.rate, self.fast_rate - sampling_error)
+        growth = certain_rate - self.rate
         growth /= RATE_TIME_CONSTANT_SECONDS - FAST_RATE_TIME_CONSTANT_SECONDS
-        rate = self.fast_rate + growth * (
+        rate = certain_rate + growth * (
             FAST_RATE_TIME_CONSTANT_SECONDS + MOVE_LEAD_SECONDS
         )
-        return max(self.rate, min(rate, MAX_GROWTH_FACTOR * self.rate))
+        return min(rate, MAX_GROWTH_FACTOR * self.rate)
 
 
 @dataclass(slots=True)
@@ -98,7 +107,7 @@
             pool = self._pools.get(name)
             if pool is None:
                 pool = self._pools[name] = _PoolDemandHistory(
-                    demand.arrived_core_seconds, demand.arrived_jobs
+                    demand.arrived_core_seconds, demand.arrived_squares
                 )
             pool.equal_share_cores = equal_share_cores
             if previous_observed_at is not None and now > previous_observed_at:
@@ -181,18 +190,19 @@
     ) -> None:
         new_core_seconds = demand.arrived_core_seconds - pool.arrived_core_seconds
         pool.arrived_core_seconds = demand.arrived_core_seconds
-        job_rate = (demand.arrived_jobs - pool.arrived_jobs) / seconds
-        pool.arrived_jobs = demand.arrived_jobs
-        pool.job_rate += _smoothing_weight(seconds, RATE_TIME_CONSTANT_SECONDS) * (
-            job_rate - pool.job_rate
-        )
+        new_squares = demand.arrived_squares - pool.arrived_squares
+        pool.arrived_squares = demand.arrived_squares
+        weight = _smoothing_weight(seconds, RATE_TIME_CONSTANT_SECONDS)
+        pool.square_rate += weight * (new_squares / seconds - pool.square_rate)
         rate = new_core_seconds / seconds
-        pool.rate += _smoothing_weight(seconds, RATE_TIME_CONSTANT_SECONDS) * (
-            rate - pool.rate
-        )
+        pool.rate += weight * (rate - pool.rate)
         pool.fast_rate += _smoothing_weight(
             seconds, FAST_RATE_TIME_CONSTANT_SECONDS
         ) * (rate - pool.fast_rate)
+        pool.sustained_rate += _smoothing_weight(
+            seconds, SUSTAINED_RATE_TIME_CONSTANT_SECONDS
+        ) * (rate - pool.sustained_rate)
+        pool.burst_cores *= math.exp(-seconds / BURST_CORES_TIME_CONSTANT_SECONDS)
         if (
             not pool.is_in_burst
             and pool.fast_rate > BURST_START_FRACTION * pool.equal_share_cores
@@ -208,7 +218,7 @@
         ):
             pool.is_in_burst = False
         if pool.is_in_burst:
-            pool.peak_rate = max(pool.peak_rate, pool.rate)
+            pool.peak_rate = max(pool.peak_rate, pool.sustained_rate)
 
 
 def _smoothing_weight(seconds: float, time_constant_seconds: float) -> float:
