Count late work as demand while its results are of use

Load pattern: after an outage of the store, everything that waits is late.

Late jobs counted for nothing in a pool's demand, so a new owner saw none.

Result: TestBacklog fails before.

--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -4,7 +4,7 @@
 
 from ._job_run import JobRun
 from ._state import SchedulerState
-from ._urgency import objective_seconds
+from ._urgency import USELESS_MULTIPLE, objective_seconds
 
 # More cores do not speed up work that is due within less than this.
 MIN_DEADLINE_SECONDS = 0.5
@@ -18,7 +18,8 @@
     cores: float
     # Cores of all long-running tasks, started or not.
     lasting_cores: float
-    # Cores needed to finish in time all jobs that can still do so.
+    # Cores needed to finish all jobs in time, or late ones while their results are of
+    # use.
     due_cores: float
     # Declared core-seconds of all jobs that the scheduler ever got for the pool, with
     # one occurrence of each job.
@@ -64,7 +65,11 @@
     seconds_left = job_run.latest_due_ms() / 1000 + objective - unix_ms / 1000
     critical_path_seconds = job_run.remaining_critical_path_ms() / 1000
     if seconds_left < critical_path_seconds / 2:
-        # The job will be late in any case, and only uses what other jobs leave.
+        # After an outage, all waiting work is late. If it did not count, a pool would
+        # give up its instances while jobs wait for them.
+        seconds_left += (USELESS_MULTIPLE - 1.0) * objective
+    if seconds_left < critical_path_seconds / 2:
+        # The result comes too late to be of use, and the job uses what others leave.
         return 0.0
     return job_run.remaining_core_seconds() / max(
         seconds_left, critical_path_seconds, MIN_DEADLINE_SECONDS
--- a/packages/baobablane/baobablane/scheduling/tests/test_contention.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_contention.py
@@ -96,3 +96,32 @@
         fleet.scheduler.remove_upstream("u0", "upkeep")
         fleet.scheduler.report_received("u0", report, fleet.now, fleet.now)
         assert "u0" not in fleet.scheduler.state.upstreams
+
+
+class TestBacklog:
+    """Test the demand of a pool whose waiting jobs are all late.
+
+    After an outage of the store, a pool gave up idle instances while 98 late jobs
+    waited for it, and got them back seconds later.
+    """
+
+    def due_cores(self, age_seconds):
+        """Return the cores that a job of four seconds on eight cores needs."""
+        fleet = ModelFleet()
+        fleet.now = 1000.0
+        fleet.renew_all()
+        accepted_ms = round((fleet.now - age_seconds) * 1000)
+        add(fleet, make_job(make_step(64), accepted_ms=accepted_ms))
+        fleet.place()
+        return fleet.scheduler.fleet.demand_by_pool(round(fleet.now * 1000))[
+            "pool"
+        ].due_cores
+
+    def test_late_job_counts_while_its_result_is_of_use(self):
+        assert self.due_cores(2.0) > 0.0
+
+    def test_job_that_is_in_time_counts_more(self):
+        assert self.due_cores(0.0) > self.due_cores(2.0)
+
+    def test_job_whose_result_is_useless_does_not_count(self):
+        assert self.due_cores(10.0) == 0.0
