Let the latest owner claim again at once, and move its own instances

Load pattern: all entry instances restart together, or the store is away for longer than an owner may go on without it.

(2) After the kill of all processes at 13.0 s the new owner moved no instance until 17.0 s: those in standby were reserved for 5 s after the latest order, whoever had sent it.

Change: an instance whose process, or whose predecessor, was the latest owner in a fresh view claims at once; the conditional append still decides. The record of an order names its sender. The platform's minimum between holders applies to orders of others; after an order of its own an instance waits only while that may still arrive (1.5 s). Records of the earlier format are read, as those of an unknown sender. An owner that a late append finds fenced no longer ends a later ownership of the same process.

Result: TestLatestOwner and TestReservations; on the code before, the restarted owner waits 1.5 s and the own order reserves for 5 s.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -18,7 +18,7 @@
 from starlette.types import ASGIApp
 
 from ._serving import make_server, wait_for_stop
-from .jobs import JobActions, JobWriter, Views, boot_seconds
+from .jobs import JobActions, JobWriter, Views, boot_seconds, make_holder
 from .owner import Candidacy, Owner, Ownership, is_large
 from .tasks import DecisionLog
 
@@ -57,8 +57,7 @@
     views = Views(store, log)
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
-    # Unique per start, since a claim of an earlier process may still be read.
-    holder = f"{settings.instance}-{time.time_ns()}"
+    holder = make_holder(settings.instance, time.time_ns())
     candidacy = Candidacy(
         holder,
         is_large(settings),
@@ -127,15 +126,14 @@
 ) -> None:
     while True:
         changed = ownership.changed
-        if ownership.epoch is not None:
+        epoch = ownership.epoch
+        if epoch is not None:
             try:
-                await Owner(
-                    store, views, ownership, log, settings, ownership.epoch
-                ).run()
+                await Owner(store, views, ownership, log, settings, epoch).run()
             except Exception as error:
                 # Callers are still served, and another instance becomes the owner.
-                log.error("owner-failed", error, epoch=ownership.epoch)
-                ownership.end_after_error()
+                log.error("owner-failed", error, epoch=epoch)
+                ownership.end_after_error(epoch)
         else:
             await changed.wait()
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -3,10 +3,13 @@
 from ._actions import JobActions
 from ._clock import boot_seconds, unix_ms
 from ._job_writer import JobWriter
+from ._order_record import InstanceOrderRecord, encode_order_record
 from ._owner_heartbeat import (
     OwnerHeartbeat,
     decode_owner_heartbeat,
     encode_owner_heartbeat,
+    holder_instance,
+    make_holder,
 )
 from ._topic_tail import TopicTail
 from ._views import (
@@ -28,6 +31,7 @@
     "OWNER_HEARTBEAT_KEY",
     "BURST_STARTS_KEY",
     "JobWriter",
+    "InstanceOrderRecord",
     "JobActions",
     "WAVE_PROGRESS_PREFIX",
     "OwnerHeartbeat",
@@ -35,6 +39,9 @@
     "Views",
     "boot_seconds",
     "decode_owner_heartbeat",
+    "encode_order_record",
     "encode_owner_heartbeat",
+    "holder_instance",
+    "make_holder",
     "unix_ms",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
@@ -23,6 +23,19 @@
     is_leaving: bool = False
 
 
+def make_holder(instance: str, started_ns: int) -> str:
+    """Return the unique name of a process; `started_ns` is the time of its start.
+
+    It is unique per start, since a claim of an earlier process may still be read.
+    """
+    return f"{instance}-{started_ns}"
+
+
+def holder_instance(holder: str) -> str:
+    """Return the entry instance of a name that `make_holder` returned."""
+    return holder.rpartition("-")[0]
+
+
 class _HeartbeatRecord(msgspec.Struct):
     at_ms: int
     epoch: int
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -21,6 +21,7 @@
 
 from ..tasks import DecisionLog
 from ._clock import boot_seconds, loggable_age, unix_ms
+from ._order_record import InstanceOrderRecord, decode_order_record
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
 from ._topic_tail import TopicTail
 
@@ -51,8 +52,7 @@
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
-        # Time at which the latest order for each instance was recorded, in Unix ms.
-        self.order_ms_by_instance: dict[str, int] = {}
+        self.order_by_instance: dict[str, InstanceOrderRecord] = {}
         # Starts of the pools' demand bursts, as recorded by the latest owner.
         self.burst_starts: BurstStarts = []
         # The owner's latest heartbeat, or None before the first.
@@ -160,7 +160,7 @@
                 self.progress_by_wave[number] = decode_wave_progress(record.value)
             elif record.key.startswith(INSTANCE_ORDER_PREFIX):
                 instance = record.key.removeprefix(INSTANCE_ORDER_PREFIX)
-                self.order_ms_by_instance[instance] = int(record.value)
+                self.order_by_instance[instance] = decode_order_record(record.value)
             elif record.key == OWNER_HEARTBEAT_KEY:
                 self.owner_heartbeat = decode_owner_heartbeat(
                     record.value, self.owner_heartbeat, unix_ms(), boot_seconds()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
@@ -7,6 +7,10 @@
 Load pattern: deployments mix a few large instances with many that have half a core and
 a low-bandwidth link, and the owner of a full fleet needs more than those have. A small
 instance claims only after a timeout that is longer than a large one needs to claim.
+
+Load pattern: all entry instances restart at the same time, or lose the store for longer
+than an owner may go on without it. The latest owner claims again at once, since nobody
+else can be waiting for its heartbeats to time out.
 """
 
 from collections.abc import Callable
@@ -14,7 +18,7 @@
 
 from baobablane_platform import ProcessSettings
 
-from ..jobs import OwnerHeartbeat
+from ..jobs import OwnerHeartbeat, holder_instance
 
 # Starting a task costs the owner about 2 ms of a core, and the design allows for at
 # most 500 starts a second.
@@ -54,6 +58,7 @@
         now: float,
     ) -> None:
         """Start without a view; times are in seconds of one monotonic clock."""
+        self._instance = holder_instance(holder)
         self._is_large = is_large
         self._heartbeat = heartbeat
         self._view_age = view_age
@@ -73,6 +78,12 @@
         if self._last_stale_at is None:
             self._last_stale_at = float("-inf")
         heartbeat = self._heartbeat()
+        if (
+            heartbeat is not None
+            and holder_instance(heartbeat.holder) == self._instance
+        ):
+            # The latest owner was this process, or the one that it replaces.
+            return True
         if heartbeat is None or heartbeat.is_leaving:
             waiting_since = max(
                 self._started_at, heartbeat.received_at if heartbeat else 0.0
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -26,7 +26,15 @@
     StoreSequenceError,
 )
 
-from ..jobs import BURST_STARTS_KEY, INSTANCE_ORDER_PREFIX, Views, boot_seconds, unix_ms
+from ..jobs import (
+    BURST_STARTS_KEY,
+    INSTANCE_ORDER_PREFIX,
+    InstanceOrderRecord,
+    Views,
+    boot_seconds,
+    encode_order_record,
+    unix_ms,
+)
 from ..tasks import DecisionLog
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
@@ -84,14 +92,13 @@
         """Restore the burst starts and reserve instances with recent orders."""
         self._sizing.forecast.restore(self._views.burst_starts)
         now = boot_seconds()
-        reservation_seconds = (
-            self._order_lease_seconds
-            + MAX_ORDER_DELAY_SECONDS
-            + MAX_CLOCK_DIFFERENCE_SECONDS
-        )
-        for instance, order_ms in self._views.order_ms_by_instance.items():
-            age = max(0.0, (unix_ms() - order_ms) / 1000)
-            self._reserved_until[instance] = now + reservation_seconds - age
+        for instance, order in self._views.order_by_instance.items():
+            seconds = MAX_ORDER_DELAY_SECONDS
+            if order.sender != self._ownership.instance:
+                # The platform's minimum applies between two holders of an instance.
+                seconds += self._order_lease_seconds + MAX_CLOCK_DIFFERENCE_SECONDS
+            age = max(0.0, (unix_ms() - order.at_ms) / 1000)
+            self._reserved_until[instance] = now + seconds - age
 
     def _is_reserved(self, instance: str) -> bool:
         return boot_seconds() < self._reserved_until.get(instance, 0.0)
@@ -168,9 +175,11 @@
         instances = [order.instance for order in plan.orders]
         instances += [move.instance for move in moves]
         requested_at = boot_seconds()
-        at_ms = str(unix_ms()).encode()
+        record = encode_order_record(
+            InstanceOrderRecord(unix_ms(), self._ownership.instance)
+        )
         await self._writer.write(
-            {f"{INSTANCE_ORDER_PREFIX}{i}": at_ms for i in instances}
+            {f"{INSTANCE_ORDER_PREFIX}{i}": record for i in instances}
         )
         if boot_seconds() - requested_at < MAX_CONFIRMATION_AGE_SECONDS:
             return True
@@ -205,7 +214,7 @@
         )
 
     async def _send_move(self, order: MoveOrder) -> None:
-        if not self._ownership.is_confirmed(MAX_CONFIRMATION_AGE_SECONDS):
+        if not self._ownership.holds(self._epoch, MAX_CONFIRMATION_AGE_SECONDS):
             return
         result = await self._client.move(order.instance, order.pool, self._epoch)
         self._log.info(
@@ -221,7 +230,7 @@
             self._scheduler.mark_unreachable(order.upstream)
 
     async def _send_maintenance(self, order: MaintenanceOrder) -> None:
-        if not self._ownership.is_confirmed(MAX_CONFIRMATION_AGE_SECONDS):
+        if not self._ownership.holds(self._epoch, MAX_CONFIRMATION_AGE_SECONDS):
             self._log.info("upkeep-waits", instance=order.instance)
             return
         key = (order.instance, order.wave)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -19,6 +19,7 @@
     Views,
     boot_seconds,
     encode_owner_heartbeat,
+    holder_instance,
     unix_ms,
 )
 from ..tasks import DecisionLog
@@ -94,23 +95,39 @@
         """
         self._confirmed_at = max(self._confirmed_at, requested_at)
 
+    @property
+    def instance(self) -> str:
+        """Return the entry instance of this process."""
+        return holder_instance(self.holder)
+
     def is_confirmed(self, seconds: float) -> bool:
         """Return whether the store confirmed the ownership in the last `seconds`."""
         age = boot_seconds() - self._confirmed_at
         return self.epoch is not None and age < seconds
 
-    def end(self, reason: str) -> None:
-        """End the ownership if this process has it; `reason` is logged."""
-        if self.epoch is None:
+    def holds(self, epoch: int, seconds: float) -> bool:
+        """Return whether the store confirmed `epoch` in the last `seconds`.
+
+        Check it immediately before each order: the process may have been suspended
+        since it decided on the order.
+        """
+        return self.epoch == epoch and self.is_confirmed(seconds)
+
+    def end(self, reason: str, epoch: int | None = None) -> None:
+        """End the ownership if this process has it; `reason` is logged.
+
+        With `epoch`, leave a later ownership of this process unchanged.
+        """
+        if self.epoch is None or epoch not in (None, self.epoch):
             return
         self._log.info("owner-ended", epoch=self.epoch, reason=reason)
         self.epoch = None
         self._notify_changed()
 
-    def end_after_error(self) -> None:
+    def end_after_error(self, epoch: int) -> None:
         """End the ownership after an unexpected error, and claim none for a while."""
         self._no_claim_until = boot_seconds() + ERROR_BACKOFF_SECONDS
-        self.end("unexpected error")
+        self.end("unexpected error", epoch)
 
     def stop(self) -> None:
         """End the ownership because the process stops; `Owner.run` announces that."""
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
@@ -6,7 +6,7 @@
 from baobablane.deployment import PlatformLimits
 from baobablane_platform import ProcessSettings
 
-from baobablane_daemon.jobs import OwnerHeartbeat
+from baobablane_daemon.jobs import OwnerHeartbeat, make_holder
 from baobablane_daemon.owner._candidacy import (
     HEARTBEAT_TIMEOUT_SECONDS,
     MAX_CLAIM_DELAY_SECONDS,
@@ -25,10 +25,10 @@
     heartbeat: OwnerHeartbeat | None = None
     age: float = 0.1
 
-    def receive_heartbeat(self, at, is_large=True, is_leaving=False):
-        """Set the owner's latest heartbeat."""
+    def receive_heartbeat(self, at, is_large=True, is_leaving=False, holder="other"):
+        """Set the owner's latest heartbeat, sent by a process of `holder`."""
         self.heartbeat = OwnerHeartbeat(
-            at, round(at * 1000), 1, "other", is_large, is_leaving
+            at, round(at * 1000), 1, make_holder(holder, 1), is_large, is_leaving
         )
 
 
@@ -40,8 +40,9 @@
 
 def make_candidacy(view, is_large=True):
     """Return the candidacy of an instance that has just started."""
+    holder = make_holder("entry-1", 2)
     return Candidacy(
-        "entry-1", is_large, lambda: view.heartbeat, lambda: view.age, STARTED_AT
+        holder, is_large, lambda: view.heartbeat, lambda: view.age, STARTED_AT
     )
 
 
@@ -116,6 +117,32 @@
         )
 
 
+class TestLatestOwner:
+    """Test the instance whose process was the latest owner.
+
+    After a restart of everything or a long outage of the store, nobody placed tasks
+    until the heartbeats of an owner that could not exist any more had timed out.
+    """
+
+    @pytest.mark.parametrize("is_large", [True, False])
+    def test_restarted_owner_claims_at_once(self, view, is_large):
+        view.receive_heartbeat(STARTED_AT - 0.2, holder="entry-1")
+        candidacy = make_candidacy(view, is_large)
+        assert candidacy.should_claim(STARTED_AT + 0.01)
+
+    def test_owner_claims_at_once_after_an_outage_of_the_store(self, view):
+        candidacy = make_candidacy(view)
+        view.receive_heartbeat(110.0, holder="entry-1")
+        view.age = 4.0
+        assert not candidacy.should_claim(114.0)
+        view.age = 0.1
+        assert candidacy.should_claim(114.1)
+
+    def test_instance_with_a_similar_name_waits(self, view):
+        view.receive_heartbeat(STARTED_AT - 0.2, holder="entry-11")
+        assert not make_candidacy(view).should_claim(STARTED_AT + 0.01)
+
+
 class TestIsLarge:
     """Test which instances have the resources to be the owner."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -7,6 +7,8 @@
 from baobablane.maintenance import MaintenanceOrder, WaveProgress
 from baobablane_platform import InstanceListError, InstanceOrderResult
 
+from baobablane_daemon.jobs import InstanceOrderRecord, unix_ms
+from baobablane_daemon.jobs._order_record import decode_order_record
 from baobablane_daemon.owner._instance_manager import InstanceManager
 from baobablane_daemon.tasks import DecisionLog
 
@@ -61,7 +63,7 @@
         FakeClient(result, instance),
         None,
         scheduler,
-        SimpleNamespace(is_confirmed=lambda seconds: True),
+        SimpleNamespace(holds=lambda epoch, seconds: True),
         DecisionLog("entry-1"),
         1,
         3.0,
@@ -105,3 +107,44 @@
         scheduler, progress = await maintain(InstanceOrderResult.UNKNOWN, instance)
         assert scheduler.unreachable_upstreams == ["u1"]
         assert progress.begun == []
+
+
+class TestReservations:
+    """Test for how long a new owner leaves an instance alone after an order for it.
+
+    After a restart of everything, no instance with a recent order was moved for 5 s,
+    even if the new owner itself had sent the order.
+    """
+
+    def take_over(self, sender, age_seconds):
+        """Return whether `m1` is reserved, given the latest order for it."""
+        order = InstanceOrderRecord(unix_ms() - round(age_seconds * 1000), sender)
+        views = SimpleNamespace(burst_starts=[], order_by_instance={"m1": order})
+        manager = InstanceManager(
+            None,
+            views,
+            None,
+            SimpleNamespace(instance="entry-1"),
+            DecisionLog("entry-1"),
+            2,
+            3.0,
+            None,
+            lambda: None,
+        )
+        manager.take_over()
+        return manager._is_reserved("m1")
+
+    def test_order_of_another_instance_reserves_for_the_platforms_minimum(self):
+        assert self.take_over("entry-2", 4.0)
+        assert not self.take_over("entry-2", 5.5)
+
+    def test_own_order_reserves_only_while_it_may_still_arrive(self):
+        assert self.take_over("entry-1", 1.0)
+        assert not self.take_over("entry-1", 2.0)
+
+    def test_order_of_an_unknown_sender_reserves_for_the_platforms_minimum(self):
+        assert self.take_over("", 4.0)
+
+    @pytest.mark.parametrize("record", [b"1700000000000", b'{"at_ms":1700000000000}'])
+    def test_record_of_the_earlier_format_is_read(self, record):
+        assert decode_order_record(record).at_ms == 1_700_000_000_000
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_ownership.py
@@ -7,7 +7,7 @@
 from baobablane_platform import StoreClient
 from baobablane_standin.platform import PlatformStandin
 
-from baobablane_daemon.jobs import Views, boot_seconds
+from baobablane_daemon.jobs import Views, boot_seconds, make_holder
 from baobablane_daemon.owner import Candidacy, Ownership
 from baobablane_daemon.owner._progress_writer import first_sequence
 from baobablane_daemon.tasks import DecisionLog
@@ -36,8 +36,8 @@
             # name.
             now = boot_seconds() - 1.0
             age = views.progress_tail.age
-            candidacy = Candidacy("entry", True, get_heartbeat, age, now)
-            name = f"entry-{number}"
+            candidacy = Candidacy("entry-0", True, get_heartbeat, age, now)
+            name = make_holder(f"instance{number}", 1)
             ownership = Ownership(store, views, log, name, True, candidacy)
             ownerships.append(ownership)
             tasks += [views.run(), ownership.run()] if is_running else []
