Check the ownership immediately before each order

Cause: a process that is suspended after it has recorded a start, or between two renewals, went on with its next task when it woke up. Its start carried a fresh lease, its renewal extended one, up to the moment at which another task noticed that the ownership had run out (every 50 ms). The fencing token stops that only at upstreams that the new owner has reached.

Change: a start needs an ownership that was confirmed within 1 s, stops, paces and renewals one within 4 s, under the epoch of the owner that sends them; all are checked in the step that sends. A start that is not sent counts as late, so its task waits again.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -15,10 +15,14 @@
 
 from ..jobs import boot_seconds
 from ..tasks import DecisionLog
+from ._ownership import MAX_UNCONFIRMED_SECONDS
 from ._upstream_poller import UpstreamPoller
 
 # The advisor rejects calls while 32 of them wait, so retries are delayed.
 ADVICE_RETRY_SECONDS = 0.3
+# A start is sent right after its record was stored, which confirms the ownership. The
+# heartbeats of a suspended owner time out after 1.5 s.
+MAX_CONFIRMATION_AGE_SECONDS = 1.0
 
 
 class OrderSender:
@@ -33,8 +37,13 @@
         log: DecisionLog,
         epoch: int,
         on_response: Callable[[], None],
+        may_order: Callable[[float], bool],
     ) -> None:
-        """Prepare to send; `epoch` is the fencing token of all orders to upstreams."""
+        """Prepare to send; `epoch` is the fencing token of all orders to upstreams.
+
+        `may_order` returns whether the ownership was confirmed in the last seconds.
+        """
+        self._may_order = may_order
         self._scheduler = scheduler
         self._pollers = pollers
         self._orders = orders
@@ -78,6 +87,9 @@
             or upstream.entry.incarnation != order.incarnation
         ):
             return StartResult.LATE
+        if not self._may_order(MAX_CONFIRMATION_AGE_SECONDS):
+            # The process was suspended after it had recorded the start.
+            return StartResult.LATE
         deadline_ms = poller.start_deadline_ms()
         if deadline_ms is None:
             return StartResult.LATE
@@ -91,7 +103,7 @@
     async def send_stop(self, order: StopOrder) -> None:
         """Send an order to stop a run, and report a response to the scheduler."""
         upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None:
+        if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
             return
         if await self._orders.stop(upstream.entry, order, self._epoch):
             self._scheduler.stop_answered(order, boot_seconds())
@@ -99,7 +111,7 @@
     async def send_pace(self, order: PaceOrder) -> None:
         """Send a change of a run's pace, and report a missing response."""
         upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None:
+        if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
             return
         if not await self._orders.set_pace(upstream.entry, order, self._epoch):
             self._scheduler.pace_unanswered(order)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -73,6 +73,7 @@
             log,
             epoch,
             self._wake.set,
+            self._may_order,
         )
         self._instance_client = InstanceClient(
             settings.instance_list_address, settings.instance
@@ -104,7 +105,7 @@
             if self._ownership.is_stopping:
                 await self._writer.announce_leaving()
         except OWNERSHIP_ERRORS as error:
-            self._ownership.end(f"fenced: {error}")
+            self._ownership.end(f"fenced: {error}", self._epoch)
         finally:
             self._views.on_change = lambda job_id: None
             self._views.set_is_owner(False)
@@ -269,10 +270,14 @@
             self._orders,
             self._log,
             self._wake.set,
+            self._may_order,
         )
         self._pollers[upstream_id] = poller
         self._start_task(self._run_poller(poller, upstream_id))
 
+    def _may_order(self, seconds: float) -> bool:
+        return self._ownership.holds(self._epoch, seconds)
+
     async def _run_poller(self, poller: UpstreamPoller, upstream_id: str) -> None:
         try:
             await poller.run()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -12,6 +12,7 @@
 
 from ..jobs import boot_seconds
 from ..tasks import DecisionLog
+from ._ownership import MAX_UNCONFIRMED_SECONDS
 
 # Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
 # the owner renews all leases 0.3 s later, and the last renewal may be 0.9 s old. A
@@ -41,8 +42,13 @@
         orders: UpstreamOrderClient,
         log: DecisionLog,
         on_report: Callable[[], None],
+        may_order: Callable[[float], bool],
     ) -> None:
-        """Prepare to poll; `on_report` is called after each response or failure."""
+        """Prepare to poll; `on_report` is called after each response or failure.
+
+        `may_order` returns whether the ownership was confirmed in the last seconds.
+        """
+        self._may_order = may_order
         self._id = upstream_id
         self._fencing_token = fencing_token
         self._scheduler = scheduler
@@ -84,7 +90,7 @@
     async def _poll(self) -> None:
         upstream = self._scheduler.state.upstreams[self._id]
         entry = upstream.entry
-        if not entry.address:
+        if not entry.address or not self._may_order(MAX_UNCONFIRMED_SECONDS):
             await asyncio.sleep(POLL_RETRY_SECONDS)
             return
         has_unrecorded_ends = upstream.applied_end > upstream.recorded_end
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -0,0 +1,132 @@
+"""Test that a process acts on no ownership that has run out.
+
+A process may be suspended between any two steps. When it goes on, its tasks run before
+it notices that another process has become the owner.
+"""
+
+from types import SimpleNamespace
+
+import pytest
+from baobablane.jobs import TaskId
+from baobablane.scheduling import (
+    PaceOrder,
+    Scheduler,
+    SchedulingPolicy,
+    StartOrder,
+    StartResult,
+    StopOrder,
+)
+from baobablane_platform import StoreFencedError
+
+from baobablane_daemon.owner._order_sender import OrderSender
+from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
+from baobablane_daemon.owner._upstream_poller import UpstreamPoller
+from baobablane_daemon.tasks import DecisionLog
+
+TASK = TaskId("0" * 16, 0, 0, 0)
+
+
+class RecordingClient:
+    """Record the calls to upstreams instead of sending them."""
+
+    def __init__(self):
+        """Start without calls."""
+        self.calls = []
+
+    def __getattr__(self, name):
+        """Return a call that is recorded under its name."""
+
+        async def call(*args):
+            self.calls.append(name)
+            return StartResult.STARTED
+
+        return call
+
+
+@pytest.fixture
+def client():
+    """Return a client that records its calls."""
+    return RecordingClient()
+
+
+def make_scheduler():
+    """Return a scheduler in which TASK may be started on the upstream `u`."""
+    entry = SimpleNamespace(incarnation=1, address="10.0.0.1:80")
+    upstream = SimpleNamespace(
+        id="u",
+        entry=entry,
+        lease=SimpleNamespace(
+            deadline_for_start=lambda *args: 1, extend=lambda *args: 1
+        ),
+        runs={},
+        applied_end=0,
+        recorded_end=0,
+        is_reachable=True,
+    )
+    scheduler = Scheduler(SchedulingPolicy())
+    scheduler.state.upstreams["u"] = upstream
+    job_run = SimpleNamespace(state=SimpleNamespace(is_final=lambda: False))
+    scheduler.state.jobs[TASK.job] = job_run
+    return scheduler
+
+
+class TestOrders:
+    """Test orders of an owner whose confirmation is `age` seconds old."""
+
+    def make_sender(self, client, age):
+        """Return a sender and its poller."""
+        scheduler = make_scheduler()
+        log = DecisionLog("entry-1")
+
+        def may_order(seconds):
+            return age < seconds
+
+        poller = UpstreamPoller("u", 1, scheduler, client, log, lambda: None, may_order)
+        sender = OrderSender(
+            scheduler, {"u": poller}, client, "", log, 1, lambda: None, may_order
+        )
+        return sender, poller
+
+    async def send_all(self, client, age):
+        """Send one order of each kind."""
+        sender, poller = self.make_sender(client, age)
+        await sender.send_start(StartOrder(TASK, 1, "", "", "u", 1))
+        await sender.send_stop(StopOrder(TASK, 1, "u"))
+        await sender.send_pace(PaceOrder(TASK, 1, "u", 50))
+        await sender.close()
+        return poller
+
+    async def test_confirmed_owner_sends_all_orders(self, client):
+        await self.send_all(client, 0.1)
+        assert client.calls == ["start", "stop", "set_pace"]
+
+    async def test_no_start_is_sent_after_a_suspension(self, client):
+        await self.send_all(client, 2.0)
+        assert "start" not in client.calls
+
+    async def test_no_order_is_sent_once_the_ownership_has_run_out(self, client):
+        poller = await self.send_all(client, MAX_UNCONFIRMED_SECONDS)
+        await poller._poll()
+        assert client.calls == []
+
+
+class TestEpochs:
+    """Test a process that becomes the owner again under a later epoch."""
+
+    def make_ownership(self):
+        """Return an ownership that has begun under epoch 2."""
+        ownership = Ownership(None, None, DecisionLog("i"), "i-1", True, None)
+        ownership._begin_ownership(2, 1e12)
+        return ownership
+
+    def test_earlier_epoch_may_not_order(self):
+        ownership = self.make_ownership()
+        assert ownership.holds(2, 4.0)
+        assert not ownership.holds(1, 4.0)
+
+    def test_late_error_of_an_earlier_epoch_ends_no_later_one(self):
+        ownership = self.make_ownership()
+        ownership.end(f"fenced: {StoreFencedError()}", 1)
+        assert ownership.epoch == 2
+        ownership.end("fenced", 2)
+        assert ownership.epoch is None
