Read states when they are asked for instead of as they are stored

Cause: a read of the store returns as soon as there is a record, and every instance read jobs and progress with a pause of 0.1 s.

Change: the pause is 0.45 s, 0.1 s for the progress at instances that may claim the ownership without an extra wait, as heartbeats that are read late must not time out.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -30,8 +30,13 @@
 # Written by the owner only: heartbeats, the progress of jobs and waves, orders for
 # instances, and burst starts. A claim of the ownership is the first heartbeat.
 PROGRESS_TOPIC = "keyed.progress"
-# Callers poll states infrequently, and a query for an unknown job reads immediately.
-READ_PAUSE_SECONDS = 0.1
+# A query for an unknown job, or for one that has not ended, reads immediately. So the
+# number of reads does not grow with that of the records. With the wait for an answer,
+# the age of a view stays below 1 s.
+READ_PAUSE_SECONDS = 0.45
+# Pause of an instance that may claim the ownership soon: heartbeats that it reads late
+# must not time out while the store is slow.
+CANDIDATE_READ_PAUSE_SECONDS = 0.1
 # Key prefix in the topic of jobs; the id of a job follows.
 CANCEL_PREFIX = "cancel/"
 # Keys in the topic of progress: prefixes that the number of a wave or the id of an
@@ -46,8 +51,13 @@
 class Views:
     """Follow the configuration, the waves, the jobs and the owner in the store."""
 
-    def __init__(self, store: StoreClient, log: DecisionLog) -> None:
-        """Start without a configuration; nothing is read yet."""
+    def __init__(
+        self, store: StoreClient, log: DecisionLog, is_large: bool = False
+    ) -> None:
+        """Start without a configuration; nothing is read yet.
+
+        `is_large` tells whether the instance may claim the ownership without a wait.
+        """
         self._log = log
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
@@ -69,7 +79,11 @@
             store, log, JOBS_TOPIC, self._on_job_record, READ_PAUSE_SECONDS
         )
         self.progress_tail = TopicTail(
-            store, log, PROGRESS_TOPIC, self._on_progress_record, READ_PAUSE_SECONDS
+            store,
+            log,
+            PROGRESS_TOPIC,
+            self._on_progress_record,
+            CANDIDATE_READ_PAUSE_SECONDS if is_large else READ_PAUSE_SECONDS,
         )
         # Called with the id of a changed job, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
