Rebuild the demand of pools from accepted jobs when an owner takes over

Load pattern: the owner is lost in the middle of a burst.

Cause: a new owner knew when bursts had started, and no rates. Between its first and second observation every job that it found was the reference, so the burst in progress counted as over, and idle instances went to standby until jobs were due.

Change: the sizing replays the jobs of the last 60 s, which every instance holds, in the steps in which demand is observed, and takes the first observation of its own as reference.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from baobablane.deployment import Instance, InstanceState
+from baobablane.deployment import Configuration, Instance, InstanceState
 from baobablane.maintenance import (
     MaintenanceOrder,
     MaintenancePlan,
@@ -12,6 +12,7 @@
 )
 from baobablane.scheduling import Scheduler
 from baobablane.sizing import (
+    Arrival,
     BurstStarts,
     MoveOrder,
     PoolSizing,
@@ -83,6 +84,7 @@
         # These instances count as unavailable.
         self._in_flight: set[tuple[str, int]] = set()
         self._sizing = PoolSizing()
+        self._is_history_restored = False
         self._recorded_burst_starts: BurstStarts = []
         self.progress_by_wave: dict[int, WaveProgress] = {}
         # Waves whose progress is not recorded yet.
@@ -194,6 +196,10 @@
         demands = self._scheduler.fleet.demand_by_pool(unix_ms())
         fleet_cores = sum(i.capacity.cpu_millis for i in self._instances) / 1000
         cores_per_pool = fleet_cores / max(1, len(configuration.pools_by_name))
+        if not self._is_history_restored:
+            self._is_history_restored = True
+            arrivals = self._past_arrivals(configuration)
+            self._sizing.restore(arrivals, demands, cores_per_pool, now)
         self._sizing.observe(demands, cores_per_pool, now)
         targets = {
             pool: self._sizing.target(pool, demand, now)
@@ -213,6 +219,16 @@
             maintenance.cordoned_upstreams,
         )
 
+    def _past_arrivals(self, configuration: Configuration) -> list[Arrival]:
+        arrivals: list[Arrival] = []
+        for job in self._views.job_table.jobs_by_id.values():
+            queue = configuration.queues_by_name.get(job.queue)
+            pool = queue.pool if queue else job.pool
+            arrivals.append(
+                Arrival(job.accepted_ms / 1000, pool, job.declared_core_seconds())
+            )
+        return arrivals
+
     async def _send_move(self, order: MoveOrder) -> None:
         if not self._ownership.holds(self._epoch, MAX_CONFIRMATION_AGE_SECONDS):
             return
--- a/packages/baobablane/baobablane/jobs/_job.py
+++ b/packages/baobablane/baobablane/jobs/_job.py
@@ -31,6 +31,14 @@
         """Return whether any step is long-running."""
         return any(step.is_lasting for step in self.steps)
 
+    def declared_core_seconds(self) -> float:
+        """Return one occurrence's declared core-seconds, except long-running tasks."""
+        return sum(
+            step.count * step.needs.cpu_millis * step.estimated_ms / 1e6
+            for step in self.steps
+            if not step.is_lasting
+        )
+
     def due_ms(self, occurrence: int) -> int:
         """Return the time, in Unix milliseconds, from which an occurrence may start."""
         if not self.is_periodic():
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -110,14 +110,6 @@
         }
         return JobProgress(self.state, tasks, self._first_open)
 
-    def declared_core_seconds(self) -> float:
-        """Return one occurrence's declared core-seconds, except long-running tasks."""
-        return sum(
-            step.count * step.needs.cpu_millis * step.estimated_ms / 1e6
-            for step in self.job.steps
-            if not step.is_lasting
-        )
-
     def remaining_core_seconds(self) -> float:
         """Return the declared core-seconds of unfinished tasks, except long-running."""
         return sum(
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -64,7 +64,7 @@
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
         pool = self.state.pool_of(job_run)
-        core_seconds = job_run.declared_core_seconds()
+        core_seconds = job.declared_core_seconds()
         self.state.arrived_core_seconds[pool] += core_seconds
         self.state.arrived_squares[pool] += core_seconds**2
         if progress:
--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -3,13 +3,17 @@
 Load pattern: in a burst, a pool's demand is several times its mean and exceeds its own
 capacity; between bursts it is a twentieth of the peak. A pool gets cores for the work
 that arrives and waits, and shortly before a burst that can be forecast. Between bursts,
-it keeps few cores.
+it keeps few cores. A new owner in the middle of a burst rebuilds the rates from the
+jobs that were accepted before.
 """
 
 import math
+from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..scheduling import PoolDemand
+from ._arrival import Arrival
 from ._forecast import BurstForecast
 from ._target import PoolTarget
 
@@ -44,11 +48,16 @@
 MOVE_LEAD_SECONDS = 2.3
 # If a burst is later than forecast by more than this, its cores are released.
 MAX_BURST_DELAY_SECONDS = 1.5
+# A new owner rebuilds the history of this time, which covers a burst of every pool, in
+# steps of the interval at which demand is observed.
+RESTORED_SECONDS = 60.0
+RESTORED_STEP_SECONDS = 0.25
 
 
 @dataclass(slots=True)
 class _PoolDemandHistory:
-    arrived_core_seconds: float
+    # As last observed; None if the next observation is the first one of an owner.
+    arrived_core_seconds: float | None
     arrived_squares: float
     equal_share_cores: float = 0.0
     # Averages of the arrival rate, in cores (core-seconds per second).
@@ -115,6 +124,41 @@
         for name in set(self._pools) - set(demands):
             del self._pools[name]
 
+    def restore(
+        self,
+        arrivals: Iterable[Arrival],
+        pools: Iterable[str],
+        equal_share_cores: float,
+        now: float,
+    ) -> None:
+        """Rebuild the rates from arrivals before `now`, which is in Unix seconds.
+
+        Burst starts that `forecast` holds are kept.
+        """
+        burst_starts = self.forecast.burst_starts()
+        waiting = deque(sorted(arrivals))
+        core_seconds = dict.fromkeys(pools, 0.0)
+        squares = dict.fromkeys(core_seconds, 0.0)
+        for step in reversed(range(round(RESTORED_SECONDS / RESTORED_STEP_SECONDS))):
+            at = now - step * RESTORED_STEP_SECONDS
+            while waiting and waiting[0].at <= at:
+                arrival = waiting.popleft()
+                if arrival.pool in core_seconds:
+                    core_seconds[arrival.pool] += arrival.core_seconds
+                    squares[arrival.pool] += arrival.core_seconds**2
+            demands = {
+                pool: PoolDemand(0.0, 0.0, 0.0, core_seconds[pool], squares[pool])
+                for pool in core_seconds
+            }
+            self.observe(demands, equal_share_cores, at)
+            for pool, demand in demands.items():
+                # Sets the cores that the pool got in its burst.
+                self.wanted_cores(pool, demand, at)
+        if burst_starts:
+            self.forecast.restore(burst_starts)
+        for history in self._pools.values():
+            history.arrived_core_seconds = None
+
     def target(self, name: str, demand: PoolDemand, now: float) -> PoolTarget:
         """Return the cores that a pool should have and those that it can't lend.
 
@@ -188,10 +232,14 @@
         seconds: float,
         now: float,
     ) -> None:
-        new_core_seconds = demand.arrived_core_seconds - pool.arrived_core_seconds
+        previous_core_seconds = pool.arrived_core_seconds
+        previous_squares = pool.arrived_squares
         pool.arrived_core_seconds = demand.arrived_core_seconds
-        new_squares = demand.arrived_squares - pool.arrived_squares
         pool.arrived_squares = demand.arrived_squares
+        if previous_core_seconds is None:
+            return
+        new_core_seconds = demand.arrived_core_seconds - previous_core_seconds
+        new_squares = demand.arrived_squares - previous_squares
         weight = _smoothing_weight(seconds, RATE_TIME_CONSTANT_SECONDS)
         pool.square_rate += weight * (new_squares / seconds - pool.square_rate)
         rate = new_core_seconds / seconds
