Check only runs that may need a stop, and only jobs that have ended

Cause: each round of the owner looked at every run for a stop and built the set of all jobs with runs. A profile of the decisions alone (240 upstreams, 60 long-running jobs, two jobs a round, 5,494 starts) showed 40% of the time there, and 19% in choosing among upstreams that had no room.

Change: an upstream is checked for stops after its report, after an eviction, and when a job that it runs has ended; runs are counted by job; jobs in a final state are kept in a set; an upstream without enough cores is rejected before its room is computed.

--- a/packages/baobablane/baobablane/scheduling/_fleet_view.py
+++ b/packages/baobablane/baobablane/scheduling/_fleet_view.py
@@ -88,8 +88,9 @@
         """Mark a run to be stopped, so that its task starts elsewhere."""
         upstream = self.state.upstreams.get(order.upstream)
         run = upstream.runs.get(order.task) if upstream else None
-        if run is not None and run.number == order.run:
+        if upstream is not None and run is not None and run.number == order.run:
             run.is_evicted = True
+            upstream.may_need_stops = True
             self.state.log_decision(
                 "task-evicted", order.task, order.run, upstream=order.upstream
             )
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -29,9 +29,13 @@
     """
     step = step_run.step
     hosting = [u for u in candidates if u.id in placed_by_upstream]
+    cpu_millis = 0 if step.is_filler else step.needs.cpu_millis
     best: Upstream | None = None
     best_score: tuple[float, ...] | None = None
     for upstream in candidates:
+        if upstream.entry.capacity.cpu_millis - upstream.used.cpu_millis < cpu_millis:
+            # Most upstreams of a full pool are rejected here, before a copy is made.
+            continue
         placed = placed_by_upstream.get(upstream.id, 0)
         if step.most_per_upstream and placed >= step.most_per_upstream:
             continue
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -96,6 +96,9 @@
     state.dirty_jobs.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
         _finish_task(step_run, ended.task, task)
+        if step_run.step.may_run_twice or step_run.step.is_gang:
+            # Other runs of the task, or of the gang, may have to be stopped.
+            state.check_stops_of(ended.task.job)
         job_run.close_ended_occurrences()
         if job_run.is_complete():
             state.finish_job(job_run, JobState.COMPLETED, "all tasks done")
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -63,6 +63,8 @@
         check_job(job)
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
+        if job_run.state.is_final():
+            self.state.final_jobs.add(job.id)
         pool = self.state.pool_of(job_run)
         core_seconds = job.declared_core_seconds()
         self.state.arrived_core_seconds[pool] += core_seconds
@@ -77,7 +79,8 @@
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended, so that its runs are stopped."""
         # Without this entry, runs of an unknown job are stopped.
-        self.state.errors_by_job.pop(job_id, None)
+        if self.state.errors_by_job.pop(job_id, None):
+            self.state.check_stops_of(job_id)
         job_run = self.state.jobs.get(job_id)
         if job_run is not None:
             self.state.finish_job(
@@ -138,6 +141,7 @@
             replace_incarnation(self.state, upstream, entry, now)
             upstream = self.state.upstreams[upstream_id]
         if report.incarnation == upstream.entry.incarnation:
+            upstream.may_need_stops = True
             apply_report(self.state, upstream, report, requested_at, now)
             detect_stalls(self.state, upstream, now)
             self._pace_orders += plan_pace_orders(upstream, now)
@@ -231,8 +235,18 @@
                 for task, run in upstream.orphan_runs.items()
             ]
             upstream.orphan_runs = {}
-            for run in upstream.runs.values():
-                if should_stop(self.state, run) and self._may_repeat_stop(run, now):
+            if upstream.may_need_stops:
+                orders += self._plan_stops_on(upstream, now)
+        return orders
+
+    def _plan_stops_on(self, upstream: Upstream, now: float) -> list[StopOrder]:
+        orders: list[StopOrder] = []
+        upstream.may_need_stops = False
+        for run in upstream.runs.values():
+            if should_stop(self.state, run):
+                # The stop is repeated until the run is known to have ended.
+                upstream.may_need_stops = True
+                if self._may_repeat_stop(run, now):
                     run.stop_sent_at = now
                     orders.append(StopOrder(run.task, run.number, upstream.id))
         return orders
@@ -299,16 +313,15 @@
 
     def remove_ended_jobs(self) -> list[str]:
         """Remove recorded ended jobs that have no runs, and return their ids."""
-        busy = {
-            task.job for u in self.state.upstreams.values() for task in u.runs
-        } | self.state.dirty_jobs
         ended = [
             job_id
-            for job_id, job_run in self.state.jobs.items()
-            if job_run.state.is_final() and job_id not in busy
+            for job_id in self.state.final_jobs
+            if job_id not in self.state.run_count_by_job
+            and job_id not in self.state.dirty_jobs
         ]
+        self.state.final_jobs.difference_update(ended)
         for job_id in ended:
-            del self.state.jobs[job_id]
+            self.state.jobs.pop(job_id, None)
             self.state.advice.remove_job(job_id)
         return ended
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -1,6 +1,6 @@
 """Hold the scheduler's state and the operations that change it."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from ..deployment import Configuration
 from ..jobs import JobState, TaskId, TaskState
@@ -47,6 +47,10 @@
         # Jobs on which work raised an error, with its description. They are not placed,
         # and their runs are left alone.
         self.errors_by_job: dict[str, str] = {}
+        # Jobs in a final state that are not removed yet.
+        self.final_jobs: set[str] = set()
+        # Number of runs of each job that has any.
+        self.run_count_by_job: Counter[str] = Counter()
         # How many runs were requeued, by reason.
         self.requeued_by_reason: dict[str, int] = defaultdict(int)
 
@@ -67,6 +71,9 @@
     def add_run(self, run: Run, upstream: Upstream, now: float) -> None:
         """Add a run whose start is about to be recorded, and count its resources."""
         upstream.add(run)
+        if run.needs_stop:
+            upstream.may_need_stops = True
+        self.run_count_by_job[run.task.job] += 1
         self.usage.add(run.account, run.needs)
         self.ejections.record_sent(upstream.id, now)
         self.dirty_jobs.add(run.task.job)
@@ -75,6 +82,9 @@
         """Remove a run that has ended, and free its resources."""
         run = upstream.remove(task)
         if run is not None:
+            self.run_count_by_job[task.job] -= 1
+            if not self.run_count_by_job[task.job]:
+                del self.run_count_by_job[task.job]
             self.usage.remove(run.account, run.needs)
             # Its end completes a probe of an ejected upstream, even if it does not show
             # whether the upstream is healthy.
@@ -124,6 +134,14 @@
         ]
         return self.ejections.record_failure(upstream.id, upstreams_in_pool, now)
 
+    def check_stops_of(self, job_id: str) -> None:
+        """Check in the next round which runs of a job have to be stopped."""
+        if job_id not in self.run_count_by_job:
+            return
+        for upstream in self.upstreams.values():
+            if any(task.job == job_id for task in upstream.runs):
+                upstream.may_need_stops = True
+
     def set_apart(self, job_id: str, error: Exception) -> None:
         """Stop all work on a job after an unexpected error, so that others go on.
 
@@ -143,7 +161,9 @@
         if job_run.state.is_final():
             return
         job_run.state = state
+        self.final_jobs.add(job_run.job.id)
         self.dirty_jobs.add(job_run.job.id)
+        self.check_stops_of(job_run.job.id)
         self.events.append(
             SchedulingEvent(f"job-{state.name.lower()}", job_run.job.id, reason=reason)
         )
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -69,6 +69,9 @@
     is_reachable: bool = False
     # When it was first found unreachable; checked once per scheduling round.
     unreachable_since: float | None = None
+    # Whether any of its runs may have to be stopped. To check all runs in each round
+    # takes longer than all else.
+    may_need_stops: bool = True
     # Numbers of the runs that it reports unexpectedly, by task; they are stopped.
     orphan_runs: dict[TaskId, int] = field(default_factory=dict)
 
