Never append a record of progress that the store rejects for its size

Cause: an append that the store rejects is repeated until it is stored. One record over 262,144 bytes (a job of 10,000 tasks, or long checkpoints from an upstream) was rejected for ever, and the owner recorded and placed nothing else.

Change: checkpoints are left out of a record that is too large; if it still is, its job is set apart.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 
 import msgspec
+from baobablane.errors import JobLimitError
 from baobablane.jobs import JobProgress, encode_progress
 from baobablane.maintenance import encode_wave_progress
 from baobablane.scheduling import Scheduler, SchedulingPolicy
@@ -35,6 +36,8 @@
 
 # Maximum interval between rounds, which check due times and expired leases.
 MAX_IDLE_SECONDS = 0.1
+# The key of a record and its length; the id of a job has 16 characters.
+MAX_KEY_BYTES = 32
 # Errors that show that another process owns the placement.
 OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
 TAKEOVER_RETRY_SECONDS = 0.1
@@ -89,6 +92,7 @@
             self._writer,
             self._wake.set,
         )
+        self._max_progress_bytes = settings.limits.max_record_bytes - MAX_KEY_BYTES
         self._changed_job_ids: list[str] = []
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
         self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
@@ -194,10 +198,12 @@
     async def _record_progress(
         self, progress_by_job: dict[str, JobProgress], waves: set[int]
     ) -> None:
-        values: dict[str, bytes | None] = {
-            job_id: encode_progress(progress)
-            for job_id, progress in progress_by_job.items()
-        }
+        values: dict[str, bytes | None] = {}
+        for job_id, progress in progress_by_job.items():
+            try:
+                values[job_id] = encode_progress(progress, self._max_progress_bytes)
+            except JobLimitError as error:
+                self._scheduler.state.set_apart(job_id, error)
         progress_by_wave = self._instance_manager.progress_by_wave
         for number in waves:
             values[f"{WAVE_PROGRESS_PREFIX}{number}"] = encode_wave_progress(
--- a/packages/baobablane/baobablane/jobs/_codec.py
+++ b/packages/baobablane/baobablane/jobs/_codec.py
@@ -1,7 +1,9 @@
 """Encode and decode the records of jobs and of their progress."""
 
 import msgspec
+from msgspec.structs import replace
 
+from ..errors import JobLimitError
 from ._job import Job
 from ._progress import JobProgress
 
@@ -20,9 +22,21 @@
     return _job_decoder.decode(record)
 
 
-def encode_progress(progress: JobProgress) -> bytes:
-    """Return the record of a job's progress."""
-    return _encoder.encode(progress)
+def encode_progress(progress: JobProgress, max_bytes: int | None = None) -> bytes:
+    """Return the record of a job's progress.
+
+    If it is larger than `max_bytes`, leave out the checkpoints, whose length upstreams
+    choose; tasks that are resumed without them start anew. Raise JobLimitError if it is
+    still too large: the store would reject it, and with it all records of its append.
+    """
+    record = _encoder.encode(progress)
+    if max_bytes is None or len(record) <= max_bytes:
+        return record
+    tasks = {key: replace(task, checkpoint="") for key, task in progress.tasks.items()}
+    record = _encoder.encode(JobProgress(progress.state, tasks, progress.first_open))
+    if len(record) > max_bytes:
+        raise JobLimitError("progress", len(record), 0, max_bytes, "bytes")
+    return record
 
 
 def decode_progress(record: bytes) -> JobProgress:
