Test that no start of a job is sent that could not be recorded

A job whose progress can't be encoded is set apart after its starts were planned. They are not sent, since a start is sent only while its job is known; the test shows that it stays so.

--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_errors.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_errors.py
@@ -85,6 +85,29 @@
             assert await deployment.state(entry, OTHER) == "pending"
 
 
+class TestRecords:
+    """Test a job whose progress can't be recorded."""
+
+    async def test_unrecorded_start_is_not_sent(self, monkeypatch):
+        from baobablane.errors import JobLimitError
+
+        from baobablane_daemon.owner import _owner
+
+        original = _owner.encode_progress
+
+        def encode(progress, max_bytes):
+            if "0.0.7" in progress.tasks:
+                raise JobLimitError("progress", 9, 0, 1)
+            return original(progress, max_bytes)
+
+        monkeypatch.setattr(_owner, "encode_progress", encode)
+        async with run_deployment() as deployment:
+            (entry,) = deployment.entries
+            assert await deployment.submit(entry, OTHER, count=8) == 200
+            await check_serves(deployment, entry)
+            assert deployment.starts(OTHER) == []
+
+
 class TestUpstreams:
     """Test upstreams that answer with rubbish."""
 
