Treat a key that the store forgot to be deleted as deleted

Cause: after unread records have expired, a tail reads the newest record of each key. A key that was deleted meanwhile is not among them, so an upstream that had left stayed listed with the owner, and a deleted job stayed known.

Change: a tail keeps the keys that it has passed on, and passes the deletion of those that are missing among the newest.

Result: TestForgottenDeletions, both tests fail before.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -26,7 +26,8 @@
     """Read a partition continuously, and pass its records to a callback in order.
 
     At the start, and after unread records have expired, first read the newest record
-    of each key. Apart from that, each record is passed once.
+    of each key. A key that is then missing was deleted by a record that has expired, so
+    its deletion is passed. Apart from that, each record is passed once.
     """
 
     def __init__(
@@ -57,6 +58,9 @@
         # end offset of the first page.
         self._newest_last_key: str | None = None
         self._newest_end_offset: int | None = None
+        # Keys that exist as far as read, and those found among the newest records.
+        self._known_keys: set[str] = set()
+        self._newest_keys: set[str] = set()
         self._refresh_task: asyncio.Task[None] | None = None
         self._is_reachable = True
         self._failed_reads = 0
@@ -156,10 +160,15 @@
             for key in page.malformed_keys:
                 self._log_skipped(key, "the value is not in base64")
             for record in page.records:
+                self._newest_keys.add(record.key)
                 self._pass_on(record)
             self._newest_last_key = page.continuation_key
+            self._newest_keys.update(page.malformed_keys)
             if page.continuation_key is None:
                 break
+        for key in self._known_keys - self._newest_keys:
+            self._pass_on(KeyedRecord(key, None))
+        self._newest_keys = set()
         self._next_offset, self._newest_end_offset = self._newest_end_offset, None
 
     def _skip_superseded(self, end_offset: int) -> None:
@@ -184,6 +193,10 @@
         self._pass_on(record)
 
     def _pass_on(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._known_keys.discard(record.key)
+        else:
+            self._known_keys.add(record.key)
         try:
             self._on_record(record)
         except Exception as error:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -9,6 +9,7 @@
     KeyedRecord,
     NewestPage,
     RecordPage,
+    StoreExpiredError,
     StoreUnknownOutcomeError,
 )
 
@@ -129,6 +130,63 @@
         assert await read_backlog(2, True) == ([0, 1], [0, 0, 1])
 
 
+class ForgetfulStore:
+    """Return the newest records, and forget all older ones when told to."""
+
+    def __init__(self):
+        """Store three keys."""
+        self.newest = {"a": b"1", "b": b"1", "c": b"1"}
+        self.end = 3
+        self.first = 0
+
+    async def read_newest(self, topic, partition, after):
+        """Return all keys on one page."""
+        records = [KeyedRecord(key, value) for key, value in self.newest.items()]
+        return NewestPage(self.end, records, None)
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return no records, or raise StoreExpiredError for forgotten ones."""
+        if start < self.first:
+            raise StoreExpiredError(f"expired from offset {start}")
+        return RecordPage(self.end, self.first, [])
+
+    def delete_and_forget(self, key):
+        """Delete a key, and forget the record that says so."""
+        del self.newest[key]
+        self.end += 1
+        self.first = self.end
+
+
+class TestForgottenDeletions:
+    """Test keys whose deletion was never read because the store forgot its history.
+
+    Such an upstream stayed listed and such a job stayed known.
+    """
+
+    async def test_missing_key_counts_as_deleted(self):
+        store = ForgetfulStore()
+        records = []
+        tail = TopicTail(store, DecisionLog("i"), "keyed.servers", records.append)
+        await tail.catch_up()
+        store.delete_and_forget("b")
+        records.clear()
+        await tail.catch_up()
+        assert KeyedRecord("b", None) in records
+        assert {r.key for r in records if r.value} == {"a", "c"}
+
+    async def test_key_is_deleted_only_once(self):
+        store = ForgetfulStore()
+        records = []
+        tail = TopicTail(store, DecisionLog("i"), "keyed.servers", records.append)
+        await tail.catch_up()
+        store.delete_and_forget("b")
+        await tail.catch_up()
+        records.clear()
+        store.delete_and_forget("c")
+        await tail.catch_up()
+        assert [r.key for r in records if r.value is None] == ["c"]
+
+
 class TestLog:
     """Test that the log tells why and for how long a topic could not be read."""
 
