--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_views.py
@@ -139,3 +139,34 @@
                 return await deployment.submit(entry) == 401
 
             await deployment.wait_for(is_denied)
+
+
+class TestSlowBody:
+    """Test a key that is withdrawn while the body of a request arrives."""
+
+    async def test_job_is_rejected_by_the_newer_configuration(self):
+        async with run_deployment() as deployment:
+            (entry,) = deployment.entries
+            host, _, port = entry.address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            body = b'{"steps":[{"cpu":1000}]}'
+            writer.write(
+                f"POST {PATH_PREFIX}{JOB} HTTP/1.1\r\nHost: queues.example\r\n"
+                f"Authorization: Bearer {API_KEY}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n".encode()
+                + body[:5]
+            )
+            await writer.drain()
+            deployment.platform.write_config(2, ["new"])
+
+            async def is_rejected():
+                status, _ = await deployment.call(entry, "GET", PATH_PREFIX)
+                return status == 401
+
+            await deployment.wait_for(is_rejected)
+            writer.write(body[5:])
+            status_line = await reader.readline()
+            writer.close()
+            assert b" 401 " in status_line
+            store = deployment.platform.store
+            assert store.partition("keyed.jobs", 0).end_offset == 0
