Bound leases of unreachable upstreams by the last heartbeat before the claim

Cause: tasks on an upstream without an entry were started elsewhere 5.2 s after a takeover. Such a machine may be silent to the store only and still be reached by the owner that was replaced, which renews leases until 4 s after its last confirmation: about 2 s longer.

The test of an unlisted upstream asked for its task to start again within 7.0 s; it now checks that it does not at 7.3 s and does at 7.8 s, which is what the leases allow.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -39,6 +39,14 @@
 ERROR_BACKOFF_SECONDS = 6.0
 
 
+# Interval of heartbeats, between which other records confirm the ownership too.
+MAX_CONFIRMATION_AFTER_HEARTBEAT_SECONDS = 0.4
+# After its last confirmation, an owner may renew leases until the next check.
+MAX_RENEWAL_SECONDS = MAX_UNCONFIRMED_SECONDS + 2 * CHECK_INTERVAL_SECONDS
+# A process that read the last heartbeat at its start knows its age from two clocks.
+MAX_CLOCK_DIFFERENCE_SECONDS = 0.5
+
+
 class Ownership:
     """Claim, confirm and end this process's right to place all tasks.
 
@@ -65,6 +73,8 @@
         self._candidacy = candidacy
         self._last_epoch = 0
         self._no_claim_until = 0.0
+        # The heartbeat before this process's claim; None if it is unknown.
+        self._previous_heartbeat: OwnerHeartbeat | None = None
         self._confirmed_at = float("-inf")
         # The epoch under which this process is the owner, or None.
         self.epoch: int | None = None
@@ -113,6 +123,23 @@
         """
         return self.epoch == epoch and self.is_confirmed(seconds)
 
+    def last_renewal_age(self, now: float) -> float | None:
+        """Return for how many seconds no earlier owner has renewed any lease.
+
+        It is negative if the latest one may still do so, and None if it is unknown. All
+        records before the claim were read, and earlier owners end sooner.
+        """
+        heartbeat = self._previous_heartbeat
+        if heartbeat is None:
+            return None
+        latest_renewal = (
+            heartbeat.received_at
+            + MAX_CONFIRMATION_AFTER_HEARTBEAT_SECONDS
+            + MAX_RENEWAL_SECONDS
+            + MAX_CLOCK_DIFFERENCE_SECONDS
+        )
+        return now - latest_renewal
+
     def end(self, reason: str, epoch: int | None = None) -> None:
         """End the ownership if this process has it; `reason` is logged.
 
@@ -148,7 +175,7 @@
         next_offset = self._views.progress_tail.next_offset
         if next_offset is None:
             return
-        heartbeat = self._views.owner_heartbeat
+        heartbeat = self._previous_heartbeat = self._views.owner_heartbeat
         epoch = heartbeat.epoch + 1 if heartbeat else 1
         value = encode_owner_heartbeat(unix_ms(), epoch, self.holder, self._is_large)
         try:
@@ -172,6 +199,10 @@
             self._begin_ownership(epoch, now)
 
     def _begin_ownership(self, epoch: int, requested_at: float) -> None:
+        previous = self._previous_heartbeat
+        if previous is not None and previous.epoch != epoch - 1:
+            # The claim before this one had a lost response.
+            self._previous_heartbeat = None
         self.epoch = self._last_epoch = epoch
         self.confirm(requested_at)
         self._log.info("owner-begins", epoch=epoch)
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -3,7 +3,7 @@
 from ._advice import AdviceRequest
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
-from ._lease_tracker import LeaseTracker
+from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE, LeaseTracker
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._policy import SchedulingPolicy
 from ._pool_demand import PoolDemand
@@ -12,6 +12,8 @@
 from ._upstream_view import StepKey, UpstreamView
 
 __all__ = [
+    "KILL_SECONDS",
+    "SLOWEST_CLOCK_RATE",
     "AdviceRequest",
     "EndReason",
     "EndedRun",
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -30,15 +30,15 @@
     # A long-running task that is not ready this long after its start counts as stalled;
     # a normal start-up takes well under a second.
     lasting_start_seconds: float = 3.5
-    # Bound on the leases of an upstream that has not reported to this owner yet. The
-    # previous owner may have renewed them for 4 s without confirmation by the store,
-    # of which 1.8 s had passed before the store named a new owner; then a lease of
-    # 4.5 s on a slow clock has to expire.
+    # Bound on the leases of an upstream that has not reported to this owner yet, from
+    # the takeover on. The previous owner may have renewed them for 4 s without
+    # confirmation by the store, of which 1.5 s had passed; then a lease of 3.8 s on a
+    # slow clock has to expire.
     unknown_lease_seconds: float = 7.5
     # How long a new owner keeps an upstream that is recorded as running tasks but has
-    # no entry: entries are back 2 s after an outage of the store, and a lease has
-    # expired after 5.1 s.
-    unlisted_grace_seconds: float = 5.2
+    # no entry. It may be silent to the store only, and run on under leases of the
+    # previous owner. Entries are back 2 s after an outage of the store.
+    unlisted_grace_seconds: float = 7.5
     # An order without a response may be carried out up to this long after it was sent,
     # even by the upstream's next incarnation.
     late_order_seconds: float = 13.0
--- a/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
@@ -156,7 +156,11 @@
         fleet.renew_all()
         fleet.scheduler.remove_unlisted(fleet.now)
         assert fleet.place() == []
-        fleet.now += 7.0
+        # The previous owner may reach it, and may have renewed its leases until now.
+        fleet.now += 7.3
+        fleet.scheduler.remove_unlisted(fleet.now)
+        assert fleet.place() == []
+        fleet.now += 0.5
         fleet.scheduler.remove_unlisted(fleet.now)
         fleet.renew_all()
         assert len(fleet.place()) == 1
