Read progress as it is stored again, and jobs every quarter of a second

Cause: callers ask at about the time at which the last task ends and again 0.25 s or more later. Reads of 0.45 s of records take 0.1 to 0.3 s over links of 5 to 10 Mbit/s, and a query's read beside the usual one fetches the same bytes again.

Change: the progress is read with a pause of 0.1 s everywhere, as before. Only jobs are read with a longer pause, 0.25 s, which leaves the margin to the limit of 1.3 s without data while the store is slow; a query for an unknown job reads at once.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -54,7 +54,7 @@
 ) -> None:
     """Serve until `stop` is set, then finish the requests in flight."""
     store = StoreClient(settings.store_address, settings.link_mbit)
-    views = Views(store, log, is_large(settings))
+    views = Views(store, log)
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
     holder = make_holder(settings.instance, time.time_ns())
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -24,10 +24,6 @@
 # A read takes at most 0.45 s unless its response is large, so the age of a view is at
 # most 0.9 s. A view that is older than this may lack what others have read.
 MAX_VIEW_AGE_SECONDS = 1.3
-# A younger view answers a query for a job that has not ended without a read.
-REFRESH_AGE_SECONDS = 0.15
-# A read takes about 10 ms. While the store is slow, the view answers instead.
-REFRESH_TIMEOUT_SECONDS = 0.3
 # If nothing arrives for longer than this, the store is unreachable, and callers should
 # use other instances.
 MAX_SILENCE_SECONDS = 1.3
@@ -168,9 +164,6 @@
         if state is None:
             await self._catch_up()
             state = self._views.job_table.state(job_id)
-        if state is not None and not state.is_final():
-            await self._refresh_progress()
-            state = self._views.job_table.state(job_id)
         if state is not None and not state.is_final():
             age = self._views.progress_tail.age()
             if age > MAX_VIEW_AGE_SECONDS:
@@ -211,21 +204,6 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
-    async def _refresh_progress(self) -> None:
-        # A view that is too old is behind, and a further read would only delay it.
-        tail = self._views.progress_tail
-        if not REFRESH_AGE_SECONDS < tail.age() < MAX_VIEW_AGE_SECONDS:
-            return
-        try:
-            async with asyncio.timeout(REFRESH_TIMEOUT_SECONDS):
-                await tail.refresh()
-        except (StoreError, TimeoutError) as error:
-            # The view still answers until it is MAX_VIEW_AGE_SECONDS old.
-            self._log.metrics.failed_refreshes.inc()
-            self._log.write(
-                Decision("refresh-failed", reason=repr(error), seconds=tail.age())
-            )
-
     async def _catch_up(self) -> None:
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -61,7 +61,6 @@
         # Keys that exist as far as read, and those found among the newest records.
         self._known_keys: set[str] = set()
         self._newest_keys: set[str] = set()
-        self._refresh_task: asyncio.Task[None] | None = None
         self._is_reachable = True
         self._failed_reads = 0
         # When a part of a successful response last arrived; -inf before the first.
@@ -105,19 +104,6 @@
         while self.confirmed_at < requested_at:
             await self._read(0)
 
-    async def refresh(self) -> None:
-        """Read everything stored so far, or raise a StoreError.
-
-        Concurrent calls share one read, so a call may miss what was stored while an
-        earlier one was reading.
-        """
-        if self._refresh_task is None or self._refresh_task.done():
-            task = asyncio.get_running_loop().create_task(self.catch_up())
-            # All callers may have been cancelled by the time the read fails.
-            task.add_done_callback(lambda done: done.cancelled() or done.exception())
-            self._refresh_task = task
-        await asyncio.shield(self._refresh_task)
-
     async def _read(self, wait_ms: int) -> int:
         async with self._newest_lock:
             if self._next_offset is None:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -30,13 +30,11 @@
 # Written by the owner only: heartbeats, the progress of jobs and waves, orders for
 # instances, and burst starts. A claim of the ownership is the first heartbeat.
 PROGRESS_TOPIC = "keyed.progress"
-# A query for an unknown job, or for one that has not ended, reads immediately. So the
-# number of reads does not grow with that of the records. With the wait for an answer,
-# the age of a view stays below 1 s.
-READ_PAUSE_SECONDS = 0.45
-# Pause of an instance that may claim the ownership soon: heartbeats that it reads late
-# must not time out while the store is slow.
-CANDIDATE_READ_PAUSE_SECONDS = 0.1
+# Callers ask for a state at about the time at which the job ends, and again later. An
+# older view would show the end only then. Larger reads are slower over a narrow link.
+PROGRESS_PAUSE_SECONDS = 0.1
+# A query for an unknown job reads immediately, and only the owner needs each new job.
+JOBS_PAUSE_SECONDS = 0.25
 # Key prefix in the topic of jobs; the id of a job follows.
 CANCEL_PREFIX = "cancel/"
 # Keys in the topic of progress: prefixes that the number of a wave or the id of an
@@ -51,13 +49,8 @@
 class Views:
     """Follow the configuration, the waves, the jobs and the owner in the store."""
 
-    def __init__(
-        self, store: StoreClient, log: DecisionLog, is_large: bool = False
-    ) -> None:
-        """Start without a configuration; nothing is read yet.
-
-        `is_large` tells whether the instance may claim the ownership without a wait.
-        """
+    def __init__(self, store: StoreClient, log: DecisionLog) -> None:
+        """Start without a configuration; nothing is read yet."""
         self._log = log
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
@@ -76,14 +69,14 @@
             skips_superseded=True,
         )
         self.jobs_tail = TopicTail(
-            store, log, JOBS_TOPIC, self._on_job_record, READ_PAUSE_SECONDS
+            store, log, JOBS_TOPIC, self._on_job_record, JOBS_PAUSE_SECONDS
         )
         self.progress_tail = TopicTail(
             store,
             log,
             PROGRESS_TOPIC,
             self._on_progress_record,
-            CANDIDATE_READ_PAUSE_SECONDS if is_large else READ_PAUSE_SECONDS,
+            PROGRESS_PAUSE_SECONDS,
         )
         # Called with the id of a changed job, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
@@ -92,7 +85,7 @@
 
     def set_is_owner(self, is_owner: bool) -> None:
         """Read new jobs without a pause while this process is the owner."""
-        self.jobs_tail.pause_seconds = 0.0 if is_owner else READ_PAUSE_SECONDS
+        self.jobs_tail.pause_seconds = 0.0 if is_owner else JOBS_PAUSE_SECONDS
 
     def has_read_all(self) -> bool:
         """Return whether there is a configuration and all topics were read once."""
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_process_metrics.py
@@ -53,11 +53,6 @@
             ["topic"],
             registry=self.registry,
         )
-        self.failed_refreshes = Counter(
-            "baobablane_failed_refreshes",
-            "Queries answered from the view because a read failed or was slow",
-            registry=self.registry,
-        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
