Start without the imports of the old interface and without certificates

The decision log sat in the package of the old interface's tasks, so each start loaded pydantic, zmq and its settings; and aiohttp reads all certificates of the system when it is imported, for plain HTTP.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,6 +1,7 @@
 """Run an entry instance from a checkout, without installing the packages."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -12,6 +13,10 @@
     str(ROOT / "platform"),
 ]
 
+# The platform speaks plain HTTP. aiohttp reads all certificates of the system when it is
+# imported, which takes longer than any other import.
+os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
+
 from baobablane_daemon import run_on_platform  # noqa: E402
 from baobablane_platform import settings_path  # noqa: E402
 
--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -18,9 +18,9 @@
 from starlette.types import ASGIApp
 
 from ._serving import make_server, wait_for_stop
+from .decision_log import DecisionLog
 from .jobs import JobActions, JobWriter, Views, boot_seconds, make_holder
 from .owner import Candidacy, Owner, Ownership, is_large
-from .tasks import DecisionLog
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # The balancer routes elsewhere after two failed checks of one second each.
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -13,6 +13,7 @@
 )
 
 from ._serving import make_server, wait_for_stop
+from .decision_log import DecisionLog
 from .edge import make_callers_app, make_operators_app
 from .engine import (
     AtMostOnce,
@@ -25,7 +26,6 @@
 )
 from .settings import DaemonSettings
 from .tasks import (
-    DecisionLog,
     InstanceListTask,
     LogReaderTask,
     LogWriterTask,
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/tests/test_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/tests/test_decision_log.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from baobablane_daemon.tasks import Decision, DecisionLog
+from baobablane_daemon.decision_log import Decision, DecisionLog
 
 PIPE_ATOMIC_BYTES = 4096
 
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_caller_service.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_caller_service.py
@@ -5,7 +5,7 @@
 from baobablane.errors import RejectedError, ResultCode, describe
 from baobablane.keys import parse_client_key, verify_client_key
 
-from ..tasks import Decision
+from ..decision_log import Decision
 from ._at_most_once import AtMostOnce
 from ._caller_messages import CallerAnswer, CallerRequest
 from ._deferred_jobs import DeferredJobs
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_engine.py
@@ -29,11 +29,11 @@
 from baobablane_platform import CONFIG_STREAM, JOURNAL_STREAM, MEMBERSHIP_STREAM
 from prometheus_client import CollectorRegistry
 
+from ..decision_log import DecisionLog
 from ..settings import DaemonSettings
 from ..tasks import (
     AppendRequest,
     Cancel,
-    DecisionLog,
     FetchState,
     Heartbeat,
     OutgoingFrame,
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_planner_task.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_planner_task.py
@@ -13,7 +13,7 @@
 )
 from baobablane_platform import CONFIG_STREAM
 
-from ..tasks import Decision
+from ..decision_log import Decision
 from ._engine import Engine
 
 PLAN_INTERVAL_SECONDS = 1.0
--- a/packages/baobablane-daemon/baobablane_daemon/engine/_request_runner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/engine/_request_runner.py
@@ -18,7 +18,8 @@
 from baobablane.errors import ResultCode, describe
 from yarl import URL
 
-from ..tasks import Decision, UpstreamCall, UpstreamClient, UpstreamResponse
+from ..decision_log import Decision
+from ..tasks import UpstreamCall, UpstreamClient, UpstreamResponse
 from ._at_most_once import AtMostOnce, KeyClaim
 from ._caller_messages import CallerAnswer, CallerRequest
 from ._engine import Engine
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -13,7 +13,7 @@
     StoreRejectedError,
 )
 
-from ..tasks import Decision, DecisionLog
+from ..decision_log import Decision, DecisionLog
 from ._job_writer import JobWriter
 from ._views import CANCEL_PREFIX, Views
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -11,7 +11,7 @@
     decode_record,
 )
 
-from ..tasks import DecisionLog
+from ..decision_log import DecisionLog
 from ._clock import boot_seconds, loggable_age
 
 # The store responds to a read that finds no records after this time, which confirms the
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -19,7 +19,7 @@
     decode_wave,
 )
 
-from ..tasks import DecisionLog
+from ..decision_log import DecisionLog
 from ._clock import boot_seconds, loggable_age, unix_ms
 from ._order_record import InstanceOrderRecord, decode_order_record
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -13,8 +13,8 @@
     StoreUnknownOutcomeError,
 )
 
+from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import TopicTail
-from baobablane_daemon.tasks import DecisionLog
 
 # Far longer than any step here takes, so only a hang reaches it.
 HANG_TIMEOUT_SECONDS = 60.0
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
@@ -4,7 +4,7 @@
 
 from baobablane.scheduling import SchedulingEvent
 
-from ..tasks import Decision, DecisionLog
+from ..decision_log import Decision, DecisionLog
 
 
 def log_events(log: DecisionLog, events: Iterable[SchedulingEvent]) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -27,6 +27,7 @@
     StoreSequenceError,
 )
 
+from ..decision_log import DecisionLog
 from ..jobs import (
     BURST_STARTS_KEY,
     INSTANCE_ORDER_PREFIX,
@@ -36,7 +37,6 @@
     encode_order_record,
     unix_ms,
 )
-from ..tasks import DecisionLog
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
@@ -2,8 +2,8 @@
 
 from baobablane_platform import KeyedRecord, StoreClient, StoreError
 
+from ..decision_log import DecisionLog
 from ..jobs import CANCEL_PREFIX, JOBS_TOPIC
-from ..tasks import DecisionLog
 from ._ended_jobs import EndedJobs
 from ._progress_writer import ProgressWriter
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -13,8 +13,8 @@
 )
 from baobablane_platform import AdvisorClient, UpstreamFencedError, UpstreamOrderClient
 
+from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
-from ..tasks import DecisionLog
 from ._ownership import MAX_UNCONFIRMED_SECONDS
 from ._upstream_poller import UpstreamPoller
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -27,8 +27,8 @@
     decode_upstream_entry,
 )
 
+from ..decision_log import DecisionLog
 from ..jobs import WAVE_PROGRESS_PREFIX, TopicTail, Views, boot_seconds, unix_ms
-from ..tasks import DecisionLog
 from ._candidacy import is_large
 from ._ended_jobs import EndedJobs
 from ._event_log import log_events
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -12,6 +12,7 @@
     StoreSequenceError,
 )
 
+from ..decision_log import DecisionLog
 from ..jobs import (
     OWNER_HEARTBEAT_KEY,
     PROGRESS_TOPIC,
@@ -22,7 +23,6 @@
     holder_instance,
     unix_ms,
 )
-from ..tasks import DecisionLog
 from ._candidacy import Candidacy
 from ._progress_writer import PRODUCER_NAME, first_sequence
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -10,8 +10,8 @@
     UpstreamUnreachableError,
 )
 
+from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
-from ..tasks import DecisionLog
 from ._ownership import MAX_UNCONFIRMED_SECONDS
 
 # Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -7,10 +7,10 @@
 from baobablane.maintenance import MaintenanceOrder, WaveProgress
 from baobablane_platform import InstanceListError, InstanceOrderResult
 
+from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import InstanceOrderRecord, unix_ms
 from baobablane_daemon.jobs._order_record import decode_order_record
 from baobablane_daemon.owner._instance_manager import InstanceManager
-from baobablane_daemon.tasks import DecisionLog
 
 ORDER = MaintenanceOrder("m1", 1, "u1")
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_ownership.py
@@ -7,10 +7,10 @@
 from baobablane_platform import StoreClient
 from baobablane_standin.platform import PlatformStandin
 
+from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import Views, boot_seconds, make_holder
 from baobablane_daemon.owner import Candidacy, Ownership
 from baobablane_daemon.owner._progress_writer import first_sequence
-from baobablane_daemon.tasks import DecisionLog
 
 TEST_TIMEOUT_SECONDS = 30.0
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -18,10 +18,10 @@
 )
 from baobablane_platform import StoreFencedError
 
+from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
 from baobablane_daemon.owner._upstream_poller import UpstreamPoller
-from baobablane_daemon.tasks import DecisionLog
 
 TASK = TaskId("0" * 16, 0, 0, 0)
 
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/__init__.py
@@ -1,6 +1,5 @@
-"""Re-export the daemon's connections, background tasks and decision log."""
+"""Re-export the daemon's connections and background tasks."""
 
-from ._decision_log import Decision, DecisionLog
 from ._instance_list import InstanceListTask, UnavailableInstances
 from ._log_reader import LogReaderTask, PageRead, ReadFailed
 from ._log_writer import AppendRequest, LogWriterTask
@@ -19,8 +18,6 @@
 __all__ = [
     "Heartbeat",
     "Cancel",
-    "Decision",
-    "DecisionLog",
     "FetchState",
     "InstanceListTask",
     "UnavailableInstances",
--- a/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
@@ -16,7 +16,7 @@
 )
 
 from baobablane_daemon import serve_on_platform
-from baobablane_daemon.tasks import DecisionLog
+from baobablane_daemon.decision_log import DecisionLog
 
 # Far longer than any step here takes, so only a hang reaches it.
 HANG_TIMEOUT_SECONDS = 60.0
