--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -13,8 +13,8 @@
     str(ROOT / "platform"),
 ]
 
-# The platform speaks plain HTTP. aiohttp reads all certificates of the system when it is
-# imported, which takes longer than any other import.
+# The platform speaks plain HTTP. aiohttp reads all certificates of the system when it
+# is imported, which takes longer than any other import.
 os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
 
 from baobablane_daemon import run_on_platform  # noqa: E402
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_imports.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_imports.py
@@ -1,7 +1,7 @@
 """Test that a process on the users' platform starts without what it does not use.
 
-After a loss of power all entry instances start at the same time; importing the models and
-the peer messages of the old callers' interface took more than a third of their start.
+After a loss of power all entry instances start at the same time; importing the models
+and peer messages of the old callers' interface took more than a third of their start.
 """
 
 import subprocess
