Let the test of an outage start from a fresh view

Without one, the candidacy ignored the time with a stale view, and the test passed without the change that it guards.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
@@ -132,6 +132,7 @@
 
     def test_owner_claims_at_once_after_an_outage_of_the_store(self, view):
         candidacy = make_candidacy(view)
+        assert candidacy.should_claim(STARTED_AT + MAX_CLAIM_DELAY_SECONDS)
         view.receive_heartbeat(110.0, holder="entry-1")
         view.age = 4.0
         assert not candidacy.should_claim(114.0)
