--- a/packages/baobablane-daemon/baobablane_daemon/edge/_callers.py
+++ b/packages/baobablane-daemon/baobablane_daemon/edge/_callers.py
@@ -31,11 +31,11 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         arrived_at = self._engine.now()
-        submission = await _read_submission(scope, receive, self._engine, arrived_at)
-        if isinstance(submission, CallerRequest):
-            answer = await self._caller_service.serve(submission)
+        request = await _read_request(scope, receive, self._engine, arrived_at)
+        if isinstance(request, CallerRequest):
+            answer = await self._caller_service.serve(request)
         else:
-            answer = submission
+            answer = request
         if answer.code is ResultCode.DONE:
             await _send_done(answer, send)
         else:
@@ -79,7 +79,7 @@
     )
 
 
-async def _read_submission(
+async def _read_request(
     scope: Scope, receive: Receive, engine: Engine, arrived_at: float
 ) -> CallerRequest | CallerAnswer:
     headers: dict[bytes, bytes] = dict(scope["headers"])
