Split the scheduler's stops and start results from its state of jobs

Cause: _scheduler.py had grown to 354 lines and planned stops and judged start results beside keeping jobs and upstreams; one new test repeated an older one.

Change: _stop_planning.py and _start_results.py hold those two, as pure functions over the state. The repeated test is merged: the older one also checks that a job is removed only once.

No behaviour changed.

--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -16,20 +16,11 @@
 from ._reconciliation import apply_report
 from ._report import RenewalReport
 from ._speculation import allow_copies
-from ._stalls import detect_stalls, may_still_arrive, should_stop
+from ._stalls import detect_stalls, may_still_arrive
+from ._start_results import apply_start_result
 from ._state import SchedulerState
-from ._upstream import Run, Upstream
-
-_REQUEUE_REASONS = {
-    StartResult.NO_ROOM: "no-room",
-    StartResult.OLD_RUN: "old-run",
-    StartResult.LATE: "late-order",
-    StartResult.REFUSED: "refused",
-    StartResult.MALFORMED: "malformed",
-    StartResult.OTHER_INCARNATION: "other-incarnation",
-    StartResult.NO_TICKET: "no-ticket",
-    StartResult.FENCED: "fenced",
-}
+from ._stop_planning import plan_stops
+from ._upstream import Upstream
 
 
 class Scheduler:
@@ -193,25 +184,7 @@
         self, order: StartOrder, result: StartResult, now: float
     ) -> None:
         """Apply the result of a start."""
-        upstream = self.state.upstreams.get(order.upstream)
-        run = upstream.runs.get(order.task) if upstream else None
-        if upstream is None or run is None or run.number != order.run:
-            return
-        self.state.log_decision(
-            "start-answered",
-            order.task,
-            order.run,
-            upstream=order.upstream,
-            reason=result.name.lower(),
-            age_seconds=now - run.started_at,
-        )
-        if result is StartResult.STARTED:
-            run.confirmed_at = now
-        elif result is StartResult.UNKNOWN:
-            run.unknown_since = now
-            upstream.is_reachable = False
-        else:
-            self._apply_rejection(upstream, order, result, now)
+        apply_start_result(self.state, order, result, now)
 
     def stop_answered(self, order: StopOrder, now: float) -> None:
         """Confirm that an upstream has stopped a run, or will reject its start."""
@@ -228,28 +201,7 @@
 
     def plan_stops(self, now: float) -> list[StopOrder]:
         """Return the stops to send now, including those that are due to be repeated."""
-        orders: list[StopOrder] = []
-        for upstream in self.state.upstreams.values():
-            orders += [
-                StopOrder(task, run, upstream.id)
-                for task, run in upstream.orphan_runs.items()
-            ]
-            upstream.orphan_runs = {}
-            if upstream.may_need_stops:
-                orders += self._plan_stops_on(upstream, now)
-        return orders
-
-    def _plan_stops_on(self, upstream: Upstream, now: float) -> list[StopOrder]:
-        orders: list[StopOrder] = []
-        upstream.may_need_stops = False
-        for run in upstream.runs.values():
-            if should_stop(self.state, run):
-                # The stop is repeated until the run is known to have ended.
-                upstream.may_need_stops = True
-                if self._may_repeat_stop(run, now):
-                    run.stop_sent_at = now
-                    orders.append(StopOrder(run.task, run.number, upstream.id))
-        return orders
+        return plan_stops(self.state, now)
 
     def pop_pace_orders(self) -> list[PaceOrder]:
         """Return the pace orders to send now, and clear them."""
@@ -336,19 +288,3 @@
         for task, run in list(upstream.runs.items()):
             if not may_still_arrive(self.state, run, now):
                 self.state.requeue(upstream, task, "lease-over")
-
-    def _apply_rejection(
-        self, upstream: Upstream, order: StartOrder, result: StartResult, now: float
-    ) -> None:
-        if result is StartResult.NO_ROOM:
-            upstream.no_starts_until = now + self.state.policy.start_backoff_seconds
-        elif result in (StartResult.REFUSED, StartResult.MALFORMED):
-            upstream.no_starts_until = now + self.state.policy.start_backoff_seconds
-            self.state.count_failure(upstream, now)
-        elif result is StartResult.OTHER_INCARNATION:
-            upstream.is_reachable = False
-        self.state.requeue(upstream, order.task, _REQUEUE_REASONS[result])
-
-    def _may_repeat_stop(self, run: Run, now: float) -> bool:
-        sent = run.stop_sent_at
-        return sent is None or now - sent >= self.state.policy.stop_retry_seconds
--- a/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
@@ -5,7 +5,7 @@
 """
 
 from baobablane.jobs import TaskId
-from baobablane.scheduling import EndReason, _scheduler
+from baobablane.scheduling import EndReason, _stop_planning
 
 from .fleet_model import ModelFleet, add, make_job, make_step
 
@@ -16,13 +16,13 @@
 def count_checks(monkeypatch):
     """Return a list that gets the run of each check for a stop."""
     checked = []
-    original = _scheduler.should_stop
+    original = _stop_planning.should_stop
 
     def check(state, run):
         checked.append(run)
         return original(state, run)
 
-    monkeypatch.setattr(_scheduler, "should_stop", check)
+    monkeypatch.setattr(_stop_planning, "should_stop", check)
     return checked
 
 
@@ -77,20 +77,8 @@
         assert [stop.upstream for stop in fleet.send_stops()] == [first]
 
 
-class TestEndedJobs:
-    """Test when ended jobs are removed."""
-
-    def test_job_is_removed_once_it_has_no_runs(self, fleet):
-        add(fleet, make_job())
-        fleet.place()
-        fleet.scheduler.cancel_job(JOB)
-        fleet.record()
-        assert fleet.scheduler.remove_ended_jobs() == []
-        fleet.send_stops()
-        fleet.renew_all()
-        fleet.record()
-        assert fleet.scheduler.remove_ended_jobs() == [JOB]
-        assert fleet.scheduler.remove_ended_jobs() == []
+class TestRunCounts:
+    """Test the counts that tell which ended jobs have no runs left."""
 
     def test_runs_are_counted_by_job(self, fleet):
         add(fleet, make_job(make_step(3)))
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -210,3 +210,4 @@
         fleet.renew_all()
         fleet.record()
         assert fleet.scheduler.remove_ended_jobs() == [JOB]
+        assert fleet.scheduler.remove_ended_jobs() == []
