Log instances in an unknown state, and keep each limit of the ownership once

Cause, found in reading the change again: an instance whose state is unknown counted as down without a line that says so; the age of a confirmation and the difference of clocks stood twice, the interval of heartbeats under a second name; the policy of a takeover sat in the owner's file; a comment gave a reason for a limit on texts that does not hold.

Otherwise no behaviour changed.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -37,18 +37,17 @@
     encode_order_record,
     unix_ms,
 )
-from ._ownership import Ownership
+from ._ownership import (
+    MAX_CLOCK_DIFFERENCE_SECONDS,
+    MAX_CONFIRMATION_AGE_SECONDS,
+    Ownership,
+)
 from ._progress_writer import ProgressWriter
 
 LIST_INTERVAL_SECONDS = 0.25
-# An order is sent only if the ownership was confirmed within this time, so that a
-# replaced owner's last order and its successor's first one do not overlap.
-MAX_CONFIRMATION_AGE_SECONDS = 1.0
 # Maximum time from the record of an order to its arrival: the maximum age of the
 # confirmation bounds the append of the record, and a timeout bounds the call.
 MAX_ORDER_DELAY_SECONDS = 1.5
-# The clocks of two entry instances may differ by this much.
-MAX_CLOCK_DIFFERENCE_SECONDS = 0.5
 
 
 class InstanceManager:
@@ -83,6 +82,8 @@
         # Instance and wave of each maintenance order that still waits for its response.
         # These instances count as unavailable.
         self._in_flight: set[tuple[str, int]] = set()
+        # Unknown states in the latest list, by instance; each is logged once.
+        self._unknown_states: dict[str, str] = {}
         self._sizing = PoolSizing()
         self._is_history_restored = False
         self._recorded_burst_starts: BurstStarts = []
@@ -133,6 +134,7 @@
         except InstanceListError as error:
             self._log.info("instance-list-unread", reason=str(error))
             return
+        self._log_unknown_states()
         # A wave may have been added while the list was requested.
         self._add_new_waves()
         plan = plan_maintenance(
@@ -162,6 +164,13 @@
                 *(self._send_move(move) for move in moves),
             )
 
+    def _log_unknown_states(self) -> None:
+        unknown = dict(self._client.unknown_states_by_instance)
+        for instance, state in unknown.items():
+            if self._unknown_states.get(instance) != state:
+                self._log.info("instance-state-unknown", target=instance, state=state)
+        self._unknown_states = unknown
+
     async def _record_burst_starts(self) -> None:
         burst_starts = self._sizing.forecast.burst_starts()
         if burst_starts != self._recorded_burst_starts:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -15,14 +15,11 @@
 
 from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
-from ._ownership import MAX_UNCONFIRMED_SECONDS
+from ._ownership import MAX_CONFIRMATION_AGE_SECONDS, MAX_UNCONFIRMED_SECONDS
 from ._upstream_poller import UpstreamPoller
 
 # The advisor rejects calls while 32 of them wait, so retries are delayed.
 ADVICE_RETRY_SECONDS = 0.3
-# A start is sent right after its record was stored, which confirms the ownership. The
-# heartbeats of a suspended owner time out after 1.5 s.
-MAX_CONFIRMATION_AGE_SECONDS = 1.0
 
 
 class OrderSender:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -7,12 +7,7 @@
 from baobablane.errors import JobLimitError
 from baobablane.jobs import JobProgress, encode_progress
 from baobablane.maintenance import encode_wave_progress
-from baobablane.scheduling import (
-    KILL_SECONDS,
-    SLOWEST_CLOCK_RATE,
-    Scheduler,
-    SchedulingPolicy,
-)
+from baobablane.scheduling import Scheduler
 from baobablane_platform import (
     UPSTREAM_TOPIC,
     InstanceClient,
@@ -37,12 +32,11 @@
 from ._order_sender import OrderSender
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
-from ._upstream_poller import LEASE_SECONDS, UpstreamPoller
+from ._takeover_policy import make_policy
+from ._upstream_poller import UpstreamPoller
 
 # Maximum interval between rounds, which check due times and expired leases.
 MAX_IDLE_SECONDS = 0.1
-# Entries that expired during an outage of the store are back within 2 s.
-MIN_UNLISTED_GRACE_SECONDS = 2.5
 # The key of a record and its length; the id of a job has 16 characters.
 MAX_KEY_BYTES = 32
 # Errors that show that another process owns the placement.
@@ -50,26 +44,6 @@
 TAKEOVER_RETRY_SECONDS = 0.1
 
 
-def make_policy(last_renewal_age: float | None) -> SchedulingPolicy:
-    """Return the policy of an owner that begins now.
-
-    `last_renewal_age` is for how many seconds no earlier owner has renewed a lease, or
-    None if that is unknown.
-    """
-    default = SchedulingPolicy()
-    if last_renewal_age is None:
-        return default
-    # Each lease that was granted by then expires after this time.
-    lease_seconds = LEASE_SECONDS / SLOWEST_CLOCK_RATE + KILL_SECONDS
-    bound = min(
-        default.unknown_lease_seconds, max(0.0, lease_seconds - last_renewal_age)
-    )
-    return SchedulingPolicy(
-        unknown_lease_seconds=bound,
-        unlisted_grace_seconds=max(MIN_UNLISTED_GRACE_SECONDS, bound),
-    )
-
-
 class Owner:
     """Run the scheduler from the takeover until the ownership ends."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -24,7 +24,11 @@
     unix_ms,
 )
 from ._candidacy import Candidacy
-from ._progress_writer import PRODUCER_NAME, first_sequence
+from ._progress_writer import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    PRODUCER_NAME,
+    first_sequence,
+)
 
 # Whether to claim is checked this often; the check makes no call.
 CHECK_INTERVAL_SECONDS = 0.05
@@ -39,12 +43,14 @@
 ERROR_BACKOFF_SECONDS = 6.0
 
 
-# Interval of heartbeats, between which other records confirm the ownership too.
-MAX_CONFIRMATION_AFTER_HEARTBEAT_SECONDS = 0.4
 # After its last confirmation, an owner may renew leases until the next check.
 MAX_RENEWAL_SECONDS = MAX_UNCONFIRMED_SECONDS + 2 * CHECK_INTERVAL_SECONDS
-# A process that read the last heartbeat at its start knows its age from two clocks.
+# The clocks of two entry instances may differ by this much. A process that read the
+# last heartbeat at its start knows its age from both.
 MAX_CLOCK_DIFFERENCE_SECONDS = 0.5
+# A start, or an order for an instance, is sent only if the ownership was confirmed
+# within this time. Its record was stored just before, and others claim after 1.5 s.
+MAX_CONFIRMATION_AGE_SECONDS = 1.0
 
 
 class Ownership:
@@ -134,7 +140,8 @@
             return None
         latest_renewal = (
             heartbeat.received_at
-            + MAX_CONFIRMATION_AFTER_HEARTBEAT_SECONDS
+            # Until the next heartbeat is due, other records confirm it too.
+            + HEARTBEAT_INTERVAL_SECONDS
             + MAX_RENEWAL_SECONDS
             + MAX_CLOCK_DIFFERENCE_SECONDS
         )
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -12,8 +12,11 @@
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import OwnerHeartbeat
-from baobablane_daemon.owner._owner import MIN_UNLISTED_GRACE_SECONDS, make_policy
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
+from baobablane_daemon.owner._takeover_policy import (
+    MIN_UNLISTED_GRACE_SECONDS,
+    make_policy,
+)
 from baobablane_daemon.owner._upstream_poller import LEASE_SECONDS
 
 NOW = 1_000.0
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_errors.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_errors.py
@@ -9,6 +9,8 @@
 
 from baobablane_standin.platform._deployment import PATH_PREFIX
 
+from baobablane_daemon.decision_log import DecisionLog
+
 from .platform_deployment import JOB, run_deployment
 
 OTHER = "00000000000000b2"
@@ -159,13 +161,28 @@
 class TestInstances:
     """Test rubbish in the list of instances."""
 
-    async def test_unknown_state_of_an_instance_is_no_error(self):
+    async def test_unknown_state_of_an_instance_is_logged_once(self, monkeypatch):
+        logged = []
+        original = DecisionLog.info
+
+        def info(log, event, **fields):
+            if event == "instance-state-unknown":
+                logged.append((fields["target"], fields["state"]))
+            original(log, event, **fields)
+
+        monkeypatch.setattr(DecisionLog, "info", info)
         async with run_deployment() as deployment:
             (entry,) = deployment.entries
             deployment.platform.set_instance_state("resting")
             await check_serves(deployment, entry)
             await check_serves(deployment, entry, OTHER)
 
+            async def are_logged():
+                return len(logged) >= len(deployment.platform.upstreams)
+
+            await deployment.wait_for(are_logged)
+        assert sorted(logged) == [("m-u0", "resting"), ("m-u1", "resting")]
+
 
 class TestOwner:
     """Test an error in the owner's own work."""
--- a/packages/baobablane/baobablane/jobs/_check_job.py
+++ b/packages/baobablane/baobablane/jobs/_check_job.py
@@ -9,7 +9,7 @@
 
 # The platform's limit on the text that a job passes to its tasks.
 MAX_SPEC_BYTES = 4_000
-# The longest key that the platform's store takes; names of racks are parts of keys.
+# Far longer than labels and names of racks and images, which each round compares.
 MAX_TEXT_BYTES = 255
 MAX_STEPS = 1_000
 # Predecessors of all steps together; each planning round follows them.
