Log what an upstream ran when it was lost, and changes of instances and capacities

Now upstream-lost has the incarnation and the youngest runs with their ages, instance-changed what the list shows, capacity-changed what an entry says.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -1,7 +1,7 @@
 """Move the platform's instances between pools and order their maintenance."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from baobablane.deployment import Configuration, Instance, InstanceState
 from baobablane.maintenance import (
@@ -129,12 +129,14 @@
             self.unrecorded_waves.add(number)
 
     async def _run_round(self) -> None:
+        before = {instance.id: instance for instance in self._instances}
         try:
             self._instances = await self._client.list_instances()
         except InstanceListError as error:
             self._log.info("instance-list-unread", reason=str(error))
             return
         self._log_unknown_states()
+        self._log_changes(before)
         # A wave may have been added while the list was requested.
         self._add_new_waves()
         plan = plan_maintenance(
@@ -171,6 +173,23 @@
                 self._log.info("instance-state-unknown", target=instance, state=state)
         self._unknown_states = unknown
 
+    def _log_changes(self, before: Mapping[str, Instance]) -> None:
+        for instance in self._instances:
+            previous = before.get(instance.id)
+            if previous is not None and previous != instance:
+                self._log.info(
+                    "instance-changed",
+                    target=instance.id,
+                    pool=instance.pool,
+                    state=instance.state.value,
+                    upstream=instance.upstream,
+                    capacity=instance.capacity.cpu_millis,
+                    previous_pool=previous.pool,
+                    previous_state=previous.state.value,
+                    previous_upstream=previous.upstream,
+                    previous_capacity=previous.capacity.cpu_millis,
+                )
+
     async def _record_burst_starts(self) -> None:
         burst_starts = self._sizing.forecast.burst_starts()
         if burst_starts != self._recorded_burst_starts:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import asdict
 
 import msgspec
+from baobablane.deployment import UpstreamEntry
 from baobablane.errors import JobLimitError
 from baobablane.jobs import JobProgress, encode_progress
 from baobablane.maintenance import encode_wave_progress
@@ -266,9 +268,21 @@
             except msgspec.DecodeError as error:
                 self._log.info("entry-skipped", key=record.key, reason=str(error))
                 return
+            self._log_capacity(entry)
             self._scheduler.upstream_listed(entry, now)
         self._wake.set()
 
+    def _log_capacity(self, entry: UpstreamEntry) -> None:
+        known = self._scheduler.state.upstreams.get(entry.id)
+        if known is not None and known.entry.capacity != entry.capacity:
+            self._log.info(
+                "capacity-changed",
+                upstream=entry.id,
+                capacity=asdict(entry.capacity),
+                used=asdict(known.used),
+                reason=f"was {known.entry.capacity}",
+            )
+
     def _ensure_poller(self, upstream_id: str) -> None:
         if upstream_id in self._pollers:
             return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -8,6 +8,7 @@
     UpstreamFencedError,
     UpstreamOrderClient,
     UpstreamUnreachableError,
+    format_task_id,
 )
 
 from ..decision_log import DecisionLog
@@ -30,6 +31,9 @@
 # Interval of lease renewals while the ends of tasks can't be recorded.
 RECORD_WAIT_SECONDS = 0.8
 
+# At most this many runs are logged when their upstream is lost.
+MAX_LOGGED_RUNS = 5
+
 
 class UpstreamPoller:
     """Poll one upstream to renew its leases and to read which tasks have ended."""
@@ -143,6 +147,22 @@
             self._log.info("ends-unrecorded", upstream=self._id)
         self.ends_recorded.clear()
 
+    def _log_lost(self, reason: str, now: float) -> None:
+        upstream = self._scheduler.state.upstreams[self._id]
+        youngest = sorted(upstream.runs.values(), key=lambda r: -r.started_at)
+        self._log.info(
+            "upstream-lost",
+            upstream=self._id,
+            incarnation=upstream.entry.incarnation,
+            reason=reason,
+            runs=len(youngest),
+            # Each with its age in seconds.
+            youngest_runs={
+                f"{format_task_id(run.task)}#{run.number}": now - run.started_at
+                for run in youngest[:MAX_LOGGED_RUNS]
+            },
+        )
+
     def _handle_unreachable(self, reason: str) -> None:
         if self._id not in self._scheduler.state.upstreams:
             # The upstream was removed.
@@ -151,7 +171,7 @@
         self._scheduler.renewal_failed(self._id, now)
         if self._is_reachable:
             self._is_reachable = False
-            self._log.info("upstream-lost", upstream=self._id, reason=reason)
+            self._log_lost(reason, now)
         if self._scheduler.can_remove_upstream(self._id, now):
             self._scheduler.remove_upstream(self._id, "gone")
         self._on_report()
