--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import uvicorn
@@ -48,6 +49,7 @@
                 f"u{number}", POOL, "", self.settings.cores_per_upstream
             )
             upstream.address = await self._serve(server.add_upstream(upstream))
+            upstream.on_return = self._make_registrar(upstream)
             self.upstreams.append(upstream)
             self.register_upstream(upstream)
         self.write_config(1, [API_KEY])
@@ -77,6 +79,13 @@
         registration = json.dumps(upstream.registration(1)).encode()
         self.store.put("keyed.servers", upstream.id, registration)
 
+    def _make_registrar(self, upstream: StandinUpstream) -> Callable[[str], None]:
+        def register_again(previous_id: str) -> None:
+            self.store.put("keyed.servers", previous_id, b"")
+            self.register_upstream(upstream)
+
+        return register_again
+
     def write_config(
         self, version: int, keys: list[str], extra_queue_count: int = 0
     ) -> None:
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 from starlette.applications import Starlette
@@ -50,17 +50,16 @@
         """List an upstream as an instance and return its application."""
 
         async def start(request: Request) -> Response:
-            return _make_response(
-                upstream.start(msgspec.json.decode(await request.body()))
-            )
+            return await _serve_order(upstream, request, upstream.start)
 
         async def stop(request: Request) -> Response:
-            return _make_response(
-                upstream.stop(msgspec.json.decode(await request.body()))
-            )
+            return await _serve_order(upstream, request, upstream.stop)
 
         async def renew_leases(request: Request) -> Response:
             order = msgspec.json.decode(await request.body())
+            status = _rejection_status(upstream, request)
+            if status:
+                return Response(status_code=status)
             return _make_response(await upstream.renew_leases(order))
 
         self.upstreams[upstream.id] = upstream
@@ -175,13 +174,13 @@
     async def _list_instances(self, request: Request) -> Response:
         machines = [
             {
-                "machine": f"m-{upstream.id}",
+                "machine": upstream.instance,
                 "pool": upstream.pool,
-                "state": self.instance_state,
+                "state": "down" if upstream.is_down else self.instance_state,
                 "zone": "zone-a",
                 "labels": ["a"],
                 "capacity": {"cpu": upstream.cores * 1000, "memMb": 65536, "gpu": 0},
-                "id": upstream.id,
+                "id": "" if upstream.is_down else upstream.id,
             }
             for upstream in self.upstreams.values()
         ]
@@ -192,6 +191,27 @@
         return self.store.partition(query["topic"], int(query["part"]))
 
 
+async def _serve_order(
+    upstream: StandinUpstream,
+    request: Request,
+    carry_out: Callable[[dict[str, object]], tuple[int, dict[str, object]]],
+) -> Response:
+    order = msgspec.json.decode(await request.body())
+    status = _rejection_status(upstream, request)
+    if status:
+        return Response(status_code=status)
+    return _make_response(carry_out(order))
+
+
+def _rejection_status(upstream: StandinUpstream, request: Request) -> int:
+    """Return the HTTP status if an upstream can't serve a request, or 0."""
+    if upstream.is_down:
+        # Stands for a process that is gone: the caller learns nothing of the outcome.
+        return 500
+    expected_id = request.headers.get("Baobablane-Expected-Instance")
+    return 0 if expected_id == upstream.id else 421
+
+
 def _make_response(result: tuple[int, dict[str, object]]) -> Response:
     status, response = result
     return JSONResponse(response, status)
--- a/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 POLL_SECONDS = 0.005
@@ -12,7 +13,8 @@
     number: int
     started_at: float
     ends_at: float
-    will_fail: bool
+    # How it ends: an empty string for success, "fail" or "crash".
+    outcome: str
 
     def percent_done(self, now: float) -> int:
         """Return the progress of the run in percent."""
@@ -25,7 +27,7 @@
     """Simulate one upstream and its runs.
 
     A task's `spec` is its duration in milliseconds, followed by " fail" if it is to
-    fail.
+    fail, or by " crash" if it is to crash the upstream.
     """
 
     id: str
@@ -37,6 +39,11 @@
     starts: list[tuple[str, int]] = field(default_factory=list)
     # Unhealthy: rejects every start order with status 503.
     rejects_orders: bool = False
+    # How long it is down after a crash, before it starts again under another id.
+    crash_seconds: float = 0.5
+    is_down: bool = False
+    # Called with the id that it had before it started again.
+    on_return: Callable[[str], None] = lambda previous_id: None
     # Rows added to the running tasks of each report, for example malformed ones.
     extra_rows: list[object] = field(default_factory=list)
     _running: dict[str, _Run] = field(default_factory=dict)
@@ -48,6 +55,18 @@
     _end_count: int = 0
     _lease_deadline_ms: int = 0
     _started_at: float = field(default_factory=time.monotonic)
+    # The first id, which names the instance.
+    _name: str = ""
+    _crash_count: int = 0
+
+    def __post_init__(self) -> None:
+        """Name the instance after the first id."""
+        self._name = self.id
+
+    @property
+    def instance(self) -> str:
+        """Return the id of the instance on which this upstream runs."""
+        return f"m-{self._name}"
 
     def registration(self, sequence: int) -> dict[str, object]:
         """Return the entry under which the upstream registers itself."""
@@ -89,8 +108,11 @@
         milliseconds, _, outcome = str(order["spec"]).partition(" ")
         now = time.monotonic()
         ends_at = now + float(milliseconds or 0) / 1000
-        self._running[task] = _Run(number, now, ends_at, outcome == "fail")
+        self._running[task] = _Run(number, now, ends_at, outcome)
         self.starts.append((task, number))
+        if outcome == "crash":
+            loop = asyncio.get_running_loop()
+            loop.call_later(ends_at - now, self._crash_under, task, number)
         return 200, self._with_clock({})
 
     def stop(self, order: dict[str, object]) -> tuple[int, dict[str, object]]:
@@ -125,6 +147,8 @@
         self._end_due_runs()
         while not self._unacknowledged_ends and time.monotonic() < wait_until:
             await asyncio.sleep(POLL_SECONDS)
+            if self.is_down:
+                return 500, {}
             self._end_due_runs()
         now = time.monotonic()
         running: list[object] = [
@@ -136,9 +160,27 @@
             {"running": running, "ended": list(self._unacknowledged_ends)}
         )
 
+    def crash(self) -> None:
+        """Lose everything, and start again under another id after `crash_seconds`."""
+        self.is_down = True
+        self._running = {}
+        asyncio.get_running_loop().call_later(self.crash_seconds, self._return)
+
+    def _crash_under(self, task: str, number: int) -> None:
+        running = self._running.get(task)
+        if not self.is_down and running is not None and running.number == number:
+            self.crash()
+
+    def _return(self) -> None:
+        previous_id, self._crash_count = self.id, self._crash_count + 1
+        self.id = f"{self._name}-{self._crash_count}"
+        self.restart()
+        self.is_down = False
+        self.on_return(previous_id)
+
     def restart(self) -> None:
         """Restart with the same id, a new incarnation and no runs or lease."""
-        self.incarnation += 1
+        self.incarnation = max(self.incarnation + 1, round(time.time() * 1000))
         self._running, self._unacknowledged_ends, self._closed_run_by_task = {}, [], {}
         self._highest_fencing_token, self._end_count, self._lease_deadline_ms = 0, 0, 0
         self._started_at = time.monotonic()
@@ -152,8 +194,8 @@
         now = time.monotonic()
         lapsed = self._clock_ms() > self._lease_deadline_ms
         for task, run in list(self._running.items()):
-            if now >= run.ends_at:
-                self._end_run(task, "failed" if run.will_fail else "done")
+            if now >= run.ends_at and run.outcome != "crash":
+                self._end_run(task, "failed" if run.outcome == "fail" else "done")
             elif lapsed:
                 self._end_run(task, "lapsed")
 
