--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -28,13 +28,16 @@
     standby_pool: str,
     instances_under_order: Collection[str],
     cordoned_upstreams: Collection[str],
+    unstable_pools: Collection[str] = (),
 ) -> list[MoveOrder]:
     """Return the moves to order now.
 
     Instances in `instances_under_order` already have an order in progress and are not
     moved. An instance that is moving counts towards its new pool. Cordoned upstreams
     don't count towards any pool. Only standby instances and instances whose upstream
-    is in `empty_upstreams` are moved.
+    is in `empty_upstreams` are moved. Instances that are down count only in
+    `unstable_pools`: tasks that crash the upstreams of one pool would otherwise draw
+    the whole fleet into it.
     """
     wanted_cores = {name: target.wanted_cores for name, target in targets.items()}
     needed_cores = {name: target.needed_cores for name, target in targets.items()}
@@ -43,7 +46,7 @@
     idle_by_pool: dict[str, list[Instance]] = {name: [] for name in targets}
     standby_instances: list[Instance] = []
     for instance in instances:
-        if instance.state is InstanceState.DOWN:
+        if instance.state is InstanceState.DOWN and instance.pool not in unstable_pools:
             continue
         if instance.upstream and instance.upstream in cordoned_upstreams:
             continue
