--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -36,6 +36,12 @@
     result: int = 0
     # Duration or age that the event reports.
     seconds: float = 0.0
+    # Of the upstream, in Unix milliseconds.
+    incarnation: int = 0
+    # Other runs on the upstream, as `job.occurrence.step.position#run`.
+    beside: tuple[str, ...] = ()
+    # Work lost in a crash.
+    core_seconds: float = 0.0
     # Unix time in seconds.
     at: float = msgspec.field(default_factory=time)
 
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -53,6 +53,18 @@
             ["topic"],
             registry=self.registry,
         )
+        self._crashes = Counter(
+            "baobablane_upstream_crashes",
+            "Crashes of upstreams by what may have caused them",
+            ["cause"],
+            registry=self.registry,
+        )
+        self._crash_core_seconds = Counter(
+            "baobablane_crash_core_seconds",
+            "Work lost in crashes of upstreams, in core-seconds",
+            ["cause"],
+            registry=self.registry,
+        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
@@ -61,6 +73,11 @@
         )
         self._counters_by_event: dict[str, Counter] = {}
 
+    def count_crash(self, cause: str, core_seconds: float) -> None:
+        """Count one crash of an upstream, and the work that was lost with it."""
+        self._crashes.labels(cause).inc()
+        self._crash_core_seconds.labels(cause).inc(core_seconds)
+
     def count(self, event: str) -> None:
         """Count one occurrence of a logged event."""
         counter = self._counters_by_event.get(event)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -15,6 +15,7 @@
 from ._views import (
     BURST_STARTS_KEY,
     CANCEL_PREFIX,
+    HOST_PREFIX,
     INSTANCE_ORDER_PREFIX,
     JOBS_TOPIC,
     OWNER_HEARTBEAT_KEY,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "CANCEL_PREFIX",
+    "HOST_PREFIX",
     "JOBS_TOPIC",
     "INSTANCE_ORDER_PREFIX",
     "PROGRESS_TOPIC",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import msgspec
+from baobablane.crashes import Host, decode_host
 from baobablane.deployment import Configuration, Wave
 from baobablane.jobs import JobTable, decode_job, decode_progress
 from baobablane.maintenance import WaveProgress, decode_wave_progress
@@ -41,6 +42,7 @@
 # instance follows, and the key of burst starts. Progress of a job has the key `job.id`.
 WAVE_PROGRESS_PREFIX = "wave/"
 INSTANCE_ORDER_PREFIX = "order/"
+HOST_PREFIX = "host/"
 BURST_STARTS_KEY = "rises"
 # Key of the owner's heartbeats, in the topic of progress.
 OWNER_HEARTBEAT_KEY = "owner"
@@ -56,6 +58,7 @@
         self.waves: dict[int, Wave] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_instance: dict[str, InstanceOrderRecord] = {}
+        self.host_by_instance: dict[str, Host] = {}
         # Starts of the pools' demand bursts, as recorded by the latest owner.
         self.burst_starts: BurstStarts = []
         # The owner's latest heartbeat, or None before the first.
@@ -168,6 +171,9 @@
             elif record.key.startswith(INSTANCE_ORDER_PREFIX):
                 instance = record.key.removeprefix(INSTANCE_ORDER_PREFIX)
                 self.order_by_instance[instance] = decode_order_record(record.value)
+            elif record.key.startswith(HOST_PREFIX):
+                instance = record.key.removeprefix(HOST_PREFIX)
+                self.host_by_instance[instance] = decode_host(record.value)
             elif record.key == OWNER_HEARTBEAT_KEY:
                 self.owner_heartbeat = decode_owner_heartbeat(
                     record.value, self.owner_heartbeat, unix_ms(), boot_seconds()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from baobablane.scheduling import SchedulingEvent
+from baobablane.scheduling import CRASH_EVENT, SchedulingEvent
 
 from ..decision_log import Decision, DecisionLog
 
@@ -18,5 +18,10 @@
                 upstream=event.upstream,
                 reason=event.reason,
                 seconds=event.age_seconds,
+                incarnation=event.incarnation,
+                beside=event.beside,
+                core_seconds=event.core_seconds,
             )
         )
+        if event.event == CRASH_EVENT:
+            log.metrics.count_crash(event.reason, event.core_seconds)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+from baobablane.crashes import Host, HostTable
 from baobablane.deployment import Configuration, Instance, InstanceState
 from baobablane.maintenance import (
     MaintenanceOrder,
@@ -84,6 +85,9 @@
         self._in_flight: set[tuple[str, int]] = set()
         # Unknown states in the latest list, by instance; each is logged once.
         self._unknown_states: dict[str, str] = {}
+        self._hosts = HostTable({})
+        # Time of the latest order for each instance, in Unix milliseconds.
+        self._ordered_ms: dict[str, int] = {}
         self._sizing = PoolSizing()
         self._is_history_restored = False
         self._recorded_burst_starts: BurstStarts = []
@@ -94,8 +98,10 @@
     def take_over(self) -> None:
         """Restore the burst starts and reserve instances with recent orders."""
         self._sizing.forecast.restore(self._views.burst_starts)
+        self._hosts = HostTable(self._views.host_by_instance)
         now = boot_seconds()
         for instance, order in self._views.order_by_instance.items():
+            self._ordered_ms[instance] = order.at_ms
             seconds = MAX_ORDER_DELAY_SECONDS
             if order.sender != self._ownership.instance:
                 # The platform's minimum applies between two holders of an instance.
@@ -129,6 +135,7 @@
             self.unrecorded_waves.add(number)
 
     async def _run_round(self) -> None:
+        requested_at = boot_seconds()
         before = {instance.id: instance for instance in self._instances}
         try:
             self._instances = await self._client.list_instances()
@@ -137,6 +144,7 @@
             return
         self._log_unknown_states()
         self._log_changes(before)
+        self._apply_hosts(requested_at)
         # A wave may have been added while the list was requested.
         self._add_new_waves()
         plan = plan_maintenance(
@@ -173,6 +181,21 @@
                 self._log.info("instance-state-unknown", target=instance, state=state)
         self._unknown_states = unknown
 
+    def _apply_hosts(self, requested_at: float) -> None:
+        changes = self._hosts.apply(
+            self._instances,
+            self._ordered_ms,
+            self._scheduler.draining_upstreams(),
+            unix_ms(),
+        )
+        self._scheduler.instances_listed(
+            changes, self._hosts.instance_by_upstream(), requested_at, boot_seconds()
+        )
+
+    def pop_unrecorded_hosts(self) -> dict[str, Host]:
+        """Return the upstreams of instances that changed since the previous call."""
+        return self._hosts.pop_unrecorded()
+
     def _log_changes(self, before: Mapping[str, Instance]) -> None:
         for instance in self._instances:
             previous = before.get(instance.id)
@@ -205,9 +228,10 @@
         instances = [order.instance for order in plan.orders]
         instances += [move.instance for move in moves]
         requested_at = boot_seconds()
-        record = encode_order_record(
-            InstanceOrderRecord(unix_ms(), self._ownership.instance)
-        )
+        order = InstanceOrderRecord(unix_ms(), self._ownership.instance)
+        record = encode_order_record(order)
+        for instance in instances:
+            self._ordered_ms[instance] = order.at_ms
         await self._writer.write(
             {f"{INSTANCE_ORDER_PREFIX}{i}": record for i in instances}
         )
@@ -245,6 +269,7 @@
             standby_pool,
             instances_under_order,
             maintenance.cordoned_upstreams,
+            self._scheduler.unstable_pools(boot_seconds()),
         )
 
     def _past_arrivals(self, configuration: Configuration) -> list[Arrival]:
@@ -260,7 +285,9 @@
     async def _send_move(self, order: MoveOrder) -> None:
         if not self._ownership.holds(self._epoch, MAX_CONFIRMATION_AGE_SECONDS):
             return
+        self._scheduler.mark_ordered(order.upstream, True)
         result = await self._client.move(order.instance, order.pool, self._epoch)
+        self._note_result(order, result)
         self._log.info(
             "move-ordered",
             instance=order.instance,
@@ -279,10 +306,12 @@
             return
         key = (order.instance, order.wave)
         self._in_flight.add(key)
+        self._scheduler.mark_ordered(order.upstream, True)
         try:
             result = await self._client.maintain(
                 order.instance, order.wave, self._epoch
             )
+            self._note_result(order, result)
             is_down = result is InstanceOrderResult.DONE and await self._is_down(order)
         finally:
             self._in_flight.discard(key)
@@ -304,6 +333,14 @@
                 self._scheduler.remove_upstream(order.upstream, "upkeep")
             self._on_change()
 
+    def _note_result(
+        self, order: MoveOrder | MaintenanceOrder, result: InstanceOrderResult
+    ) -> None:
+        if result in (InstanceOrderResult.BUSY, InstanceOrderResult.REFUSED):
+            # It had no effect, so it explains no later end of the upstream.
+            self._ordered_ms.pop(order.instance, None)
+            self._scheduler.mark_ordered(order.upstream, False)
+
     async def _is_down(self, order: MaintenanceOrder) -> bool:
         # The platform also reports an order as done that it already carried out for an
         # earlier owner. An upstream that has started since then keeps running.
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict
 
 import msgspec
+from baobablane.crashes import Host, encode_host
 from baobablane.deployment import UpstreamEntry
 from baobablane.errors import JobLimitError
 from baobablane.jobs import JobProgress, encode_progress
@@ -25,7 +26,14 @@
 )
 
 from ..decision_log import DecisionLog
-from ..jobs import WAVE_PROGRESS_PREFIX, TopicTail, Views, boot_seconds, unix_ms
+from ..jobs import (
+    HOST_PREFIX,
+    WAVE_PROGRESS_PREFIX,
+    TopicTail,
+    Views,
+    boot_seconds,
+    unix_ms,
+)
 from ._candidacy import is_large
 from ._ended_jobs import EndedJobs
 from ._event_log import log_events
@@ -177,6 +185,9 @@
             self._start_task(self._order_sender.send_stop(stop))
         for pace in self._scheduler.pop_pace_orders():
             self._start_task(self._order_sender.send_pace(pace))
+        for upstream_id in self._scheduler.upstreams_to_check(now):
+            if upstream_id in self._pollers:
+                self._start_task(self._pollers[upstream_id].check())
         starts = self._scheduler.plan_starts(now, unix_ms())
         for request in self._scheduler.pop_advice_requests():
             self._start_task(self._order_sender.request_advice(request))
@@ -185,10 +196,11 @@
             self._instance_manager.unrecorded_waves,
             set(),
         )
+        hosts = self._instance_manager.pop_unrecorded_hosts()
         applied_ends = self._scheduler.applied_ends()
         log_events(self._log, self._scheduler.pop_events())
-        if changed_progress or waves:
-            await self._record_progress(changed_progress, waves)
+        if changed_progress or waves or hosts:
+            await self._record_progress(changed_progress, waves, hosts)
         else:
             await self._writer.write_heartbeat()
         for upstream_id in self._scheduler.ends_recorded(applied_ends):
@@ -201,7 +213,10 @@
             self._start_task(self._order_sender.send_start(start))
 
     async def _record_progress(
-        self, progress_by_job: dict[str, JobProgress], waves: set[int]
+        self,
+        progress_by_job: dict[str, JobProgress],
+        waves: set[int],
+        hosts: dict[str, Host],
     ) -> None:
         values: dict[str, bytes | None] = {}
         for job_id, progress in progress_by_job.items():
@@ -214,6 +229,10 @@
             values[f"{WAVE_PROGRESS_PREFIX}{number}"] = encode_wave_progress(
                 progress_by_wave[number]
             )
+        # After the progress: that an upstream crashed can be found out again only while
+        # the record names it as the latest of its instance.
+        for instance, host in hosts.items():
+            values[f"{HOST_PREFIX}{instance}"] = encode_host(host)
         await self._writer.write(values)
         for number in waves:
             await self._writer.write_wave_status(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -79,6 +79,21 @@
                 self._log.error("poll-failed", error, upstream=self._id)
                 await asyncio.sleep(POLL_RETRY_SECONDS)
 
+    async def check(self) -> None:
+        """Read the upstream's state now, beside a poll that waits for a task to end."""
+        upstream = self._scheduler.state.upstreams.get(self._id)
+        if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
+            return
+        requested_at = boot_seconds()
+        try:
+            report = await self._orders.renew_leases(
+                upstream.entry, self._fencing_token, None, upstream.recorded_end, 0
+            )
+        except UpstreamUnreachableError as error:
+            self._handle_unreachable(str(error))
+            return
+        self._apply(report, requested_at)
+
     def start_deadline_ms(self) -> int | None:
         """Return a lease deadline for the next start, in ms of the upstream's clock.
 
@@ -173,5 +188,5 @@
             self._is_reachable = False
             self._log_lost(reason, now)
         if self._scheduler.can_remove_upstream(self._id, now):
-            self._scheduler.remove_upstream(self._id, "gone")
+            self._scheduler.remove_lost_upstream(self._id, "gone", now)
         self._on_report()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -51,6 +51,9 @@
         """Record the removal of an upstream."""
         self.removed_upstreams.append(upstream)
 
+    def mark_ordered(self, upstream, is_ordered):
+        """Ignore that an end of the upstream is expected."""
+
     def mark_unreachable(self, upstream):
         """Record an upstream whose order has an unknown outcome."""
         self.unreachable_upstreams.append(upstream)
@@ -119,7 +122,9 @@
     def take_over(self, sender, age_seconds):
         """Return whether `m1` is reserved, given the latest order for it."""
         order = InstanceOrderRecord(unix_ms() - round(age_seconds * 1000), sender)
-        views = SimpleNamespace(burst_starts=[], order_by_instance={"m1": order})
+        views = SimpleNamespace(
+            burst_starts=[], order_by_instance={"m1": order}, host_by_instance={}
+        )
         manager = InstanceManager(
             None,
             views,
--- a/packages/baobablane/baobablane/deployment/_resources.py
+++ b/packages/baobablane/baobablane/deployment/_resources.py
@@ -27,6 +27,12 @@
             self.gpus - other.gpus,
         )
 
+    def times(self, count: int) -> "Resources":
+        """Return the amounts that `count` consumers of these need together."""
+        return Resources(
+            self.cpu_millis * count, self.memory_mb * count, self.gpus * count
+        )
+
     def fits_in(self, available: "Resources") -> bool:
         """Return whether each amount is at most the available one."""
         return (
--- a/packages/baobablane/baobablane/jobs/__init__.py
+++ b/packages/baobablane/baobablane/jobs/__init__.py
@@ -6,6 +6,7 @@
 from ._job_state import JobState
 from ._job_table import JobTable
 from ._progress import JobProgress
+from ._run_loss import RunLoss
 from ._step import Step
 from ._task import Task, TaskState
 from ._task_id import TaskId
@@ -16,6 +17,7 @@
     "JobProgress",
     "JobState",
     "JobTable",
+    "RunLoss",
     "Step",
     "Task",
     "TaskId",
--- /dev/null
+++ b/packages/baobablane/baobablane/jobs/_run_loss.py
@@ -0,0 +1,19 @@
+"""Define the record of a run that was lost soon after its start."""
+
+import msgspec
+
+
+class RunLoss(msgspec.Struct, array_like=True):
+    """Hold a run that was lost with its upstream before it had settled."""
+
+    run: int
+    upstream: str
+    incarnation: int
+    # Instance of the upstream; empty if it is unknown.
+    instance: str = ""
+    # How many runs there had started as recently, with this one; a gang counts as one.
+    suspects: int = 0
+    # The upstream confirmed its start.
+    is_started: bool = False
+    # The upstream is known to have crashed; until then it may only be unreachable.
+    is_crash: bool = False
--- a/packages/baobablane/baobablane/jobs/_task.py
+++ b/packages/baobablane/baobablane/jobs/_task.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ._run_loss import RunLoss
+
 
 class TaskState(IntEnum):
     """Name the state of a task."""
@@ -27,3 +29,5 @@
     # Latest run counted in `failures`. Its failure is reported again to a new owner,
     # which must not count it twice.
     failed_run: int = 0
+    # Runs that were lost soon after their start. Empty again once a run has settled.
+    losses: list[RunLoss] = []
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -1,7 +1,7 @@
 """Re-export the scheduler, its orders and reports, and its views of the fleet."""
 
 from ._advice import AdviceRequest
-from ._event import SchedulingEvent
+from ._event import CRASH_EVENT, SchedulingEvent
 from ._fleet_view import FleetView
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE, LeaseTracker
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
@@ -12,6 +12,7 @@
 from ._upstream_view import StepKey, UpstreamView
 
 __all__ = [
+    "CRASH_EVENT",
     "KILL_SECONDS",
     "SLOWEST_CLOCK_RATE",
     "AdviceRequest",
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -0,0 +1,222 @@
+"""Count lost runs against their tasks, and give up tasks that crash upstreams.
+
+Load pattern: a task crashes the upstream that starts it, within milliseconds, and the
+tasks that run there are lost with it. Runs that had settled are not suspected, and all
+suspects but one run again to their end.
+"""
+
+from ..crashes import is_deadly
+from ..jobs import JobState, RunLoss, Task, TaskId, TaskState
+from ._lost_upstream import RETENTION_SECONDS, LostUpstream, has_outside_cause
+from ._state import SchedulerState
+from ._step_run import StepRun
+from ._upstream import Run, Upstream
+
+# The list of instances may show an upstream as up for this long after it has crashed.
+LISTING_LAG_SECONDS = 1.0
+# At most this many of the runs on a lost upstream are named in the log.
+MAX_NAMED_RUNS = 20
+
+
+def observe_loss(state: SchedulerState, upstream: Upstream, now: float) -> LostUpstream:
+    """Return what was lost with an upstream; the first call decides."""
+    known = state.lost_upstreams.get(upstream.id)
+    if known is not None and known.incarnation == upstream.entry.incarnation:
+        return known
+    unsettled = [r for r in upstream.runs.values() if not upstream.is_settled(r)]
+    # Nothing else is started beside a trial, and the other runs had settled before it.
+    trials = [run for run in unsettled if run.is_trial]
+    since = upstream.unreachable_since
+    lost = LostUpstream(
+        upstream.id,
+        upstream.entry.incarnation,
+        now if since is None else since,
+        frozenset(run.task for run in trials or unsettled),
+        tuple(_run_name(run) for run in upstream.runs.values())[:MAX_NAMED_RUNS],
+        sum(
+            run.needs.cpu_millis / 1000 * max(0.0, now - run.started_at)
+            for run in upstream.runs.values()
+        ),
+        bool(trials),
+        upstream.entry.pool,
+    )
+    state.lost_upstreams[upstream.id] = lost
+    return lost
+
+
+def note_lost_run(
+    state: SchedulerState, upstream: Upstream, run: Run, now: float
+) -> None:
+    """Count a lost run against its task if it may have crashed its upstream."""
+    if upstream.entry.is_draining or upstream.has_order:
+        return
+    job_run = state.jobs.get(run.task.job)
+    found = job_run.find_task(run.task) if job_run else None
+    lost = observe_loss(state, upstream, now)
+    if job_run is None or found is None or job_run.state.is_final():
+        return
+    step_run, task = found
+    if (
+        run.task not in lost.suspects
+        or task.state is TaskState.DONE
+        or any(loss.run == run.number for loss in task.losses)
+        or _is_known_to_be_up(state, lost)
+    ):
+        return
+    loss = RunLoss(
+        run.number,
+        lost.upstream,
+        lost.incarnation,
+        state.instance_by_upstream.get(upstream.id, ""),
+        _count_suspects(step_run, run.task, lost),
+        is_started=run.confirmed_at is not None,
+    )
+    task.losses = [*task.losses, loss]
+    state.suspects.add(run.task, upstream.id, lost.lost_at, len(task.losses))
+    state.dirty_jobs.add(run.task.job)
+    state.log_decision(
+        "run-lost",
+        run.task,
+        run.number,
+        upstream=upstream.id,
+        incarnation=lost.incarnation,
+        reason=f"suspects: {loss.suspects}",
+        beside=lost.runs,
+    )
+
+
+def confirm_crash(state: SchedulerState, upstream_id: str, now: float) -> None:
+    """Apply the news that an upstream has crashed."""
+    upstream = state.upstreams.get(upstream_id)
+    if upstream is not None:
+        lost = observe_loss(state, upstream, now)
+        for run in list(upstream.runs.values()):
+            note_lost_run(state, upstream, run, now)
+    else:
+        known = state.lost_upstreams.get(upstream_id)
+        if known is None:
+            # Its losses were recorded by an earlier owner.
+            known = LostUpstream(upstream_id, 0, now, frozenset(), (), 0.0, False)
+        lost = known
+    is_outside = has_outside_cause(lost, list(state.lost_upstreams.values()))
+    lost.is_back = True
+    state.log_crash(lost, is_outside)
+    for task_id in state.suspects.tasks_lost_with(upstream_id):
+        found = _find(state, task_id)
+        if found is None:
+            state.suspects.remove(task_id)
+        elif is_outside:
+            _drop_losses(state, task_id, found, upstream_id, "crashed with others")
+        else:
+            for loss in found.losses:
+                loss.is_crash |= loss.upstream == upstream_id
+            state.dirty_jobs.add(task_id.job)
+            if is_deadly(found.losses):
+                _give_up(state, task_id, found)
+
+
+def mark_down(state: SchedulerState, upstream_id: str, now: float) -> None:
+    """Apply the news that an upstream's instance is down, for an unknown reason."""
+    upstream = state.upstreams.get(upstream_id)
+    if upstream is not None and not (
+        upstream.is_reachable or upstream.entry.is_draining or upstream.has_order
+    ):
+        observe_loss(state, upstream, now).is_down = True
+
+
+def withdraw_losses(state: SchedulerState, upstream_id: str, reason: str) -> None:
+    """Drop the losses with an upstream, for whose end there is another reason."""
+    for task_id in state.suspects.tasks_lost_with(upstream_id):
+        found = _find(state, task_id)
+        if found is None:
+            state.suspects.remove(task_id)
+        else:
+            _drop_losses(state, task_id, found, upstream_id, reason)
+
+
+def withdraw_losses_of_listed(state: SchedulerState) -> None:
+    """Drop the losses with upstreams that are still listed as up."""
+    for upstream_id in state.suspects.upstreams():
+        lost = state.lost_upstreams.get(upstream_id)
+        if lost is not None and _is_known_to_be_up(state, lost):
+            del state.lost_upstreams[upstream_id]
+            withdraw_losses(state, upstream_id, "unreachable, but up")
+
+
+def clear_settled(state: SchedulerState, upstream: Upstream) -> None:
+    """Clear suspects whose latest run has settled on an upstream."""
+    for task_id in list(state.suspects.held_until):
+        run = upstream.runs.get(task_id)
+        found = _find(state, task_id)
+        if run is None or found is None or run.number != found.run:
+            continue
+        if upstream.is_settled(run):
+            clear_suspect(state, task_id, found)
+
+
+def clear_suspect(state: SchedulerState, task_id: TaskId, task: Task) -> None:
+    """Forget the losses of a task that has run without a crash."""
+    if not task.losses:
+        return
+    task.losses = []
+    state.suspects.remove(task_id)
+    state.dirty_jobs.add(task_id.job)
+    state.log_decision("suspect-cleared", task_id, task.run, upstream=task.upstream)
+
+
+def forget_old_losses(state: SchedulerState, now: float) -> None:
+    """Forget lost upstreams of which there was no news for long."""
+    for upstream_id, lost in list(state.lost_upstreams.items()):
+        if now - lost.lost_at > RETENTION_SECONDS:
+            del state.lost_upstreams[upstream_id]
+
+
+def _find(state: SchedulerState, task_id: TaskId) -> Task | None:
+    job_run = state.jobs.get(task_id.job)
+    found = job_run.find_task(task_id) if job_run else None
+    if job_run is None or found is None or job_run.state.is_final():
+        return None
+    return found[1]
+
+
+def _is_known_to_be_up(state: SchedulerState, lost: LostUpstream) -> bool:
+    return (
+        lost.upstream in state.listed_up
+        and state.listed_at - lost.lost_at > LISTING_LAG_SECONDS
+    )
+
+
+def _count_suspects(step_run: StepRun, task: TaskId, lost: LostUpstream) -> int:
+    if not step_run.step.is_gang:
+        return len(lost.suspects)
+    # The tasks of a gang start and fail together.
+    return 1 + sum(other[:3] != task[:3] for other in lost.suspects)
+
+
+def _drop_losses(
+    state: SchedulerState, task_id: TaskId, task: Task, upstream_id: str, reason: str
+) -> None:
+    task.losses = [loss for loss in task.losses if loss.upstream != upstream_id]
+    state.suspects.remove_loss(task_id, upstream_id)
+    if not task.losses:
+        state.suspects.remove(task_id)
+    state.dirty_jobs.add(task_id.job)
+    state.log_decision(
+        "loss-withdrawn", task_id, task.run, upstream=upstream_id, reason=reason
+    )
+
+
+def _give_up(state: SchedulerState, task_id: TaskId, task: Task) -> None:
+    crashes = [loss for loss in task.losses if loss.is_crash]
+    names = ", ".join(f"{loss.upstream} ({loss.incarnation})" for loss in crashes)
+    reason = f"a task crashed upstreams {names}"
+    state.log_decision("task-given-up", task_id, task.run, reason=reason)
+    state.suspects.remove_job(task_id.job)
+    state.finish_job(state.jobs[task_id.job], JobState.FAILED, reason)
+    # The other suspects of these crashes are not the cause.
+    for loss in crashes:
+        withdraw_losses(state, loss.upstream, f"caused by a task of {task_id.job}")
+
+
+def _run_name(run: Run) -> str:
+    return f"{'.'.join(map(str, run.task))}#{run.number}"
--- a/packages/baobablane/baobablane/scheduling/_event.py
+++ b/packages/baobablane/baobablane/scheduling/_event.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+CRASH_EVENT = "upstream-crashed"
+
 
 @dataclass(frozen=True, slots=True)
 class SchedulingEvent:
@@ -17,3 +19,9 @@
     # Seconds since the run started or, for a stalled run, since its progress changed; 0
     # for all other events.
     age_seconds: float = 0.0
+    # Of the upstream; 0 if the event does not concern one of its lives.
+    incarnation: int = 0
+    # Other runs on the upstream, as `job.occurrence.step.position#run`.
+    beside: tuple[str, ...] = ()
+    # Work lost in a crash.
+    core_seconds: float = 0.0
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -1,8 +1,10 @@
 """Keep track of runs when an owner takes over or an upstream restarts."""
 
 from ..deployment import NO_RESOURCES, UpstreamEntry
-from ..jobs import Task, TaskId
+from ..jobs import RunLoss, Task, TaskId
+from ._crash_evidence import confirm_crash, withdraw_losses
 from ._state import SchedulerState
+from ._step_run import StepRun
 from ._upstream import Run, Upstream
 
 
@@ -17,6 +19,8 @@
         return
     step = found[0].step
     is_same_incarnation = upstream.entry.incarnation == task.incarnation
+    if upstream.entry.incarnation > task.incarnation:
+        _note_crash_before_takeover(task)
     run = Run(
         task_id,
         task.run,
@@ -30,14 +34,42 @@
         needs_stop=not is_same_incarnation,
         percent_changed_at=now,
         target_ms=step.target_ms,
+        is_trial=bool(task.losses),
     )
     state.add_run(run, upstream, now)
 
 
+def restore_losses(state: SchedulerState, step_run: StepRun, now: float) -> None:
+    """Suspect the tasks again that an earlier owner suspected."""
+    for index, task in step_run.tasks.items():
+        for loss in task.losses:
+            state.suspects.add(
+                step_run.task_id(index), loss.upstream, now, len(task.losses)
+            )
+
+
+def _note_crash_before_takeover(task: Task) -> None:
+    # It restarted under its id while nobody watched. Only a trial tells which run was
+    # the cause.
+    if not any(loss.run == task.run for loss in task.losses):
+        loss = RunLoss(
+            task.run,
+            task.upstream,
+            task.incarnation,
+            suspects=1 if task.losses else 0,
+            is_crash=True,
+        )
+        task.losses = [*task.losses, loss]
+
+
 def replace_incarnation(
     state: SchedulerState, previous: Upstream, entry: UpstreamEntry, now: float
 ) -> None:
     """Replace an upstream by its new incarnation; keep its runs until it reports."""
+    if previous.entry.is_draining or previous.has_order:
+        withdraw_losses(state, previous.id, "its end was ordered or announced")
+    else:
+        confirm_crash(state, previous.id, now)
     # The new incarnation may have carried out a start already, or may still do so.
     # Its first report therefore decides which of the runs exist.
     replacement = Upstream(entry, now)
@@ -51,7 +83,7 @@
 def _add_unlisted(state: SchedulerState, task: Task, now: float) -> Upstream:
     # Its entry may have expired during an outage of the store while it kept running.
     entry = UpstreamEntry(
-        task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), True
+        task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), False
     )
     upstream = Upstream(entry, now, is_listed=False)
     state.upstreams[task.upstream] = upstream
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -0,0 +1,81 @@
+"""Describe an upstream that stopped responding, as it was at that time."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..jobs import TaskId
+
+# A silent upstream is found to be lost up to 1.4 s late, when a renewal times out.
+SIMULTANEOUS_SECONDS = 1.5
+# A pool is unstable while at least this many of its upstreams went down in this time,
+# one after the other, as they started tasks.
+MIN_CRASHES_OF_UNSTABLE_POOL = 2
+UNSTABLE_SECONDS = 10.0
+# An upstream that is down for longer than this is not expected back.
+MAX_DOWN_SECONDS = 10.0
+# Maximum time for which a lost upstream is kept without news of it.
+RETENTION_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class LostUpstream:
+    """Hold what was lost with an upstream, and which runs may have crashed it."""
+
+    upstream: str
+    incarnation: int
+    # In seconds of the monotonic clock.
+    lost_at: float
+    # Runs that had not settled. If a suspect was on trial, only that one.
+    suspects: frozenset[TaskId]
+    # Names of its runs, as `job.occurrence.step.position#run`.
+    runs: tuple[str, ...]
+    # Work lost with the runs, at most; restored checkpoints are not taken off.
+    core_seconds: float
+    has_trial: bool
+    pool: str = ""
+    # The list of instances shows its instance as down.
+    is_down: bool = False
+    # It is known that it crashed, as its instance runs another upstream.
+    is_back: bool = False
+
+    def is_down_after_trial(self, now: float) -> bool:
+        """Return whether it went down in a trial a short time ago."""
+        return (
+            self.has_trial
+            and self.is_down
+            and not self.is_back
+            and now - self.lost_at < MAX_DOWN_SECONDS
+        )
+
+
+def unstable_pools(lost: Iterable[LostUpstream], now: float) -> set[str]:
+    """Return the pools whose upstreams crash as they start tasks."""
+    times_by_pool: dict[str, set[int]] = {}
+    for upstream in lost:
+        if (
+            upstream.is_down
+            and upstream.suspects
+            and now - upstream.lost_at < UNSTABLE_SECONDS
+        ):
+            # Upstreams that went down together count once.
+            moment = round(upstream.lost_at / SIMULTANEOUS_SECONDS)
+            times_by_pool.setdefault(upstream.pool, set()).add(moment)
+    return {
+        pool
+        for pool, times in times_by_pool.items()
+        if len(times) >= MIN_CRASHES_OF_UNSTABLE_POOL
+    }
+
+
+def has_outside_cause(lost: LostUpstream, others: list[LostUpstream]) -> bool:
+    """Return whether another upstream went down at the same time without a suspect.
+
+    Tasks don't crash upstreams that don't start them, so both had another cause, such
+    as the power of a rack.
+    """
+    return any(
+        other.is_down
+        and not other.suspects
+        and abs(other.lost_at - lost.lost_at) <= SIMULTANEOUS_SECONDS
+        for other in others
+    )
--- a/packages/baobablane/baobablane/scheduling/_orders.py
+++ b/packages/baobablane/baobablane/scheduling/_orders.py
@@ -60,5 +60,7 @@
     OTHER_INCARNATION = auto()
     # The order carried no valid ticket of the placement advisor.
     NO_TICKET = auto()
+    # No connection could be opened, so the order was not sent.
+    NOT_SENT = auto()
     # Unknown outcome: there was no response, and the run may still start.
     UNKNOWN = auto()
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -1,29 +1,23 @@
 """Decide which tasks start now, and where."""
 
-from dataclasses import dataclass, field
-
-from ..deployment import Resources
-from ..jobs import TaskState
-from ._full_pools import FullPools
 from ._job_run import JobRun
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
+from ._round_room import RoundRoom, collect_room
+from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
 from ._step_run import StepRun
-from ._upstream import Run, Upstream
+from ._trials import (
+    Candidate,
+    find_candidates,
+    plan_trials,
+    room_without_short_runs,
+)
+from ._upstream import Upstream
 from ._urgency import urgency_key
 
-
-@dataclass(slots=True)
-class _RoundRoom:
-    """Hold the upstreams of each pool that take tasks in this round."""
-
-    usable: dict[str, list[Upstream]]
-    # Without those that are ejected.
-    healthy: dict[str, list[Upstream]]
-    full: FullPools = field(default_factory=FullPools)
-    # Pools in which an upstream is reserved for a long-running task.
-    reserved_pools: set[str] = field(default_factory=set)
+# Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
+MAX_YOUNG_RUNS = 4
 
 
 def plan_starts(state: SchedulerState, now: float, unix_ms: int) -> list[StartOrder]:
@@ -31,50 +25,71 @@
 
     Each start must be recorded before it is sent.
     """
-    usable: dict[str, list[Upstream]] = {}
-    healthy: dict[str, list[Upstream]] = {}
-    for upstream in state.upstreams.values():
-        if upstream.accepts(now):
-            pool = upstream.entry.pool
-            usable.setdefault(pool, []).append(upstream)
-            if not state.ejections.is_ejected(upstream.id, now):
-                healthy.setdefault(pool, []).append(upstream)
     orders: list[StartOrder] = []
-    room = _RoundRoom(usable, healthy)
+    room = collect_room(state, now)
+    candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
     for job_run in _jobs_by_urgency(state, unix_ms):
         try:
-            orders += _plan_job(state, job_run, room, now)
+            orders += _plan_job(state, job_run, room, candidates_by_pool, now)
         except Exception as error:
             state.set_apart(job_run.job.id, error)
+    for pool, candidates in candidates_by_pool.items():
+        orders += plan_trials(state, pool, candidates, room, now)
     return orders
 
 
 def _plan_job(
-    state: SchedulerState, job_run: JobRun, room: _RoundRoom, now: float
+    state: SchedulerState,
+    job_run: JobRun,
+    room: RoundRoom,
+    candidates_by_pool: dict[str, list[Candidate]],
+    now: float,
+) -> list[StartOrder]:
+    orders: list[StartOrder] = []
+    for step_run in list(job_run.startable_steps()):
+        candidates = find_candidates(state, step_run)
+        if candidates:
+            pool = state.pool_of(job_run)
+            candidates_by_pool.setdefault(pool, []).extend(candidates)
+        others = step_run.waiting.difference(*(c.indexes for c in candidates))
+        if others:
+            orders += _plan_others(state, job_run, step_run, others, room, now)
+    return orders
+
+
+def _plan_others(
+    state: SchedulerState,
+    job_run: JobRun,
+    step_run: StepRun,
+    others: set[int],
+    room: RoundRoom,
+    now: float,
 ) -> list[StartOrder]:
     orders: list[StartOrder] = []
     pool = state.pool_of(job_run)
+    if room.full.has_no_room_for(pool, step_run.step):
+        return orders
+    is_unstable = pool in room.unstable_pools
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
-    for step_run in list(job_run.startable_steps()):
-        if room.full.has_no_room_for(pool, step_run.step):
-            continue
-        if healthy:
-            candidates = _advised_candidates(state, step_run, healthy, now)
-            orders += _plan_step(state, step_run, candidates, now)
-            if step_run.waiting and state.usage.allows(
-                job_run.job.account, step_run.step.needs
-            ):
-                room.full.record_no_room(pool, step_run.step)
-        # Without a healthy upstream, an ejected one is better than none. A long-running
-        # task may always use one, because its failed attempts are not limited.
-        is_stuck = step_run.step.is_lasting and bool(step_run.waiting)
-        if usable and (pool not in room.healthy or is_stuck):
-            candidates = _advised_candidates(state, step_run, usable, now)
-            orders += _plan_step(state, step_run, candidates, now)
-        if is_stuck and step_run.waiting and pool not in room.reserved_pools:
-            room.reserved_pools.add(pool)
-            _reserve_upstream(step_run, healthy, usable)
+    if healthy:
+        candidates = state.advised(step_run, healthy, now)
+        orders += _plan_step(state, step_run, others, candidates, now, is_unstable)
+        others = others & step_run.waiting
+        if others:
+            room.full_pools.add(pool)
+        if others and state.usage.allows(job_run.job.account, step_run.step.needs):
+            room.full.record_no_room(pool, step_run.step)
+    # Without a healthy upstream, an ejected one is better than none. A long-running
+    # task may always use one, because its failed attempts are not limited.
+    is_stuck = step_run.step.is_lasting and bool(others)
+    if usable and (pool not in room.healthy or is_stuck):
+        candidates = state.advised(step_run, usable, now)
+        orders += _plan_step(state, step_run, others, candidates, now, is_unstable)
+        others = others & step_run.waiting
+    if is_stuck and others and pool not in room.lasting_pools:
+        room.lasting_pools.add(pool)
+        _reserve_upstream(step_run, healthy, usable)
     return orders
 
 
@@ -87,7 +102,7 @@
     fitting = [
         upstream
         for upstream in usable
-        if may_run(step_run.step, upstream, _room_without_short_runs(upstream))
+        if may_run(step_run.step, upstream, room_without_short_runs(upstream))
     ]
     if not fitting:
         return
@@ -97,23 +112,6 @@
         healthy.remove(chosen)
 
 
-def _room_without_short_runs(upstream: Upstream) -> Resources:
-    room = upstream.entry.capacity
-    for run in upstream.runs.values():
-        if run.is_lasting and not run.is_filler:
-            room = room - run.needs
-    return room
-
-
-def _advised_candidates(
-    state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
-) -> list[Upstream]:
-    queue = state.configuration.queues_by_name.get(step_run.job.queue)
-    if queue is None or not queue.needs_advice:
-        return candidates
-    return state.advice.eligible(step_run.key(), candidates, now)
-
-
 def _jobs_by_urgency(state: SchedulerState, unix_ms: int) -> list[JobRun]:
     keyed = []
     for job_run in list(state.jobs.values()):
@@ -145,17 +143,21 @@
 
 
 def _plan_step(
-    state: SchedulerState, step_run: StepRun, candidates: list[Upstream], now: float
+    state: SchedulerState,
+    step_run: StepRun,
+    indexes: set[int],
+    candidates: list[Upstream],
+    now: float,
+    is_unstable: bool,
 ) -> list[StartOrder]:
     step = step_run.step
-    if step.is_gang and len(step_run.waiting) < step.count:
+    if step.is_gang and len(indexes) < step.count:
         return []
-    placed: dict[str, int] = {}
-    for index in step_run.started_indexes():
-        name = step_run.tasks[index].upstream
-        placed[name] = placed.get(name, 0) + 1
+    placed = step_run.placed_by_upstream()
     chosen: list[tuple[int, Upstream]] = []
-    for index in sorted(step_run.waiting):
+    for index in sorted(indexes):
+        if is_unstable and not step.is_gang:
+            candidates = _limit_young_runs(candidates)
         upstream = _place_task(state, step_run, index, candidates, placed, now)
         if upstream is None:
             break
@@ -164,14 +166,22 @@
         for index, upstream in chosen:
             state.remove_run(upstream, step_run.task_id(index))
         return []
-    runs = {index: step_run.task(index).run + 1 for index, _ in chosen}
-    if step.is_gang:
-        # All tasks of a gang have the same run number.
-        runs = dict.fromkeys(runs, max(runs.values()))
-    return [
-        _commit_start(state, step_run, index, runs[index], upstream)
-        for index, upstream in chosen
-    ]
+    return commit_starts(state, step_run, chosen)
+
+
+def _limit_young_runs(candidates: list[Upstream]) -> list[Upstream]:
+    """Return the upstreams of an unstable pool that may start one more task now.
+
+    Most of what is lost with an upstream, and suspected after it, are the runs that
+    started together.
+    """
+    limited: list[Upstream] = []
+    for upstream in candidates:
+        if upstream.unsettled_count() < MAX_YOUNG_RUNS:
+            limited.append(upstream)
+        else:
+            upstream.is_limited = True
+    return limited
 
 
 def _place_task(
@@ -185,51 +195,10 @@
     job, step = step_run.job, step_run.step
     if job.account and not state.usage.allows(job.account, step.needs):
         return None
-    task_id = step_run.task_id(index)
-    avoided_id = state.last_failed_on.get(task_id, "")
+    avoided_id = state.last_failed_on.get(step_run.task_id(index), "")
     upstream = choose_upstream(step_run, candidates, placed, avoided_id)
     if upstream is None:
         return None
     placed[upstream.id] = placed.get(upstream.id, 0) + 1
-    # The run gets its number in `_commit_start`, once it is certain that a gang fits.
-    run = Run(
-        task_id,
-        0,
-        step.needs,
-        job.account,
-        step.is_lasting,
-        step.is_filler,
-        now,
-        step.estimated_ms / 1000,
-        percent_changed_at=now,
-        target_ms=step.target_ms,
-    )
-    state.add_run(run, upstream, now)
+    reserve_run(state, step_run, index, upstream, now)
     return upstream
-
-
-def _commit_start(
-    state: SchedulerState,
-    step_run: StepRun,
-    index: int,
-    number: int,
-    upstream: Upstream,
-) -> StartOrder:
-    task = step_run.task(index)
-    task.state = TaskState.STARTED
-    task.run = number
-    task.upstream = upstream.id
-    task.incarnation = upstream.entry.incarnation
-    step_run.waiting.discard(index)
-    task_id = step_run.task_id(index)
-    upstream.runs[task_id].number = task.run
-    state.log_decision("task-placed", task_id, task.run, upstream=upstream.id)
-    return StartOrder(
-        task_id,
-        task.run,
-        step_run.job.spec,
-        task.checkpoint,
-        upstream.id,
-        task.incarnation,
-        state.advice.ticket(step_run.key(), upstream),
-    )
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -4,6 +4,7 @@
 
 from ._job_run import JobRun
 from ._state import SchedulerState
+from ._trials import wanted_trials
 from ._urgency import USELESS_MULTIPLE, objective_seconds
 
 # More cores do not speed up work that is due within less than this.
@@ -27,6 +28,8 @@
     # Sum of the squares of those jobs' core-seconds, which tells how much the rate at
     # which work arrives varies by chance.
     arrived_squares: float = 0.0
+    # Cores of the instances on which suspects can be tried at the same time.
+    trial_cores: float = 0.0
 
 
 def sum_demand(state: SchedulerState, unix_ms: int) -> dict[str, PoolDemand]:
@@ -36,15 +39,24 @@
     cores = dict.fromkeys(names, 0.0)
     lasting = dict.fromkeys(names, 0.0)
     due = dict.fromkeys(names, 0.0)
+    trials = wanted_trials(state)
+    largest = dict.fromkeys(names, 0.0)
+    suspected_jobs = {task.job for task in state.suspects.held_until}
     for upstream in state.upstreams.values():
         if upstream.entry.pool in cores and upstream.is_usable():
-            cores[upstream.entry.pool] += upstream.entry.capacity.cpu_millis / 1000
+            upstream_cores = upstream.entry.capacity.cpu_millis / 1000
+            cores[upstream.entry.pool] += upstream_cores
+            largest[upstream.entry.pool] = max(
+                largest[upstream.entry.pool], upstream_cores
+            )
     for job_run in state.jobs.values():
         pool = state.pool_of(job_run)
         if job_run.state.is_final() or pool not in cores:
             continue
         lasting[pool] += job_run.lasting_cores()
-        due[pool] += _due_cores(state, job_run, unix_ms)
+        # A job with suspects waits for trials, and more cores do not speed them up.
+        if job_run.job.id not in suspected_jobs:
+            due[pool] += _due_cores(state, job_run, unix_ms)
     return {
         name: PoolDemand(
             cores[name],
@@ -52,6 +64,7 @@
             due[name],
             state.arrived_core_seconds[name],
             state.arrived_squares[name],
+            trials.get(name, 0) * largest[name],
         )
         for name in names
     }
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -1,6 +1,7 @@
 """Reconcile the scheduler's state with an upstream's report of its runs."""
 
 from ..jobs import JobState, Task, TaskId, TaskState
+from ._crash_evidence import clear_suspect
 from ._report import EndedRun, EndReason, RenewalReport, RunningTask
 from ._speculation import withdraw_copy
 from ._state import SchedulerState
@@ -91,6 +92,8 @@
     )
     if task.state is TaskState.DONE or not _is_relevant_end(step_run, task, ended):
         return
+    if ended.reason in (EndReason.DONE, EndReason.FAILED):
+        clear_suspect(state, ended.task, task)
     if ended.checkpoint:
         task.checkpoint = ended.checkpoint
     state.dirty_jobs.add(ended.task.job)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -1,14 +1,26 @@
 """Make the owner's scheduling decisions, without any input or output."""
 
+from collections.abc import Mapping
 from dataclasses import replace
 
+from ..crashes import HostChanges
 from ..deployment import Configuration, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState, check_job
 from ._advice import AdviceRequest
+from ._crash_evidence import (
+    clear_settled,
+    confirm_crash,
+    forget_old_losses,
+    mark_down,
+    note_lost_run,
+    withdraw_losses,
+    withdraw_losses_of_listed,
+)
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
-from ._incarnations import replace_incarnation, restore_run
+from ._incarnations import replace_incarnation, restore_losses, restore_run
 from ._job_run import JobRun
+from ._lost_upstream import unstable_pools
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._pacing import FULL_PERCENT, plan_pace_orders
 from ._planning import plan_starts
@@ -20,7 +32,7 @@
 from ._start_results import apply_start_result
 from ._state import SchedulerState
 from ._stop_planning import plan_stops
-from ._upstream import Upstream
+from ._upstream import SETTLING_SECONDS, Upstream
 
 
 class Scheduler:
@@ -66,6 +78,7 @@
                     restore_run(
                         self.state, step_run.task_id(index), step_run.tasks[index], now
                     )
+                restore_losses(self.state, step_run, now)
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended, so that its runs are stopped."""
@@ -103,6 +116,74 @@
             for task in list(upstream.runs):
                 self.state.requeue(upstream, task, reason)
 
+    def remove_lost_upstream(self, upstream_id: str, reason: str, now: float) -> None:
+        """Remove an upstream of which it is not known why it is gone."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is not None:
+            for run in list(upstream.runs.values()):
+                note_lost_run(self.state, upstream, run, now)
+            self.remove_upstream(upstream_id, reason)
+
+    def instances_listed(
+        self,
+        changes: HostChanges,
+        instance_by_upstream: Mapping[str, str],
+        requested_at: float,
+        now: float,
+    ) -> None:
+        """Apply what a list of instances shows, which was requested at a given time."""
+        state = self.state
+        state.instance_by_upstream = dict(instance_by_upstream)
+        state.listed_up, state.listed_at = frozenset(changes.up), requested_at
+        for upstream_id in changes.down:
+            mark_down(state, upstream_id, now)
+            self._requeue_of_down(upstream_id, now)
+        for upstream_id, instance in changes.crashed.items():
+            # Losses are noted with the instance on which they happened.
+            state.instance_by_upstream[upstream_id] = instance
+            confirm_crash(state, upstream_id, now)
+            self.remove_upstream(upstream_id, "crashed")
+        for upstream_id in changes.ended:
+            withdraw_losses(state, upstream_id, "its end was ordered or announced")
+        withdraw_losses_of_listed(state)
+        forget_old_losses(state, now)
+
+    def draining_upstreams(self) -> set[str]:
+        """Return the upstreams that have announced that they will stop."""
+        return {u.id for u in self.state.upstreams.values() if u.entry.is_draining}
+
+    def unstable_pools(self, now: float) -> set[str]:
+        """Return the pools whose upstreams crash as they start tasks."""
+        return unstable_pools(self.state.lost_upstreams.values(), now)
+
+    def mark_ordered(self, upstream_id: str, is_ordered: bool) -> None:
+        """Expect an upstream to end because of an order for its instance, or not."""
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.has_order = is_ordered
+
+    def upstreams_to_check(self, now: float) -> list[str]:
+        """Return the upstreams to ask now whether they outlived the latest starts.
+
+        Each is returned once in a settling time. Only where starts wait for the answer
+        is it worth a call.
+        """
+        due: list[str] = []
+        for upstream in self.state.upstreams.values():
+            if not upstream.is_reachable or not (
+                upstream.is_reserved or upstream.is_limited or upstream.has_trial()
+            ):
+                continue
+            if now - upstream.checked_at >= SETTLING_SECONDS and any(
+                run.confirmed_at is not None
+                and not upstream.is_settled(run)
+                and now - run.confirmed_at >= SETTLING_SECONDS
+                for run in upstream.runs.values()
+            ):
+                upstream.checked_at = now
+                due.append(upstream.id)
+        return due
+
     def can_remove_upstream(self, upstream_id: str, now: float) -> bool:
         """Return whether an upstream is unlisted and certainly runs nothing.
 
@@ -133,7 +214,9 @@
             upstream = self.state.upstreams[upstream_id]
         if report.incarnation == upstream.entry.incarnation:
             upstream.may_need_stops = True
+            self._apply_contact(upstream, now)
             apply_report(self.state, upstream, report, requested_at, now)
+            clear_settled(self.state, upstream)
             detect_stalls(self.state, upstream, now)
             self._pace_orders += plan_pace_orders(upstream, now)
 
@@ -167,7 +250,7 @@
                 now - upstream.unreachable_since
                 >= self.state.policy.speculation_delay_seconds
             ):
-                allow_copies(self.state, upstream)
+                allow_copies(self.state, upstream, now)
             self._requeue_expired(upstream, now)
 
     def remove_unlisted(self, now: float) -> None:
@@ -178,7 +261,7 @@
                 not upstream.entry.address
                 and age_seconds > self.state.policy.unlisted_grace_seconds
             ):
-                self.remove_upstream(upstream.id, "unlisted")
+                self.remove_lost_upstream(upstream.id, "unlisted", now)
 
     def start_answered(
         self, order: StartOrder, result: StartResult, now: float
@@ -282,9 +365,28 @@
         events, self.state.events = self.state.events, []
         return events
 
+    def _apply_contact(self, upstream: Upstream, now: float) -> None:
+        upstream.last_seen_at = now
+        lost = self.state.lost_upstreams.get(upstream.id)
+        if lost is not None and lost.incarnation == upstream.entry.incarnation:
+            del self.state.lost_upstreams[upstream.id]
+            withdraw_losses(self.state, upstream.id, "reachable again")
+
+    def _requeue_of_down(self, upstream_id: str, now: float) -> None:
+        # Nothing runs on an instance that is down. Only an order of unknown outcome may
+        # still be carried out, by the next life of the upstream under the same id.
+        upstream = self.state.upstreams.get(upstream_id)
+        if upstream is None or upstream.is_reachable:
+            return
+        for task, run in list(upstream.runs.items()):
+            if not may_still_arrive(self.state, run, now):
+                note_lost_run(self.state, upstream, run, now)
+                self.state.requeue(upstream, task, "instance-down")
+
     def _requeue_expired(self, upstream: Upstream, now: float) -> None:
         if now < upstream.latest_lease_expiry(self.state.policy.unknown_lease_seconds):
             return
         for task, run in list(upstream.runs.items()):
             if not may_still_arrive(self.state, run, now):
+                note_lost_run(self.state, upstream, run, now)
                 self.state.requeue(upstream, task, "lease-over")
--- a/packages/baobablane/baobablane/scheduling/_speculation.py
+++ b/packages/baobablane/baobablane/scheduling/_speculation.py
@@ -6,11 +6,12 @@
 """
 
 from ..jobs import TaskState
+from ._crash_evidence import note_lost_run
 from ._state import SchedulerState
 from ._upstream import Run, Upstream
 
 
-def allow_copies(state: SchedulerState, upstream: Upstream) -> None:
+def allow_copies(state: SchedulerState, upstream: Upstream, now: float) -> None:
     """Let tasks of an unreachable upstream start elsewhere if they may run twice.
 
     The resources of the earlier runs count as used until the runs have certainly ended.
@@ -22,6 +23,7 @@
             continue
         step_run, task = found
         if task.state is TaskState.STARTED and task.run == run.number:
+            note_lost_run(state, upstream, run, now)
             task.state = TaskState.WAITING
             step_run.waiting.add(run.task.position)
             state.last_failed_on[run.task] = upstream.id
--- a/packages/baobablane/baobablane/scheduling/_start_results.py
+++ b/packages/baobablane/baobablane/scheduling/_start_results.py
@@ -13,6 +13,7 @@
     StartResult.OTHER_INCARNATION: "other-incarnation",
     StartResult.NO_TICKET: "no-ticket",
     StartResult.FENCED: "fenced",
+    StartResult.NOT_SENT: "not-sent",
 }
 
 
@@ -34,6 +35,7 @@
     )
     if result is StartResult.STARTED:
         run.confirmed_at = now
+        upstream.last_seen_at = now
     elif result is StartResult.UNKNOWN:
         run.unknown_since = now
         upstream.is_reachable = False
@@ -53,6 +55,6 @@
     elif result in (StartResult.REFUSED, StartResult.MALFORMED):
         upstream.no_starts_until = now + state.policy.start_backoff_seconds
         state.count_failure(upstream, now)
-    elif result is StartResult.OTHER_INCARNATION:
+    elif result in (StartResult.OTHER_INCARNATION, StartResult.NOT_SENT):
         upstream.is_reachable = False
     state.requeue(upstream, order.task, _REQUEUE_REASONS[result])
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -7,9 +7,12 @@
 from ..routing import EjectionPolicy, EjectionTable
 from ._account_usage import AccountUsage
 from ._advice import AdviceTable
-from ._event import SchedulingEvent
+from ._event import CRASH_EVENT, SchedulingEvent
 from ._job_run import JobRun
+from ._lost_upstream import LostUpstream
 from ._policy import SchedulingPolicy
+from ._step_run import StepRun
+from ._suspects import SuspectTable
 from ._upstream import Run, Upstream
 
 # Tasks rarely fail on a healthy upstream, so two failures are enough to eject one.
@@ -51,6 +54,13 @@
         self.final_jobs: set[str] = set()
         # Number of runs of each job that has any.
         self.run_count_by_job: Counter[str] = Counter()
+        # Tasks with lost runs; the runs themselves are part of their progress.
+        self.suspects = SuspectTable()
+        self.lost_upstreams: dict[str, LostUpstream] = {}
+        # As the list of instances last showed it, and when that was requested.
+        self.instance_by_upstream: dict[str, str] = {}
+        self.listed_up: frozenset[str] = frozenset()
+        self.listed_at = float("-inf")
         # How many runs were requeued, by reason.
         self.requeued_by_reason: dict[str, int] = defaultdict(int)
 
@@ -63,6 +73,41 @@
             SchedulingEvent(event, task.job, name, run, **inputs)  # type: ignore[arg-type]
         )
 
+    def log_crash(self, lost: LostUpstream, has_outside_cause: bool) -> None:
+        """Queue the crash of an upstream for the log."""
+        if has_outside_cause:
+            reason = "outside"
+        elif lost.has_trial:
+            reason = "trial"
+        else:
+            reason = "suspects" if lost.suspects else "no suspect"
+        self.events.append(
+            SchedulingEvent(
+                CRASH_EVENT,
+                upstream=lost.upstream,
+                incarnation=lost.incarnation,
+                reason=reason,
+                beside=lost.runs,
+                core_seconds=lost.core_seconds,
+            )
+        )
+
+    def advised(
+        self, step_run: StepRun, upstreams: list[Upstream], now: float
+    ) -> list[Upstream]:
+        """Return the upstreams that the placement advisor allows, if it is needed."""
+        queue = self.configuration.queues_by_name.get(step_run.job.queue)
+        if queue is None or not queue.needs_advice:
+            return upstreams
+        return self.advice.eligible(step_run.key(), upstreams, now)
+
+    def count_down_after_trial(self, pool: str, now: float) -> int:
+        """Return how many upstreams of a pool went down in a trial and are not back."""
+        return sum(
+            lost.pool == pool and lost.is_down_after_trial(now)
+            for lost in self.lost_upstreams.values()
+        )
+
     def pool_of(self, job_run: JobRun) -> str:
         """Return the pool of a job's queue in the configuration in force."""
         queue = self.configuration.queues_by_name.get(job_run.job.queue)
@@ -149,6 +194,7 @@
         """
         self.errors_by_job[job_id] = repr(error)
         self.jobs.pop(job_id, None)
+        self.suspects.remove_job(job_id)
         self.dirty_jobs.discard(job_id)
         for upstream in self.upstreams.values():
             for task, run in list(upstream.runs.items()):
@@ -161,6 +207,7 @@
         if job_run.state.is_final():
             return
         job_run.state = state
+        self.suspects.remove_job(job_run.job.id)
         self.final_jobs.add(job_run.job.id)
         self.dirty_jobs.add(job_run.job.id)
         self.check_stops_of(job_run.job.id)
--- a/packages/baobablane/baobablane/scheduling/_step_run.py
+++ b/packages/baobablane/baobablane/scheduling/_step_run.py
@@ -50,3 +50,11 @@
     def started_indexes(self) -> list[int]:
         """Return the indexes of the tasks that may be running."""
         return [i for i, t in self.tasks.items() if t.state is TaskState.STARTED]
+
+    def placed_by_upstream(self) -> dict[str, int]:
+        """Return how many tasks may be running on each upstream."""
+        placed: dict[str, int] = {}
+        for index in self.started_indexes():
+            name = self.tasks[index].upstream
+            placed[name] = placed.get(name, 0) + 1
+        return placed
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -0,0 +1,268 @@
+"""Start suspects again, each on an upstream where nothing else has just started.
+
+Load pattern: an upstream crashes in a burst, and up to two dozen runs there had just
+been started. One of them may be the cause; all others should finish soon. A trial
+settles in a fraction of a second. Suspects that are probably not the cause come first
+and share a trial, so that most of them go on at once; a task that lost several runs, or
+shared its loss with few others, is tried alone, which leaves no doubt. While a pool is
+full, one upstream at a time is risked; idle ones may be risked besides.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..deployment import Resources
+from ._orders import StartOrder
+from ._placement import choose_upstream, may_run
+from ._round_room import RoundRoom
+from ._starting import commit_starts, reserve_run
+from ._state import SchedulerState
+from ._step_run import StepRun
+from ._upstream import Upstream
+
+# Maximum part of a pool's upstreams that are on trial or down after one: while other
+# tasks wait for room, and otherwise. One always may be.
+FULL_FRACTION = 0.25
+IDLE_FRACTION = 0.9
+# Maximum number of upstreams of a pool on which suspects are tried at once.
+MAX_TRIALS = 24
+# Maximum expected number of causes among the runs of a trial, unless it has one run.
+MAX_EXPECTED_CAUSES = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """Hold tasks of a step that are tried together: one suspect, or a whole gang."""
+
+    step_run: StepRun
+    indexes: tuple[int, ...]
+    # Expected number of crashes of which they are the cause.
+    expected_causes: float
+
+
+@dataclass(slots=True)
+class _Trial:
+    upstream: Upstream
+    expected_causes: float
+
+
+def find_candidates(state: SchedulerState, step_run: StepRun) -> list[Candidate]:
+    """Return the waiting tasks of a step that start only in a trial.
+
+    A gang starts together, so one suspect makes suspects of all its tasks.
+    """
+    if not state.suspects.held_until:
+        return []
+    waiting = sorted(step_run.waiting)
+    indexes = [i for i in waiting if step_run.task_id(i) in state.suspects]
+    if indexes and step_run.step.is_gang:
+        return [Candidate(step_run, tuple(waiting), 1.0)]
+    return [
+        Candidate(step_run, (index,), _expected_causes(state, step_run, index))
+        for index in indexes
+    ]
+
+
+def plan_trials(
+    state: SchedulerState,
+    pool: str,
+    candidates: Iterable[Candidate],
+    room: RoundRoom,
+    now: float,
+) -> list[StartOrder]:
+    """Return the starts of a pool's suspects that may be tried now.
+
+    `candidates` are in the order of their urgency, and everything else has been placed.
+    """
+    likely_last = sorted(candidates, key=lambda candidate: candidate.expected_causes)
+    planner = _TrialPlanner(state, pool, room, now)
+    orders: list[StartOrder] = []
+    for candidate in likely_last:
+        try:
+            orders += planner.plan(candidate)
+        except Exception as error:
+            state.set_apart(candidate.step_run.job.id, error)
+    return orders
+
+
+def wanted_trials(state: SchedulerState) -> dict[str, int]:
+    """Return on how many upstreams of each pool suspects should be tried at once.
+
+    Each unexplained crash probably has one cause, which crashes one more upstream. All
+    other suspects settle immediately.
+    """
+    crashes = Counter(
+        state.pool_of(state.jobs[tasks[0].job])
+        for tasks in map(state.suspects.tasks_lost_with, state.suspects.upstreams())
+        if tasks[0].job in state.jobs
+    )
+    return {pool: min(count, MAX_TRIALS) for pool, count in crashes.items()}
+
+
+def room_without_short_runs(upstream: Upstream) -> Resources:
+    """Return the room that an upstream has once its short tasks have ended."""
+    room = upstream.entry.capacity
+    for run in upstream.runs.values():
+        if run.is_lasting and not run.is_filler:
+            room = room - run.needs
+    return room
+
+
+class _TrialPlanner:
+    """Place the trials of one pool in one round."""
+
+    def __init__(
+        self,
+        state: SchedulerState,
+        pool: str,
+        room: RoundRoom,
+        now: float,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._room = room
+        self._now = now
+        self._trials: list[_Trial] = []
+        upstreams = [u for u in state.upstreams.values() if u.entry.pool == pool]
+        on_trial = sum(upstream.has_trial() for upstream in upstreams)
+        down = state.count_down_after_trial(pool, now)
+        total = sum(u.is_usable() or u.has_trial() for u in upstreams) + down
+        self._at_risk = on_trial + down
+        fraction = FULL_FRACTION if pool in room.full_pools else IDLE_FRACTION
+        wanted = wanted_trials(state).get(pool, 0)
+        self._max_at_risk = max(1, min(wanted, int(total * fraction)))
+
+    def plan(self, candidate: Candidate) -> list[StartOrder]:
+        """Return the starts of a candidate, or reserve an upstream for it."""
+        step_run, indexes = candidate.step_run, candidate.indexes
+        if any(self._is_held(step_run, index) for index in indexes):
+            return []
+        needed = step_run.step.needs.times(len(indexes))
+        if not self._state.usage.allows(step_run.job.account, needed):
+            return []
+        chosen = self._join(candidate) or self._begin(candidate)
+        return commit_starts(self._state, step_run, chosen)
+
+    def _is_held(self, step_run: StepRun, index: int) -> bool:
+        """Return whether a task waits for the news whether its upstreams crashed."""
+        losses = step_run.task(index).losses
+        if len(losses) < 2 or all(loss.is_crash for loss in losses):
+            return False
+        held_until = self._state.suspects.held_until
+        return self._now < held_until.get(step_run.task_id(index), self._now)
+
+    def _join(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
+        """Add a suspect to a trial that begins in this round."""
+        for trial in self._trials:
+            causes = trial.expected_causes + candidate.expected_causes
+            if causes <= MAX_EXPECTED_CAUSES:
+                chosen = self._place(candidate, [trial.upstream])
+                if chosen:
+                    trial.expected_causes = causes
+                    return chosen
+        return []
+
+    def _begin(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
+        if self._at_risk >= self._max_at_risk:
+            return []
+        may_use_busy = self._at_risk == 0
+        upstreams = self._room.for_trials(self._pool)
+        quiet = [
+            upstream
+            for upstream in upstreams
+            if not upstream.unsettled_count() and (may_use_busy or not upstream.runs)
+        ]
+        chosen = self._place(candidate, self._advised(candidate, quiet))
+        if chosen:
+            self._at_risk += 1
+            for upstream in {u.id: u for _, u in chosen}.values():
+                self._room.take(self._pool, upstream)
+                trial = _Trial(upstream, candidate.expected_causes)
+                self._trials.append(trial)
+        elif may_use_busy:
+            self._reserve(candidate, self._advised(candidate, upstreams))
+        return chosen
+
+    def _advised(
+        self, candidate: Candidate, upstreams: list[Upstream]
+    ) -> list[Upstream]:
+        return self._state.advised(candidate.step_run, upstreams, self._now)
+
+    def _place(
+        self, candidate: Candidate, upstreams: list[Upstream]
+    ) -> list[tuple[int, Upstream]]:
+        """Reserve room for all tasks of a candidate, or for none."""
+        step_run = candidate.step_run
+        chosen: list[tuple[int, Upstream]] = []
+        placed = step_run.placed_by_upstream()
+        for index in candidate.indexes:
+            upstream = self._choose(step_run, index, upstreams, placed)
+            if upstream is None:
+                for other, reserved in chosen:
+                    self._state.remove_run(reserved, step_run.task_id(other))
+                return []
+            placed[upstream.id] = placed.get(upstream.id, 0) + 1
+            reserve_run(self._state, step_run, index, upstream, self._now, True)
+            chosen.append((index, upstream))
+        return chosen
+
+    def _choose(
+        self,
+        step_run: StepRun,
+        index: int,
+        upstreams: list[Upstream],
+        placed: dict[str, int],
+    ) -> Upstream | None:
+        step = step_run.step
+        if step.is_gang:
+            return choose_upstream(step_run, upstreams, placed, "")
+        earlier = {loss.instance for loss in step_run.task(index).losses}
+        fitting = [
+            upstream
+            for upstream in upstreams
+            if may_run(step, upstream, upstream.room())
+            and not 0 < step.most_per_upstream <= placed.get(upstream.id, 0)
+        ]
+        # A crash on another instance proves more, and costs least where little runs.
+        return min(
+            fitting,
+            key=lambda upstream: (
+                self._state.instance_by_upstream.get(upstream.id, "") in earlier,
+                bool(step.data_rack) and step.data_rack not in upstream.entry.labels,
+                upstream.used.cpu_millis,
+            ),
+            default=None,
+        )
+
+    def _reserve(self, candidate: Candidate, upstreams: list[Upstream]) -> None:
+        """Keep an upstream free of other starts until its runs have settled."""
+        fitting = [
+            upstream
+            for upstream in upstreams
+            if may_run(
+                candidate.step_run.step, upstream, room_without_short_runs(upstream)
+            )
+        ]
+        if not fitting:
+            return
+        reserved = self._room.reserved.get(self._pool, [])
+        chosen = min(
+            fitting,
+            key=lambda upstream: (
+                upstream not in reserved,
+                upstream.unsettled_count(),
+                upstream.used.cpu_millis,
+            ),
+        )
+        chosen.is_reserved = True
+        self._at_risk += 1
+        self._room.take(self._pool, chosen)
+
+
+def _expected_causes(state: SchedulerState, step_run: StepRun, index: int) -> float:
+    losses = step_run.task(index).losses
+    if len(losses) != 1:
+        return 1.0
+    # The fewer suspects of the crash are left, the likelier each of them.
+    return 1.0 / max(1, len(state.suspects.tasks_lost_with(losses[0].upstream)))
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -10,6 +10,10 @@
 # may be unreachable, and gets no more starts until the outcome is known.
 OVERDUE_START_SECONDS = 0.25
 
+# A run has settled once its upstream responds this long after its start: what crashes
+# an upstream by its start does so within milliseconds.
+SETTLING_SECONDS = 0.25
+
 
 @dataclass(slots=True)
 class Run:
@@ -46,6 +50,9 @@
     is_stalled: bool = False
     # It is to be stopped so that its task can start elsewhere.
     is_evicted: bool = False
+    # Its task is suspected of crashing upstreams; nothing starts beside it until it has
+    # settled.
+    is_trial: bool = False
 
 
 @dataclass(slots=True)
@@ -69,6 +76,16 @@
     is_reachable: bool = False
     # When it was first found unreachable; checked once per scheduling round.
     unreachable_since: float | None = None
+    # When it last responded.
+    last_seen_at: float = float("-inf")
+    # When it was last asked only to see whether its runs have settled.
+    checked_at: float = float("-inf")
+    # An order for its instance was sent, which ends it.
+    has_order: bool = False
+    # It gets no starts but a trial, as soon as its runs have settled.
+    is_reserved: bool = False
+    # It gets more starts as soon as its runs have settled.
+    is_limited: bool = False
     # Whether any of its runs may have to be stopped. To check all runs in each round
     # takes longer than all else.
     may_need_stops: bool = True
@@ -95,8 +112,26 @@
             self.is_usable()
             and now >= self.no_starts_until
             and not self._has_overdue_start(now)
+            and not self.has_trial()
+        )
+
+    def is_settled(self, run: Run) -> bool:
+        """Return whether the upstream has outlived the start of one of its runs."""
+        return (
+            run.confirmed_at is not None
+            and self.last_seen_at - run.confirmed_at >= SETTLING_SECONDS
         )
 
+    def has_trial(self) -> bool:
+        """Return whether a suspect that runs on the upstream has not settled yet."""
+        return any(
+            run.is_trial and not self.is_settled(run) for run in self.runs.values()
+        )
+
+    def unsettled_count(self) -> int:
+        """Return the number of runs that have not settled yet."""
+        return sum(not self.is_settled(run) for run in self.runs.values())
+
     def _has_overdue_start(self, now: float) -> bool:
         return any(
             run.confirmed_at is None and now - run.started_at > OVERDUE_START_SECONDS
--- a/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
@@ -78,7 +78,7 @@
         job = make_job(make_step(3), name=BAD)
         add(fleet, job)
         monkeypatch.setattr(
-            "baobablane.scheduling._planning._commit_start",
+            "baobablane.scheduling._starting._commit_start",
             lambda *args: (_ for _ in ()).throw(KeyError("commit")),
         )
         assert fleet.place() == []
--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -165,6 +165,13 @@
         The pool's demand must have been observed before.
         """
         wanted_cores = self.wanted_cores(name, demand, now)
+        target = self._base_target(name, demand, wanted_cores)
+        # Trials use what no other pool needs.
+        return PoolTarget(target.wanted_cores + demand.trial_cores, target.needed_cores)
+
+    def _base_target(
+        self, name: str, demand: PoolDemand, wanted_cores: float
+    ) -> PoolTarget:
         if self.forecast.has_recorded_burst(name):
             return PoolTarget(wanted_cores, wanted_cores)
         # The first burst may be far off, so part of the reserve for it may be lent to a
