Follow the capacity of an upstream that shrinks, grows or is not told

On sites whose upstreams don't check their capacity, callers' tasks could be started over it.

Three tests now list the entry of a restarted upstream, as the platform does, or have the new method in their fake.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -87,6 +87,9 @@
         if not self._may_order(MAX_CONFIRMATION_AGE_SECONDS):
             # The process was suspended after it had recorded the start.
             return StartResult.LATE
+        if upstream.is_over_capacity():
+            # The capacity shrank after the start was planned.
+            return StartResult.NO_ROOM
         deadline_ms = poller.start_deadline_ms()
         if deadline_ms is None:
             return StartResult.LATE
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -286,6 +286,7 @@
                 entry = decode_upstream_entry(record.key, record.value)
             except msgspec.DecodeError as error:
                 self._log.info("entry-skipped", key=record.key, reason=str(error))
+                self._scheduler.upstream_unlisted(record.key)
                 return
             self._log_capacity(entry)
             self._scheduler.upstream_listed(entry, now)
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
@@ -0,0 +1,34 @@
+"""Test starts for an upstream whose capacity shrank while they were recorded.
+
+Such a start would bring an upstream that does not check its capacity over it.
+"""
+
+import pytest
+from baobablane.scheduling import StartOrder, StartResult
+
+from baobablane_daemon.decision_log import DecisionLog
+from baobablane_daemon.owner._order_sender import OrderSender
+from baobablane_daemon.owner._upstream_poller import UpstreamPoller
+
+from .test_stale_owner import TASK, RecordingClient, make_scheduler
+
+
+class TestStarts:
+    """Test that the capacity is checked in the step that sends a start."""
+
+    @pytest.mark.parametrize(
+        ("is_over", "expected"),
+        [(True, StartResult.NO_ROOM), (False, StartResult.STARTED)],
+    )
+    async def test_start_is_sent_only_within_the_capacity(self, is_over, expected):
+        client, scheduler = RecordingClient(), make_scheduler()
+        scheduler.state.upstreams["u"].is_over_capacity = lambda: is_over
+        rest = (client, DecisionLog("entry-1"), lambda: None, lambda seconds: True)
+        poller = UpstreamPoller("u", 1, scheduler, *rest)
+        sender = OrderSender(
+            scheduler, {"u": poller}, client, "", rest[1], 1, rest[2], rest[3]
+        )
+        order = StartOrder(TASK, 1, "", "", "u", 1)
+        assert await sender._try_start(order) is expected
+        assert client.calls == ([] if is_over else ["start"])
+        await sender.close()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -62,6 +62,7 @@
         applied_end=0,
         recorded_end=0,
         is_reachable=True,
+        is_over_capacity=lambda: False,
     )
     scheduler = Scheduler(SchedulingPolicy())
     scheduler.state.upstreams["u"] = upstream
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -169,5 +169,6 @@
             await deployment.wait_for_state(entry, "running")
             for upstream in deployment.platform.upstreams:
                 upstream.restart()
+                deployment.platform.register_upstream(upstream)
             await deployment.wait_for_state(entry, "completed")
             assert {run for _, run in deployment.starts()} <= {1, 2}
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from ..crashes import HostChanges
-from ..deployment import Configuration, UpstreamEntry
+from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState, check_job
 from ._advice import AdviceRequest
 from ._crash_evidence import (
@@ -97,6 +97,9 @@
         if current is None:
             self.state.upstreams[entry.id] = Upstream(entry, now)
             return
+        if not entry.incarnation:
+            # Entries of older versions don't tell the incarnation.
+            entry = replace(entry, incarnation=current.entry.incarnation)
         if entry.incarnation == current.entry.incarnation:
             current.entry = entry
             current.is_listed = True
@@ -209,7 +212,10 @@
         if upstream is None:
             return
         if report.incarnation > upstream.entry.incarnation:
-            entry = replace(upstream.entry, incarnation=report.incarnation)
+            # It may be of another kind; its room is unknown until its entry arrives.
+            entry = replace(
+                upstream.entry, incarnation=report.incarnation, capacity=NO_RESOURCES
+            )
             replace_incarnation(self.state, upstream, entry, now)
             upstream = self.state.upstreams[upstream_id]
         if report.incarnation == upstream.entry.incarnation:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -154,6 +154,10 @@
         """Return the unused part of the capacity."""
         return self.entry.capacity - self.used
 
+    def is_over_capacity(self) -> bool:
+        """Return whether more is counted than the capacity as last reported."""
+        return not self.used.fits_in(self.entry.capacity)
+
     def latest_lease_expiry(self, unknown_lease_seconds: float) -> float:
         """Return when an upstream that stays unreachable certainly runs nothing."""
         if self.lease is None:
--- a/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
@@ -64,6 +64,9 @@
         applied = fleet.scheduler.applied_ends()
         fleet.upstreams[first.upstream].restart()
         fleet.renew_all()
+        fleet.scheduler.upstream_listed(
+            fleet.upstreams[first.upstream].entry, fleet.now
+        )
         fleet.place()
         (again, *_) = fleet.upstreams[first.upstream].running
         fleet.finish(again)
