Let no loss from before the takeover explain another one

Cause: all upstreams that an owner does not reach at its takeover seem to be lost at that moment. One without runs then looked like a crash of another cause at the same time, and excused the task. Now only losses that the owner saw happen explain each other. Besides, a run of an earlier owner that was not seen to run counts only if it was the sole suspect, and at most eight lost runs of a task are kept.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -5,6 +5,8 @@
 suspects but one run again to their end.
 """
 
+import math
+
 from ..crashes import is_deadly
 from ..jobs import JobState, RunLoss, Task, TaskId, TaskState
 from ._lost_upstream import RETENTION_SECONDS, LostUpstream, has_outside_cause
@@ -14,6 +16,8 @@
 
 # The list of instances may show an upstream as up for this long after it has crashed.
 LISTING_LAG_SECONDS = 1.0
+# At most this many lost runs of a task are kept.
+MAX_LOSSES = 8
 # At most this many of the runs on a lost upstream are named in the log.
 MAX_NAMED_RUNS = 20
 
@@ -39,6 +43,7 @@
         ),
         bool(trials),
         upstream.entry.pool,
+        was_seen=math.isfinite(upstream.last_seen_at),
     )
     state.lost_upstreams[upstream.id] = lost
     return lost
@@ -69,9 +74,9 @@
         lost.incarnation,
         state.instance_by_upstream.get(upstream.id, ""),
         _count_suspects(step_run, run.task, lost),
-        is_started=run.confirmed_at is not None,
+        is_started=run.was_seen,
     )
-    task.losses = [*task.losses, loss]
+    task.losses = [*task.losses, loss][-MAX_LOSSES:]
     state.suspects.add(run.task, upstream.id, lost.lost_at, len(task.losses))
     state.dirty_jobs.add(run.task.job)
     state.log_decision(
--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -35,6 +35,8 @@
     pool: str = ""
     # The list of instances shows its instance as down.
     is_down: bool = False
+    # It had responded to this owner, so that it is known when it was lost.
+    was_seen: bool = False
     # It is known that it crashed, as its instance runs another upstream.
     is_back: bool = False
 
@@ -73,8 +75,9 @@
     Tasks don't crash upstreams that don't start them, so both had another cause, such
     as the power of a rack.
     """
-    return any(
+    return lost.was_seen and any(
         other.is_down
+        and other.was_seen
         and not other.suspects
         and abs(other.lost_at - lost.lost_at) <= SIMULTANEOUS_SECONDS
         for other in others
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -53,6 +53,7 @@
     if run is None or run.number != row.run:
         upstream.orphan_runs[row.task] = row.run
         return
+    run.was_seen = True
     if run.confirmed_at is None and run.unknown_since is not None:
         run.unknown_since = None
         run.confirmed_at = now
--- a/packages/baobablane/baobablane/scheduling/_start_results.py
+++ b/packages/baobablane/baobablane/scheduling/_start_results.py
@@ -35,6 +35,7 @@
     )
     if result is StartResult.STARTED:
         run.confirmed_at = now
+        run.was_seen = True
         upstream.last_seen_at = now
     elif result is StartResult.UNKNOWN:
         run.unknown_since = now
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -31,6 +31,8 @@
     # report listed it, or its record was read at a takeover. If a report requested
     # later omits it, it has ended. None until confirmed.
     confirmed_at: float | None = None
+    # This owner has seen it start or run.
+    was_seen: bool = False
     # When the outcome of its start became unknown, for lack of a response.
     unknown_since: float | None = None
     # The upstream does not run it, but its start may still arrive; a stop rules that
--- a/packages/baobablane/baobablane/scheduling/tests/crash_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/crash_model.py
@@ -26,6 +26,7 @@
         self.ordered_ms = {}
         self.hosts = HostTable({})
         self._down = {}
+        self._stale_entries = []
         self._entries = {name: model.entry for name, model in self.upstreams.items()}
         self._lives = dict.fromkeys(self.upstreams, 0)
         self.list_instances()
@@ -51,7 +52,8 @@
 
     def crash(self, name):
         """Crash an upstream; it starts again after DOWN_SECONDS."""
-        del self.upstreams[name]
+        # Its entry expires later than it starts again.
+        self._stale_entries.append(self.upstreams.pop(name).entry)
         self._down[name.partition("-")[0]] = self.now + DOWN_SECONDS
         self.scheduler.renewal_failed(name, self.now)
 
@@ -103,6 +105,8 @@
         self.epoch += 1
         self.hosts = HostTable(self.hosts.host_by_instance)
         self.scheduler = self.make_scheduler()
+        for entry in self._stale_entries:
+            self.scheduler.upstream_listed(entry, self.now)
         for job in jobs:
             self.scheduler.add_job(job, records[job.id], self.now)
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
@@ -253,6 +253,28 @@
         assert fleet.state_of(DEADLY_JOB) is JobState.FAILED
         assert len(fleet.crashed_starts) <= MAX_STARTS
 
+    def test_upstreams_that_were_down_at_the_takeover_explain_no_crash(self):
+        fleet = CrashFleet(6, [DEADLY])
+        add(fleet, make_job(name=DEADLY_JOB))
+        for _ in range(3):
+            for name in list(fleet.upstreams)[-2:]:
+                fleet.crash(name)
+            fleet.advance(0.25)
+            fleet.replace_owner()
+            fleet.advance(6.0)
+        fleet.advance(VERDICT_SECONDS)
+        assert fleet.state_of(DEADLY_JOB) is JobState.FAILED
+        assert len(fleet.crashed_starts) <= MAX_STARTS
+
+    def test_start_of_an_earlier_owner_is_not_seen_to_run(self, fleet):
+        add(fleet, make_job(make_step(2), name=OTHER_JOB))
+        (order, _) = fleet.plan_starts()
+        fleet.replace_owner()
+        fleet.crash(order.upstream)
+        fleet.advance(DOWN_SECONDS + 0.5)
+        tasks = fleet.scheduler.state.jobs[OTHER_JOB].steps[(0, 0)].tasks.values()
+        assert not any(loss.is_started for task in tasks for loss in task.losses)
+
     def test_restart_under_the_same_id_is_a_crash(self, fleet):
         add(fleet, make_job(name=OTHER_JOB))
         (order,) = fleet.place()
