Count the young runs of unstable pools once a round

Each placement in an unstable pool counted the unsettled runs of all its upstreams again. They are now counted when a round begins, and each placement adds one. No measured change: the sites at hand have too few upstreams to a pool to show it.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -70,11 +70,10 @@
     pool = state.pool_of(job_run)
     if room.full.has_no_room_for(pool, step_run.step):
         return orders
-    is_unstable = pool in room.unstable_pools
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
     if healthy:
         candidates = state.advised(step_run, healthy, now)
-        orders += _plan_step(state, step_run, others, candidates, now, is_unstable)
+        orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
         if others:
             room.full_pools.add(pool)
@@ -85,7 +84,7 @@
     is_stuck = step_run.step.is_lasting and bool(others)
     if usable and (pool not in room.healthy or is_stuck):
         candidates = state.advised(step_run, usable, now)
-        orders += _plan_step(state, step_run, others, candidates, now, is_unstable)
+        orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
     if is_stuck and others and pool not in room.lasting_pools:
         room.lasting_pools.add(pool)
@@ -147,8 +146,8 @@
     step_run: StepRun,
     indexes: set[int],
     candidates: list[Upstream],
+    room: RoundRoom,
     now: float,
-    is_unstable: bool,
 ) -> list[StartOrder]:
     step = step_run.step
     if step.is_gang and len(indexes) < step.count:
@@ -156,11 +155,13 @@
     placed = step_run.placed_by_upstream()
     chosen: list[tuple[int, Upstream]] = []
     for index in sorted(indexes):
-        if is_unstable and not step.is_gang:
-            candidates = _limit_young_runs(candidates)
+        if room.young_runs and not step.is_gang:
+            candidates = _limit_young_runs(candidates, room)
         upstream = _place_task(state, step_run, index, candidates, placed, now)
         if upstream is None:
             break
+        if upstream.id in room.young_runs:
+            room.young_runs[upstream.id] += 1
         chosen.append((index, upstream))
     if step.is_gang and len(chosen) < step.count:
         for index, upstream in chosen:
@@ -169,15 +170,15 @@
     return commit_starts(state, step_run, chosen)
 
 
-def _limit_young_runs(candidates: list[Upstream]) -> list[Upstream]:
-    """Return the upstreams of an unstable pool that may start one more task now.
+def _limit_young_runs(candidates: list[Upstream], room: RoundRoom) -> list[Upstream]:
+    """Leave out upstreams of unstable pools that have just started several tasks.
 
     Most of what is lost with an upstream, and suspected after it, are the runs that
     started together.
     """
     limited: list[Upstream] = []
     for upstream in candidates:
-        if upstream.unsettled_count() < MAX_YOUNG_RUNS:
+        if room.young_runs.get(upstream.id, 0) < MAX_YOUNG_RUNS:
             limited.append(upstream)
         else:
             upstream.is_limited = True
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -22,7 +22,8 @@
     lasting_pools: set[str] = field(default_factory=set)
     # Pools in which tasks found no room in this round.
     full_pools: set[str] = field(default_factory=set)
-    unstable_pools: set[str] = field(default_factory=set)
+    # Unsettled runs on each upstream of the unstable pools.
+    young_runs: dict[str, int] = field(default_factory=dict)
 
     def for_trials(self, pool: str) -> list[Upstream]:
         """Return the upstreams that are left for trials."""
@@ -40,7 +41,7 @@
 def collect_room(state: SchedulerState, now: float) -> RoundRoom:
     """Return the upstreams that accept tasks, and end earlier reservations."""
     room = RoundRoom()
-    room.unstable_pools = unstable_pools(state.lost_upstreams.values(), now)
+    unstable = unstable_pools(state.lost_upstreams.values(), now)
     for upstream in state.upstreams.values():
         was_reserved, upstream.is_reserved = upstream.is_reserved, False
         upstream.is_limited = False
@@ -51,6 +52,8 @@
             room.reserved.setdefault(pool, []).append(upstream)
             continue
         room.usable.setdefault(pool, []).append(upstream)
+        if pool in unstable:
+            room.young_runs[upstream.id] = upstream.unsettled_count()
         if not state.ejections.is_ejected(upstream.id, now):
             room.healthy.setdefault(pool, []).append(upstream)
     return room
