--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_deadly_tasks.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_deadly_tasks.py
@@ -47,3 +47,18 @@
             await wait_until_failed_or_started_too_often(deployment, entry)
             await deployment.wait_for_state(entry, "completed", OTHER_JOB)
             assert await deployment.state(entry) == "failed"
+
+    @pytest.mark.parametrize("killed", [0, 1])
+    async def test_deadly_task_is_given_up_though_its_owner_is_killed(self, killed):
+        async with run_deployment(2) as deployment:
+            survivor = deployment.entries[1 - killed]
+            await submit_deadly(deployment, survivor)
+
+            async def has_started():
+                return deployment.starts() != []
+
+            await deployment.wait_for(has_started)
+            await deployment.entries[killed].kill()
+            await wait_until_failed_or_started_too_often(deployment, survivor)
+            assert len(deployment.starts()) <= MAX_STARTS
+            assert await deployment.state(survivor) == "failed"
