Add a failing test: a task that crashes its upstreams a second after its start

Only runs that had not settled are suspected of a crash, so such a task is started without end.

The demand for trials gets its tests: suspects are no due work, and the cores for their trials are wanted, not needed.

--- a/packages/baobablane/baobablane/scheduling/tests/crash_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/crash_model.py
@@ -76,6 +76,15 @@
                 self.crash(order.upstream)
         return orders
 
+    def crash_late(self, age_seconds):
+        """Crash the upstreams whose deadly run has reached an age."""
+        for name, known in list(self.scheduler.state.upstreams.items()):
+            if name in self.upstreams and any(
+                run.task in self.deadly and self.now - run.started_at >= age_seconds
+                for run in known.runs.values()
+            ):
+                self.crash(name)
+
     def advance(self, seconds):
         """Run the owner and the upstreams for some time."""
         end = self.now + seconds
--- a/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
@@ -84,6 +84,21 @@
         assert msgspec.json.decode(b'[1,2,0,"u0",5,"",0]', type=Task).losses == []
 
 
+class TestLateCrash:
+    """Test a task that crashes its upstreams some time after its start."""
+
+    def test_task_that_crashes_its_upstream_after_a_second_is_given_up(self):
+        fleet = CrashFleet()
+        add(fleet, make_job(name=DEADLY_JOB))
+        for _ in range(10):
+            fleet.advance(1.5)
+            fleet.deadly = {DEADLY}
+            fleet.crash_late(1.0)
+            fleet.deadly = set()
+            fleet.advance(DOWN_SECONDS + 0.5)
+        assert fleet.state_of(DEADLY_JOB) is JobState.FAILED
+
+
 class TestInnocentTasks:
     """Test tasks that ran beside the cause, or beside none."""
 
@@ -287,6 +302,24 @@
 class TestTrials:
     """Test where and when suspects start again."""
 
+    def demand(self, fleet):
+        """Return the demand on the pool of the fleet."""
+        unix_ms = round(fleet.now * 1000)
+        return fleet.scheduler.fleet.demand_by_pool(unix_ms)["pool"]
+
+    def test_suspects_are_demand_for_trials_and_for_nothing_else(self):
+        fleet = CrashFleet(2)
+        accepted_ms = round(fleet.now * 1000)
+        add(fleet, make_job(make_step(4), name=OTHER_JOB, accepted_ms=accepted_ms))
+        (order, *_) = fleet.place()
+        before = self.demand(fleet)
+        assert (before.due_cores > 0, before.trial_cores) == (True, 0)
+        fleet.crash(order.upstream)
+        fleet.now += 0.3
+        fleet.list_instances()
+        after = self.demand(fleet)
+        assert (after.due_cores, after.trial_cores) == (0, 4)
+
     def suspects(self, fleet, count=6):
         """Add a job, and crash the upstreams on which it has just started."""
         add(fleet, make_job(make_step(count), name=OTHER_JOB))
--- a/packages/baobablane/baobablane/sizing/tests/test_unstable_pools.py
+++ b/packages/baobablane/baobablane/sizing/tests/test_unstable_pools.py
@@ -5,7 +5,8 @@
 """
 
 from baobablane.deployment import Instance, InstanceState, Resources
-from baobablane.sizing import PoolTarget, plan_moves
+from baobablane.scheduling import PoolDemand
+from baobablane.sizing import PoolSizing, PoolTarget, plan_moves
 
 UP, DOWN = InstanceState.UP, InstanceState.DOWN
 
@@ -35,6 +36,21 @@
     return len(moves)
 
 
+class TestTrials:
+    """Test the cores that a pool gets for trials of suspects."""
+
+    def test_trials_use_only_what_no_other_pool_needs(self):
+        targets = []
+        for trial_cores in (0.0, 32.0):
+            sizing = PoolSizing()
+            demand = PoolDemand(64.0, 0.0, 0.0, 0.0, trial_cores=trial_cores)
+            sizing.observe({"a": demand}, 32.0, 1.0)
+            targets.append(sizing.target("a", demand, 1.0))
+        without, with_trials = targets
+        assert with_trials.wanted_cores == without.wanted_cores + 32.0
+        assert with_trials.needed_cores == without.needed_cores
+
+
 class TestUnstablePools:
     """Test instances that are down."""
 
