Publish the states of jobs in a topic of their own for narrow links

The owner records each start and end, and repeats the record of the job each time.

Ruled out: the owner (95 of 100 first starts within 0.6 s, ends recorded within 0.1 s), the time to accept a job (20 ms), and the room in the pool.

Change: instances with less than 50 Mbit/s register in keyed.jobs. While there is one, the owner also appends each changed state (22 bytes) and its heartbeats to keyed.states, after the progress is stored and under its epoch. These instances follow that topic, and read the progress only before they claim the ownership. Without such an instance nothing is published.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -19,8 +19,15 @@
 
 from ._serving import make_server, wait_for_stop
 from .decision_log import DecisionLog
-from .jobs import JobActions, JobWriter, Views, boot_seconds, make_holder
-from .owner import Candidacy, Owner, Ownership, is_large
+from .jobs import (
+    JobActions,
+    JobWriter,
+    Views,
+    boot_seconds,
+    make_holder,
+    register_state_reader,
+)
+from .owner import Candidacy, Owner, Ownership, has_wide_link, is_large
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # The balancer routes elsewhere after two failed checks of one second each.
@@ -54,7 +61,7 @@
 ) -> None:
     """Serve until `stop` is set, then finish the requests in flight."""
     store = StoreClient(settings.store_address, settings.link_mbit)
-    views = Views(store, log)
+    views = Views(store, log, follows_progress=has_wide_link(settings))
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
     holder = make_holder(settings.instance, time.time_ns())
@@ -62,7 +69,7 @@
         holder,
         is_large(settings),
         lambda: views.owner_heartbeat,
-        views.progress_tail.age,
+        views.state_view.age,
         boot_seconds(),
     )
     ownership = Ownership(store, views, log, holder, is_large(settings), candidacy)
@@ -97,6 +104,10 @@
     ]
     server_tasks = [loop.create_task(server.serve()) for server in servers]
     tasks = [ownership_task, *background_tasks, *server_tasks]
+    # It ends by itself, and none of the tasks above may.
+    registration = loop.create_task(
+        register_state_reader(settings.instance, views, job_writer, log)
+    )
     log.info("started", zone=settings.zone, callers=settings.callers_address)
     try:
         await wait_for_stop(stop, tasks)
@@ -109,9 +120,9 @@
             server.should_exit = True
         await asyncio.wait(server_tasks, timeout=FINISH_TIMEOUT_SECONDS)
     finally:
-        for task in tasks:
+        for task in (registration, *tasks):
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(registration, *tasks, return_exceptions=True)
         await store.close()
         log.info("stopped")
         log.flush()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -11,6 +11,7 @@
     holder_instance,
     make_holder,
 )
+from ._state_reader import register_state_reader
 from ._topic_tail import TopicTail
 from ._views import (
     BURST_STARTS_KEY,
@@ -20,6 +21,8 @@
     JOBS_TOPIC,
     OWNER_HEARTBEAT_KEY,
     PROGRESS_TOPIC,
+    STATE_READER_PREFIX,
+    STATES_TOPIC,
     WAVE_PROGRESS_PREFIX,
     Views,
 )
@@ -30,6 +33,8 @@
     "JOBS_TOPIC",
     "INSTANCE_ORDER_PREFIX",
     "PROGRESS_TOPIC",
+    "STATES_TOPIC",
+    "STATE_READER_PREFIX",
     "OWNER_HEARTBEAT_KEY",
     "BURST_STARTS_KEY",
     "JobWriter",
@@ -45,5 +50,6 @@
     "encode_owner_heartbeat",
     "holder_instance",
     "make_holder",
+    "register_state_reader",
     "unix_ms",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -165,7 +165,7 @@
             await self._catch_up()
             state = self._views.job_table.state(job_id)
         if state is not None and not state.is_final():
-            age = self._views.progress_tail.age()
+            age = self._views.state_view.age()
             if age > MAX_VIEW_AGE_SECONDS:
                 detail = f"the view of jobs is {age:.1f} s old"
                 raise RejectedError(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -73,6 +73,10 @@
         """Return the offset after the last record read, or None before the first."""
         return self._next_offset
 
+    def skip_to_newest(self) -> None:
+        """Read the newest record of each key at the next read."""
+        self._next_offset = None
+
     def age(self) -> float:
         """Return the seconds since the view was last confirmed as complete."""
         return boot_seconds() - self.confirmed_at
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -7,7 +7,7 @@
 import msgspec
 from baobablane.crashes import Host, decode_host
 from baobablane.deployment import Configuration, Wave
-from baobablane.jobs import JobTable, decode_job, decode_progress
+from baobablane.jobs import JobState, JobTable, decode_job, decode_progress
 from baobablane.maintenance import WaveProgress, decode_wave_progress
 from baobablane.sizing import BurstStarts, decode_burst_starts
 from baobablane_platform import (
@@ -31,6 +31,8 @@
 # Written by the owner only: heartbeats, the progress of jobs and waves, orders for
 # instances, and burst starts. A claim of the ownership is the first heartbeat.
 PROGRESS_TOPIC = "keyed.progress"
+# Written by the owner only: the state of each job and the owner's heartbeats.
+STATES_TOPIC = "keyed.states"
 # Callers ask for a state at about the time at which the job ends, and again later. An
 # older view would show the end only then. Larger reads are slower over a narrow link.
 PROGRESS_PAUSE_SECONDS = 0.1
@@ -38,6 +40,9 @@
 JOBS_PAUSE_SECONDS = 0.25
 # Key prefix in the topic of jobs; the id of a job follows.
 CANCEL_PREFIX = "cancel/"
+# Key prefix in the topic of jobs; the name of an entry instance that follows the topic
+# of states follows.
+STATE_READER_PREFIX = "reader/"
 # Keys in the topic of progress: prefixes that the number of a wave or the id of an
 # instance follows, and the key of burst starts. Progress of a job has the key `job.id`.
 WAVE_PROGRESS_PREFIX = "wave/"
@@ -51,9 +56,18 @@
 class Views:
     """Follow the configuration, the waves, the jobs and the owner in the store."""
 
-    def __init__(self, store: StoreClient, log: DecisionLog) -> None:
-        """Start without a configuration; nothing is read yet."""
+    def __init__(
+        self, store: StoreClient, log: DecisionLog, follows_progress: bool = True
+    ) -> None:
+        """Start without a configuration; nothing is read yet.
+
+        Without `follows_progress`, follow the states of jobs in place of their whole
+        progress, which is read only when this process becomes the owner.
+        """
         self._log = log
+        self.follows_progress = follows_progress
+        # Entry instances that follow the states.
+        self.state_readers: set[str] = set()
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
         self.progress_by_wave: dict[int, WaveProgress] = {}
@@ -81,6 +95,11 @@
             self._on_progress_record,
             PROGRESS_PAUSE_SECONDS,
         )
+        self.states_tail = TopicTail(
+            store, log, STATES_TOPIC, self._on_state_record, PROGRESS_PAUSE_SECONDS
+        )
+        # Shows the states of jobs and the owner's heartbeats.
+        self.state_view = self.progress_tail if follows_progress else self.states_tail
         # Called with the id of a changed job, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
         # Called with the key of each record read from the topic of jobs.
@@ -92,15 +111,19 @@
 
     def has_read_all(self) -> bool:
         """Return whether there is a configuration and all topics were read once."""
-        tails = (self.operator_tail, self.jobs_tail, self.progress_tail)
-        return self.configuration is not None and all(
-            math.isfinite(tail.confirmed_at) for tail in tails
+        tails = (self.operator_tail, self.jobs_tail, self.state_view)
+        # The states are complete once an owner publishes them.
+        has_states = self.follows_progress or self.owner_heartbeat is not None
+        return (
+            self.configuration is not None
+            and has_states
+            and all(math.isfinite(tail.confirmed_at) for tail in tails)
         )
 
     async def run(self) -> None:
         """Follow all topics until cancelled."""
         await asyncio.gather(
-            self.operator_tail.run(), self.jobs_tail.run(), self.progress_tail.run()
+            self.operator_tail.run(), self.jobs_tail.run(), self.state_view.run()
         )
 
     async def catch_up(self) -> None:
@@ -108,9 +131,16 @@
         await asyncio.gather(
             self.operator_tail.catch_up(),
             self.jobs_tail.catch_up(),
-            self.progress_tail.catch_up(),
+            self.catch_up_progress(),
         )
 
+    async def catch_up_progress(self) -> None:
+        """Read all progress stored so far, or raise a StoreError."""
+        if not self.follows_progress:
+            # The newest records are fewer than those written since the latest read.
+            self.progress_tail.skip_to_newest()
+        await self.progress_tail.catch_up()
+
     def _on_operator_record(self, record: KeyedRecord) -> None:
         try:
             if record.key == CONFIGURATION_KEY and record.value:
@@ -142,6 +172,13 @@
 
     def _on_job_record(self, record: KeyedRecord) -> None:
         self.on_job_read(record.key)
+        if record.key.startswith(STATE_READER_PREFIX):
+            reader = record.key.removeprefix(STATE_READER_PREFIX)
+            if record.value is None:
+                self.state_readers.discard(reader)
+            else:
+                self.state_readers.add(reader)
+            return
         if record.key.startswith(CANCEL_PREFIX):
             job_id = record.key.removeprefix(CANCEL_PREFIX)
             if record.value is None:
@@ -160,6 +197,29 @@
         if self.job_table.accept(job):
             self.on_change(job.id)
 
+    def _on_state_record(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self.job_table.remove_state(record.key)
+            return
+        try:
+            if record.key == OWNER_HEARTBEAT_KEY:
+                self._apply_heartbeat(record.value)
+            else:
+                state = JobState(int(record.value))
+                self.job_table.set_state(record.key, state)
+        except (msgspec.DecodeError, ValueError) as error:
+            self._log.info("record-skipped", key=record.key, reason=str(error))
+
+    def _apply_heartbeat(self, value: bytes) -> None:
+        heartbeat = decode_owner_heartbeat(
+            value, self.owner_heartbeat, unix_ms(), boot_seconds()
+        )
+        # The topics of states and of progress both have heartbeats, and either may be
+        # behind.
+        known = self.owner_heartbeat
+        if known is None or heartbeat.epoch >= known.epoch:
+            self.owner_heartbeat = heartbeat
+
     def _on_progress_record(self, record: KeyedRecord) -> None:
         if record.value is None:
             self.job_table.remove(record.key)
@@ -175,9 +235,7 @@
                 instance = record.key.removeprefix(HOST_PREFIX)
                 self.host_by_instance[instance] = decode_host(record.value)
             elif record.key == OWNER_HEARTBEAT_KEY:
-                self.owner_heartbeat = decode_owner_heartbeat(
-                    record.value, self.owner_heartbeat, unix_ms(), boot_seconds()
-                )
+                self._apply_heartbeat(record.value)
             elif record.key == BURST_STARTS_KEY:
                 self.burst_starts = decode_burst_starts(record.value)
             else:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
@@ -40,10 +40,12 @@
 
 def is_large(settings: ProcessSettings) -> bool:
     """Return whether an instance has the resources to be the owner of a full fleet."""
-    return (
-        settings.cores >= MIN_OWNER_CORES
-        and settings.link_mbit >= MIN_OWNER_LINK_MBIT_PER_SECOND
-    )
+    return settings.cores >= MIN_OWNER_CORES and has_wide_link(settings)
+
+
+def has_wide_link(settings: ProcessSettings) -> bool:
+    """Return whether an instance's link carries all that the owner writes."""
+    return settings.link_mbit >= MIN_OWNER_LINK_MBIT_PER_SECOND
 
 
 class Candidacy:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
@@ -44,3 +44,4 @@
                 self._ended.add(job_id, now)
             return
         await self._writer.write(dict.fromkeys(due))
+        self._writer.states.delete(due)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -8,7 +8,7 @@
 from baobablane.crashes import Host, encode_host
 from baobablane.deployment import UpstreamEntry
 from baobablane.errors import JobLimitError
-from baobablane.jobs import JobProgress, encode_progress
+from baobablane.jobs import JobProgress, JobState, encode_progress
 from baobablane.maintenance import encode_wave_progress
 from baobablane.scheduling import Scheduler
 from baobablane_platform import (
@@ -163,6 +163,7 @@
         )
         self._instance_manager.take_over()
         self._start_task(tail.run())
+        self._start_task(self._writer.states.run())
         self._start_task(self._instance_manager.run())
 
     async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
@@ -176,6 +177,8 @@
 
     async def _run_round(self) -> None:
         self._apply_changes()
+        if self._views.state_readers and not self._writer.states.is_active:
+            self._writer.states.activate(self._recorded_states())
         now = boot_seconds()
         self._scheduler.remove_unlisted(now)
         self._scheduler.expire_unreachable(now)
@@ -234,11 +237,20 @@
         for instance, host in hosts.items():
             values[f"{HOST_PREFIX}{instance}"] = encode_host(host)
         await self._writer.write(values)
+        self._writer.states.publish(
+            {job_id: progress.state for job_id, progress in progress_by_job.items()}
+        )
         for number in waves:
             await self._writer.write_wave_status(
                 number, progress_by_wave[number].is_complete
             )
 
+    def _recorded_states(self) -> dict[str, JobState]:
+        return {
+            job_id: progress.state
+            for job_id, progress in self._views.job_table.progress_by_id.items()
+        }
+
     async def _wait_for_wake(self) -> None:
         try:
             async with asyncio.timeout(MAX_IDLE_SECONDS):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -24,11 +24,8 @@
     unix_ms,
 )
 from ._candidacy import Candidacy
-from ._progress_writer import (
-    HEARTBEAT_INTERVAL_SECONDS,
-    PRODUCER_NAME,
-    first_sequence,
-)
+from ._fenced_appender import PRODUCER_NAME
+from ._progress_writer import HEARTBEAT_INTERVAL_SECONDS, first_sequence
 
 # Whether to claim is checked this often; the check makes no call.
 CHECK_INTERVAL_SECONDS = 0.05
@@ -179,6 +176,8 @@
         return heartbeat.epoch
 
     async def _claim(self, now: float) -> None:
+        if not self._views.follows_progress and not await self._read_progress(now):
+            return
         next_offset = self._views.progress_tail.next_offset
         if next_offset is None:
             return
@@ -205,6 +204,19 @@
         else:
             self._begin_ownership(epoch, now)
 
+    async def _read_progress(self, now: float) -> bool:
+        """Read all progress; return whether a claim is still due after that."""
+        try:
+            await self._views.catch_up_progress()
+        except StoreError as error:
+            self._log.info("claim-waits", reason=str(error))
+            return False
+        # The records may show another owner, or a claim of this process of which the
+        # response was lost.
+        return self._epoch_of_own_claim(
+            self._views.owner_heartbeat
+        ) is None and self._candidacy.should_claim(now)
+
     def _begin_ownership(self, epoch: int, requested_at: float) -> None:
         previous = self._previous_heartbeat
         if previous is not None and previous.epoch != epoch - 1:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -8,10 +8,7 @@
     STATUS_TOPIC,
     WAVE_KEY_PREFIX,
     KeyedRecord,
-    Producer,
     StoreClient,
-    StoreRejectedError,
-    StoreUnknownOutcomeError,
     encode_wave_status,
 )
 
@@ -22,23 +19,18 @@
     encode_owner_heartbeat,
     unix_ms,
 )
+from ._fenced_appender import FencedAppender
+from ._state_publisher import StatePublisher
 
-PRODUCER_NAME = "owner"
 # The first sequence numbers of holders are multiples of 2**20, which is more than an
 # owner appends in a day. They are below 2**53, up to which every JSON reader keeps
 # integers exact.
 HOLDER_DIGEST_BYTES = 4
 SEQUENCES_PER_HOLDER = 2**20
-APPEND_RETRY_SECONDS = 0.05
 # Maximum time by which an unresponsive store delays the stop of the process.
 LEAVE_TIMEOUT_SECONDS = 0.5
 # Others claim after 1.5 s without a heartbeat, so one heartbeat may be lost or late.
 HEARTBEAT_INTERVAL_SECONDS = 0.4
-# A response usually takes about 10 ms, and 1 to 2 s while the store is slow.
-INITIAL_TIMEOUT_SECONDS = 0.25
-MAX_TIMEOUT_SECONDS = 2.5
-# Timeouts grow slowly, so that others don't claim after three lost responses in a row.
-TIMEOUT_GROWTH_FACTOR = 1.5
 # Well below the store's limit for one call, which includes the framing.
 MAX_APPEND_BYTES = 1_000_000
 
@@ -67,12 +59,13 @@
         """Write under an epoch whose claim was its first record."""
         self._holder = holder
         self._is_large = is_large
-        self._on_stored = on_stored
-        self._store = store
         self._epoch = epoch
-        self._sequence = first_sequence(holder) + 1
-        self._status_sequence = 0
-        self._lock = asyncio.Lock()
+        sequence = first_sequence(holder)
+        self._progress = FencedAppender(
+            store, PROGRESS_TOPIC, epoch, sequence + 1, on_stored
+        )
+        self._status = FencedAppender(store, STATUS_TOPIC, epoch, 0)
+        self.states = StatePublisher(store, epoch, sequence)
         self._last_heartbeat_at = float("-inf")
 
     async def write(self, values_by_key: Mapping[str, bytes | None]) -> None:
@@ -102,6 +95,7 @@
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_SECONDS):
                 await self._append([heartbeat])
+                await self.states.flush()
         except TimeoutError:
             # Others claim about a second later, when the heartbeats time out.
             return
@@ -128,33 +122,10 @@
         record = KeyedRecord(
             f"{WAVE_KEY_PREFIX}{wave}", encode_wave_status(is_complete)
         )
-        producer = Producer(PRODUCER_NAME, self._epoch, self._status_sequence)
-        await self._append_until_stored(STATUS_TOPIC, [record], producer)
-        self._status_sequence += 1
+        await self._status.append([record])
 
     async def _append(self, records: list[KeyedRecord]) -> None:
-        # The store responds to a repeated sequence number as it did before, so a retry
-        # resolves the unknown outcome of an append whose response was lost.
-        async with self._lock:
-            producer = Producer(PRODUCER_NAME, self._epoch, self._sequence)
-            await self._append_until_stored(PROGRESS_TOPIC, records, producer)
-            self._sequence += 1
-
-    async def _append_until_stored(
-        self, topic: str, records: list[KeyedRecord], producer: Producer
-    ) -> None:
-        timeout_seconds = INITIAL_TIMEOUT_SECONDS
-        while True:
-            requested_at = boot_seconds()
-            try:
-                await self._store.append(topic, 0, records, producer, timeout_seconds)
-                self._on_stored(requested_at)
-                return
-            except StoreRejectedError:
-                await asyncio.sleep(APPEND_RETRY_SECONDS)
-            except StoreUnknownOutcomeError:
-                timeout_seconds = min(
-                    TIMEOUT_GROWTH_FACTOR * timeout_seconds, MAX_TIMEOUT_SECONDS
-                )
-                # The error may occur immediately, not only after the timeout.
-                await asyncio.sleep(APPEND_RETRY_SECONDS)
+        await self._progress.append(records)
+        for record in records:
+            if record.key == OWNER_HEARTBEAT_KEY and record.value:
+                self.states.publish_heartbeat(record.value)
--- a/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
@@ -58,12 +58,20 @@
         self.session = session
         self.entries = []
 
-    async def start_entry(self, name):
+    async def start_entry(self, name, link_mbit=1000.0):
         """Start an entry instance and wait until it is ready."""
         address = f"{HOST}:{find_free_port()}"
         store = self.platform.address
         settings = ProcessSettings(
-            name, "zone-a", address, address, store, store, "", self.limits
+            name,
+            "zone-a",
+            address,
+            address,
+            store,
+            store,
+            "",
+            self.limits,
+            link_mbit=link_mbit,
         )
         stop = asyncio.Event()
         coroutine = serve_on_platform(settings, DecisionLog(name), stop)
--- a/packages/baobablane/baobablane/jobs/_job_table.py
+++ b/packages/baobablane/baobablane/jobs/_job_table.py
@@ -17,6 +17,8 @@
         """Start without jobs."""
         self.jobs_by_id: dict[str, Job] = {}
         self.progress_by_id: dict[str, JobProgress] = {}
+        # States from records of their own; progress may be unknown or older.
+        self.state_by_id: dict[str, JobState] = {}
         self.cancelled: set[str] = set()
         self._pending_by_queue: dict[str, set[str]] = {}
 
@@ -43,9 +45,19 @@
         self.progress_by_id[job_id] = progress
         self._discard_unless_pending(job_id)
 
+    def set_state(self, job_id: str, state: JobState) -> None:
+        """Set a job's state as read from a record of its own."""
+        self.state_by_id[job_id] = state
+        self._discard_unless_pending(job_id)
+
+    def remove_state(self, job_id: str) -> None:
+        """Remove a job's state whose record was deleted."""
+        self.state_by_id.pop(job_id, None)
+
     def remove(self, job_id: str) -> None:
         """Remove a job whose record was deleted; an unknown job is ignored."""
         job = self.jobs_by_id.pop(job_id, None)
+        self.state_by_id.pop(job_id, None)
         self.progress_by_id.pop(job_id, None)
         self.cancelled.discard(job_id)
         if job is not None:
@@ -56,7 +68,11 @@
         if job_id not in self.jobs_by_id:
             return None
         progress = self.progress_by_id.get(job_id)
-        state = progress.state if progress else JobState.PENDING
+        # States only advance, so the greater one is the newer.
+        state = max(
+            progress.state if progress else JobState.PENDING,
+            self.state_by_id.get(job_id, JobState.PENDING),
+        )
         if job_id in self.cancelled and not state.is_final():
             return JobState.CANCELLED
         return state
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -5,6 +5,7 @@
 from ..deployment import Configuration
 from ..jobs import JobState, TaskId, TaskState
 from ..routing import EjectionPolicy, EjectionTable
+from ._account_standings import AccountStandings
 from ._account_usage import AccountUsage
 from ._advice import AdviceTable
 from ._event import CRASH_EVENT, SchedulingEvent
@@ -31,6 +32,7 @@
         self.jobs: dict[str, JobRun] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
+        self.standings = AccountStandings()
         self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
         # Declared core-seconds of one occurrence of every job ever added to the
