Wait for a slow store in place of repeating appends

Appends of jobs were given up after 0.25 s and repeated; the repetition got a 503, so 538 of 605 jobs were answered with an unknown outcome (504), which their callers may not send again.

Change: the first attempt goes on while it is repeated, and either response counts. Repetitions follow the response times of the last 3 s, and two instead of eight appends are in flight while the store is slow. A job that can't be stored within 2.4 s is rejected before anything is sent. Silence of the store counts after 0.9 s once an append had no response.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -14,6 +14,8 @@
 )
 
 from ..decision_log import Decision, DecisionLog
+from ._append_forecast import MAX_ACCEPT_SECONDS
+from ._clock import boot_seconds
 from ._job_writer import JobWriter
 from ._views import CANCEL_PREFIX, Views
 
@@ -27,6 +29,8 @@
 # If nothing arrives for longer than this, the store is unreachable, and callers should
 # use other instances.
 MAX_SILENCE_SECONDS = 1.3
+# The same, once an append had no response in time: a read usually takes 0.7 s at most.
+MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
 # Callers wait for 3 s, so after a rejection they have time to try another instance.
@@ -128,11 +132,10 @@
         if job.id in self._views.job_table.jobs_by_id:
             self._log_decision("job-known", job, queue.name)
             return
-        if self._views.jobs_tail.silence() > MAX_SILENCE_SECONDS:
+        reason = self._find_store_fault()
+        if reason:
             # Nothing is sent to the store, so the job certainly will not run.
-            self._log_decision(
-                "job-refused", job, queue.name, "the store is unreachable"
-            )
+            self._log_decision("job-refused", job, queue.name, reason)
             raise RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
         record = KeyedRecord(job.id, encode_job(job))
         if record.size_bytes() > self._max_record_bytes:
@@ -155,6 +158,22 @@
             self._views.on_change(job.id)
         self._log_decision("job-accepted", job, queue.name)
 
+    def _find_store_fault(self) -> str:
+        """Return why a job can't be stored in time, or an empty string if it can."""
+        forecast, now = self._job_writer.forecast, boot_seconds()
+        silence = self._views.jobs_tail.silence()
+        max_silence_seconds = (
+            MAX_SILENCE_AFTER_TIMEOUT_SECONDS
+            if forecast.has_timed_out(now)
+            else MAX_SILENCE_SECONDS
+        )
+        if silence > max_silence_seconds:
+            return "the store is unreachable"
+        seconds = forecast.accept_seconds(now)
+        if seconds > MAX_ACCEPT_SECONDS:
+            return f"the store would take {seconds:.1f} s to accept it"
+        return ""
+
     async def state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if the job certainly does not exist.
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -10,6 +10,8 @@
     StoreUnknownOutcomeError,
 )
 
+from ._append_forecast import MAX_ACCEPT_SECONDS, AppendForecast
+from ._clock import boot_seconds
 from ._views import JOBS_TOPIC
 
 # Records are batched: an append occupies the partition for some milliseconds, whatever
@@ -17,14 +19,8 @@
 MAX_RECORDS_PER_APPEND = 200
 # Well below the limit of the store for one call, and 0.2 s over 10 Mbit/s. A single
 # record may be larger.
-MAX_BYTES_PER_APPEND = 256_000
-# Maximum number of appends that wait for a response; more than one, so that a lost
-# response delays only the records of its own append.
-MAX_APPENDS_IN_FLIGHT = 8
-# A response usually takes about 10 ms. A repeated record changes nothing, so an append
-# without a response is retried soon, with increasing timeouts, within the 3 s that
-# callers wait.
-ATTEMPT_TIMEOUTS_SECONDS = (0.25, 0.6, 1.4)
+MAX_BYTES_PER_APPEND = 256_000  # An append without a response, and its repetition.
+MAX_ATTEMPTS_AT_ONCE = 2
 
 # Typical time until a stored record is read back.
 READ_BACK_SECONDS = 0.15
@@ -36,6 +32,7 @@
     def __init__(self, store: StoreClient) -> None:
         """Start without records; they are appended only while `run` runs."""
         self._store = store
+        self.forecast = AppendForecast()
         self._unsent: list[KeyedRecord] = []
         self._futures_by_key: dict[str, asyncio.Future[None]] = {}
         self._wake = asyncio.Event()
@@ -77,7 +74,7 @@
                 )
 
     async def _start_append(self) -> None:
-        if len(self._in_flight) >= MAX_APPENDS_IN_FLIGHT:
+        while len(self._in_flight) >= self.forecast.max_in_flight(boot_seconds()):
             await asyncio.wait(self._in_flight, return_when=asyncio.FIRST_COMPLETED)
         batch = _take_batch(self._unsent)
         task = asyncio.get_running_loop().create_task(self._append(batch))
@@ -85,34 +82,77 @@
         task.add_done_callback(self._in_flight.discard)
 
     async def _append(self, batch: list[KeyedRecord]) -> None:
-        error: StoreError | None = None
-        may_be_stored = False
-        for seconds in ATTEMPT_TIMEOUTS_SECONDS:
-            try:
-                await self._store.append(JOBS_TOPIC, 0, batch, None, seconds)
-                error = None
-                break
-            except StoreRejectedError as failure:
-                error = failure
-                if not may_be_stored:
-                    break
-            except StoreUnknownOutcomeError as failure:
-                error = failure
-                may_be_stored = True
-                # The records may be read back in the meantime.
-                await asyncio.sleep(READ_BACK_SECONDS)
-                if not any(record.key in self._futures_by_key for record in batch):
-                    return
-            except Exception as failure:
-                # Otherwise, the callers would wait for as long as they can.
-                error = StoreUnknownOutcomeError(f"unexpected error: {failure!r}")
-                may_be_stored = True
-                break
-        if error is not None and may_be_stored:
-            error = StoreUnknownOutcomeError(f"append has unknown outcome: {error}")
+        error = await self._store_batch(batch)
         for record in batch:
             self._complete_write(record.key, error)
 
+    async def _store_batch(self, batch: list[KeyedRecord]) -> StoreError | None:
+        """Append until stored, rejected or too late; return the error, if any.
+
+        An append without a response is repeated, and either response counts. The
+        first one is not given up for that: its outcome would stay unknown.
+        """
+        attempts: set[asyncio.Task[StoreError | None]] = set()
+        now = boot_seconds()
+        give_up_at, repeat_at = now + MAX_ACCEPT_SECONDS, now
+        is_rejected = may_be_stored = False
+        error: StoreError = StoreUnknownOutcomeError("no response in time")
+        try:
+            while now < give_up_at:
+                if not attempts or (now >= repeat_at and not is_rejected):
+                    attempts.add(self._start_attempt(batch, give_up_at - now))
+                    repeat_at = now + self.forecast.repeat_delay(now)
+                can_repeat = len(attempts) < MAX_ATTEMPTS_AT_ONCE and not is_rejected
+                until = min(repeat_at, give_up_at) if can_repeat else give_up_at
+                done, attempts = await asyncio.wait(
+                    attempts,
+                    timeout=until - now,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for result in [attempt.result() for attempt in done]:
+                    if result is None:
+                        return None
+                    error = result
+                    is_rejected = isinstance(error, StoreRejectedError)
+                    may_be_stored |= not is_rejected
+                if not attempts and not may_be_stored:
+                    return error
+                if not attempts:
+                    # The records may be read back in the meantime.
+                    await asyncio.sleep(READ_BACK_SECONDS)
+                if not any(record.key in self._futures_by_key for record in batch):
+                    return None
+                now = boot_seconds()
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+        return StoreUnknownOutcomeError(f"append has unknown outcome: {error}")
+
+    def _start_attempt(
+        self, batch: list[KeyedRecord], seconds: float
+    ) -> asyncio.Task[StoreError | None]:
+        return asyncio.get_running_loop().create_task(self._attempt(batch, seconds))
+
+    async def _attempt(
+        self, batch: list[KeyedRecord], seconds: float
+    ) -> StoreError | None:
+        number = self.forecast.start(boot_seconds())
+        # An attempt is cancelled once another one was answered.
+        is_answered = True
+        try:
+            await self._store.append(JOBS_TOPIC, 0, batch, None, seconds)
+            return None
+        except StoreRejectedError as error:
+            return error
+        except StoreError as error:
+            is_answered = False
+            return error
+        except Exception as error:
+            # Otherwise, the callers would wait for as long as they can.
+            return StoreUnknownOutcomeError(f"unexpected error: {error!r}")
+        finally:
+            self.forecast.finish(number, is_answered, boot_seconds())
+
     def _complete_write(self, key: str, error: StoreError | None) -> None:
         future = self._futures_by_key.pop(key, None)
         if future is None or future.done():
