Close evacuated zones to starts and move their long-running tasks

Cause: operators could not take an availability zone out of service; tasks kept starting in it.

Change: the views keep the zones of `evacuate/ZONE` records. Long-running tasks are stopped within the allowance of their step where another upstream has room. Instances of the zone don't count for their pool.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -1,9 +1,13 @@
 """Define counters and histograms exported by a process on the users' platform."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from collections.abc import Mapping
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 # From the store's response time without load up to the longest wait of callers.
 LATENCY_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+# Maximum number of zones with a time series of their own.
+MAX_ZONES = 16
 
 
 class ProcessMetrics:
@@ -53,6 +57,17 @@
             ["topic"],
             registry=self.registry,
         )
+        self.evacuated_zones = Gauge(
+            "baobablane_evacuated_zones",
+            "Zones in which operators allow no starts",
+            registry=self.registry,
+        )
+        self._evacuating_runs = Gauge(
+            "baobablane_evacuating_runs",
+            "Runs in an evacuated zone, as known to the owner",
+            ["zone"],
+            registry=self.registry,
+        )
         self._crashes = Counter(
             "baobablane_upstream_crashes",
             "Crashes of upstreams by what may have caused them",
@@ -78,6 +93,12 @@
         self._crashes.labels(cause).inc()
         self._crash_core_seconds.labels(cause).inc(core_seconds)
 
+    def set_evacuating_runs(self, runs_by_zone: Mapping[str, int]) -> None:
+        """Set the runs of all evacuated zones; zones that are missing are removed."""
+        self._evacuating_runs.clear()
+        for zone in sorted(runs_by_zone)[:MAX_ZONES]:
+            self._evacuating_runs.labels(zone).set(runs_by_zone[zone])
+
     def count(self, event: str) -> None:
         """Count one occurrence of a logged event."""
         counter = self._counters_by_event.get(event)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -12,11 +12,13 @@
 from baobablane.sizing import BurstStarts, decode_burst_starts
 from baobablane_platform import (
     CONFIGURATION_KEY,
+    EVACUATION_KEY_PREFIX,
     OPERATOR_TOPIC,
     WAVE_KEY_PREFIX,
     KeyedRecord,
     StoreClient,
     decode_configuration,
+    decode_evacuated_zone,
     decode_wave,
 )
 
@@ -70,6 +72,8 @@
         self.state_readers: set[str] = set()
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
+        # Zones in which operators allow no starts, whether or not they are known.
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.progress_by_wave: dict[int, WaveProgress] = {}
         self.order_by_instance: dict[str, InstanceOrderRecord] = {}
         self.host_by_instance: dict[str, Host] = {}
@@ -151,11 +155,26 @@
                 wave = decode_wave(record.value)
                 self.waves[wave.number] = wave
                 self._log.info("wave-read", wave=wave.number, size=len(wave.instances))
+            elif record.key.startswith(EVACUATION_KEY_PREFIX):
+                zone = decode_evacuated_zone(record.key)
+                self._set_evacuated(zone, record.value is not None)
         except msgspec.DecodeError as error:
             self._log.info("record-skipped", key=record.key, reason=str(error))
             return
         self.on_change("")
 
+    def _set_evacuated(self, zone: str, is_evacuated: bool) -> None:
+        if (zone in self.evacuated_zones) == is_evacuated:
+            return
+        # The zone is in exactly one of both sets.
+        self.evacuated_zones ^= {zone}
+        self._log.metrics.evacuated_zones.set(len(self.evacuated_zones))
+        self._log.info(
+            "evacuation-began" if is_evacuated else "evacuation-ended",
+            zone=zone,
+            view_seconds=loggable_age(self.operator_tail.age()),
+        )
+
     def _apply_configuration(
         self, configuration: Configuration, size_bytes: int
     ) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -44,6 +44,7 @@
     Ownership,
 )
 from ._progress_writer import ProgressWriter
+from ._zone_evacuation import ZoneEvacuation
 
 LIST_INTERVAL_SECONDS = 0.25
 # Maximum time from the record of an order to its arrival: the maximum age of the
@@ -89,6 +90,7 @@
         # Time of the latest order for each instance, in Unix milliseconds.
         self._ordered_ms: dict[str, int] = {}
         self._sizing = PoolSizing()
+        self._evacuation = ZoneEvacuation(views, scheduler, log)
         self._is_history_restored = False
         self._recorded_burst_starts: BurstStarts = []
         self.progress_by_wave: dict[int, WaveProgress] = {}
@@ -141,6 +143,7 @@
             self._instances = await self._client.list_instances()
         except InstanceListError as error:
             self._log.info("instance-list-unread", reason=str(error))
+            self._evacuate(set())
             return
         self._log_unknown_states()
         self._log_changes(before)
@@ -165,6 +168,7 @@
             self.unrecorded_waves.add(number)
         for eviction in plan.evictions:
             self._scheduler.fleet.evict(eviction)
+        self._evacuate({order.upstream for order in plan.orders})
         self._on_change()
         if not (plan.orders or moves):
             return
@@ -174,6 +178,10 @@
                 *(self._send_move(move) for move in moves),
             )
 
+    def _evacuate(self, ending_upstreams: set[str]) -> None:
+        zones = {instance.zone for instance in self._instances}
+        self._evacuation.run_round(zones, ending_upstreams, boot_seconds())
+
     def _log_unknown_states(self) -> None:
         unknown = dict(self._client.unknown_states_by_instance)
         for instance, state in unknown.items():
@@ -270,6 +278,7 @@
             instances_under_order,
             maintenance.cordoned_upstreams,
             self._scheduler.unstable_pools(boot_seconds()),
+            self._views.evacuated_zones,
         )
 
     def _past_arrivals(self, configuration: Configuration) -> list[Arrival]:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -35,12 +35,16 @@
         epoch: int,
         on_response: Callable[[], None],
         may_order: Callable[[float], bool],
+        start_window: Callable[[str], float],
     ) -> None:
         """Prepare to send; `epoch` is the fencing token of all orders to upstreams.
 
-        `may_order` returns whether the ownership was confirmed in the last seconds.
+        `may_order` returns whether the ownership was confirmed in the last seconds,
+        and `start_window` the seconds within which a start in a zone may be carried
+        out.
         """
         self._may_order = may_order
+        self._start_window = start_window
         self._scheduler = scheduler
         self._pollers = pollers
         self._orders = orders
@@ -90,7 +94,11 @@
         if upstream.is_over_capacity():
             # The capacity shrank after the start was planned.
             return StartResult.NO_ROOM
-        deadline_ms = poller.start_deadline_ms()
+        window_seconds = self._start_window(upstream.entry.zone)
+        if window_seconds <= 0.0:
+            # The zone was evacuated after the start was planned, or that is not known.
+            return StartResult.LATE
+        deadline_ms = poller.start_deadline_ms(window_seconds)
         if deadline_ms is None:
             return StartResult.LATE
         result = await self._orders.start(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -8,6 +8,7 @@
 from baobablane.crashes import Host, encode_host
 from baobablane.deployment import UpstreamEntry
 from baobablane.errors import JobLimitError
+from baobablane.evacuation import start_window_seconds
 from baobablane.jobs import JobProgress, JobState, encode_progress
 from baobablane.maintenance import encode_wave_progress
 from baobablane.scheduling import Scheduler
@@ -90,7 +91,9 @@
             epoch,
             self._wake.set,
             self._may_order,
+            self._start_window,
         )
+        self._evacuation_seconds = settings.limits.evacuation_seconds
         self._instance_client = InstanceClient(
             settings.instance_list_address, settings.instance
         )
@@ -126,6 +129,7 @@
         finally:
             self._views.on_change = lambda job_id: None
             self._views.set_is_owner(False)
+            self._log.metrics.set_evacuating_runs({})
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -191,6 +195,10 @@
         for upstream_id in self._scheduler.upstreams_to_check(now):
             if upstream_id in self._pollers:
                 self._start_task(self._pollers[upstream_id].check())
+        # No zone has an empty name, so that only the age of the view counts here.
+        self._scheduler.set_evacuation(
+            self._views.evacuated_zones, self._start_window("") > 0.0
+        )
         starts = self._scheduler.plan_starts(now, unix_ms())
         for request in self._scheduler.pop_advice_requests():
             self._start_task(self._order_sender.request_advice(request))
@@ -330,6 +338,14 @@
         self._pollers[upstream_id] = poller
         self._start_task(self._run_poller(poller, upstream_id))
 
+    def _start_window(self, zone: str) -> float:
+        return start_window_seconds(
+            zone,
+            self._views.evacuated_zones,
+            self._views.operator_tail.age(),
+            self._evacuation_seconds,
+        )
+
     def _may_order(self, seconds: float) -> bool:
         return self._ownership.holds(self._epoch, seconds)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -1,9 +1,15 @@
 """Renew an upstream's leases and read what it runs."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
-from baobablane.scheduling import LeaseTracker, RenewalReport, Scheduler
+from baobablane.scheduling import (
+    SLOWEST_CLOCK_RATE,
+    LeaseTracker,
+    RenewalReport,
+    Scheduler,
+)
 from baobablane_platform import (
     UpstreamFencedError,
     UpstreamOrderClient,
@@ -94,17 +100,24 @@
             return
         self._apply(report, requested_at)
 
-    def start_deadline_ms(self) -> int | None:
+    def start_deadline_ms(self, max_seconds: float = math.inf) -> int | None:
         """Return a lease deadline for the next start, in ms of the upstream's clock.
 
-        Return None while that clock is unknown.
+        The start must not be carried out later than `max_seconds` from now. Return None
+        while that clock is unknown.
         """
         upstream = self._scheduler.state.upstreams.get(self._id)
         if upstream is None or upstream.lease is None:
             return None
-        return upstream.lease.deadline_for_start(
-            boot_seconds(), MIN_START_LEASE_SECONDS, LEASE_SECONDS
+        now = boot_seconds()
+        deadline_ms = upstream.lease.deadline_for_start(
+            now, MIN_START_LEASE_SECONDS, LEASE_SECONDS
         )
+        if math.isinf(max_seconds):
+            return deadline_ms
+        # On a slow clock, the deadline would be reached after more than `max_seconds`.
+        latest_ms = upstream.lease.clock_at(now + max_seconds * SLOWEST_CLOCK_RATE)
+        return min(deadline_ms, latest_ms)
 
     async def _poll(self) -> None:
         upstream = self._scheduler.state.upstreams[self._id]
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
@@ -3,6 +3,8 @@
 Such a start would bring an upstream that does not check its capacity over it.
 """
 
+import math
+
 import pytest
 from baobablane.scheduling import StartOrder, StartResult
 
@@ -26,7 +28,15 @@
         rest = (client, DecisionLog("entry-1"), lambda: None, lambda seconds: True)
         poller = UpstreamPoller("u", 1, scheduler, *rest)
         sender = OrderSender(
-            scheduler, {"u": poller}, client, "", rest[1], 1, rest[2], rest[3]
+            scheduler,
+            {"u": poller},
+            client,
+            "",
+            rest[1],
+            1,
+            rest[2],
+            rest[3],
+            lambda zone: math.inf,
         )
         order = StartOrder(TASK, 1, "", "", "u", 1)
         assert await sender._try_start(order) is expected
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -4,6 +4,7 @@
 it notices that another process has become the owner.
 """
 
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -51,7 +52,7 @@
 
 def make_scheduler():
     """Return a scheduler in which TASK may be started on the upstream `u`."""
-    entry = SimpleNamespace(incarnation=1, address="10.0.0.1:80")
+    entry = SimpleNamespace(incarnation=1, address="10.0.0.1:80", zone="zone")
     upstream = SimpleNamespace(
         id="u",
         entry=entry,
@@ -84,7 +85,15 @@
 
         poller = UpstreamPoller("u", 1, scheduler, client, log, lambda: None, may_order)
         sender = OrderSender(
-            scheduler, {"u": poller}, client, "", log, 1, lambda: None, may_order
+            scheduler,
+            {"u": poller},
+            client,
+            "",
+            log,
+            1,
+            lambda: None,
+            may_order,
+            lambda zone: math.inf,
         )
         return sender, poller
 
--- a/packages/baobablane/baobablane/deployment/_limits.py
+++ b/packages/baobablane/baobablane/deployment/_limits.py
@@ -27,3 +27,6 @@
     interference_seconds: float = 4.0
     # Maximum size of one record of the store in bytes, with its key.
     max_record_bytes: int = 262_144
+    # Maximum time from the confirmation of a zone's evacuation until nothing starts in
+    # that zone any more; None where evacuation is not offered.
+    evacuation_seconds: float | None = None
--- /dev/null
+++ b/packages/baobablane/baobablane/evacuation/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the evacuation of availability zones."""
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -4,9 +4,11 @@
 from ._event import CRASH_EVENT, SchedulingEvent
 from ._fleet_view import FleetView
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE, LeaseTracker
+from ._movable_run import MovableRun
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._policy import SchedulingPolicy
 from ._pool_demand import PoolDemand
+from ._relocation_room import RelocationRoom
 from ._report import EndedRun, EndReason, RenewalReport, RunningTask
 from ._scheduler import Scheduler
 from ._upstream_view import StepKey, UpstreamView
@@ -20,8 +22,10 @@
     "EndedRun",
     "FleetView",
     "LeaseTracker",
+    "MovableRun",
     "PaceOrder",
     "PoolDemand",
+    "RelocationRoom",
     "RenewalReport",
     "RunningTask",
     "SchedulingEvent",
--- a/packages/baobablane/baobablane/scheduling/_advice.py
+++ b/packages/baobablane/baobablane/scheduling/_advice.py
@@ -42,6 +42,8 @@
     _rejected: dict[AdvisedStep, set[str]] = field(default_factory=dict)
     _pending: dict[AdvisedStep, tuple[str, ...]] = field(default_factory=dict)
     _in_flight: set[AdvisedStep] = field(default_factory=set)
+    # Requests for tasks that still run, which outlast a planning round.
+    _pending_moves: dict[AdvisedStep, tuple[str, ...]] = field(default_factory=dict)
 
     def clear_pending(self) -> None:
         """Drop the pending requests of the previous planning round."""
@@ -62,6 +64,21 @@
             )
         return valid
 
+    def known_allowed(
+        self, step: AdvisedStep, candidates: list[Upstream]
+    ) -> list[Upstream]:
+        """Return the candidates that were allowed; queue a request if there are none.
+
+        Their tickets may have expired, since the step does not start there yet.
+        """
+        tickets = self._tickets.get(step, {})
+        allowed = [upstream for upstream in candidates if upstream.id in tickets]
+        rejected = self._rejected.get(step, set())
+        unknown = [u.id for u in candidates if u.id not in rejected]
+        if unknown and not allowed and step not in self._in_flight:
+            self._pending_moves[step] = tuple(unknown[:MAX_UPSTREAMS_PER_REQUEST])
+        return allowed
+
     def ticket(self, step: AdvisedStep, upstream: Upstream) -> str:
         """Return the ticket for a start, or an empty string if there is none."""
         ticket = self._tickets.get(step, {}).get(upstream.id)
@@ -69,9 +86,11 @@
 
     def pop_requests(self) -> list[AdviceRequest]:
         """Return the pending requests; each step has at most one in flight."""
-        requests = [AdviceRequest(step, names) for step, names in self._pending.items()]
-        self._in_flight.update(self._pending)
+        pending = {**self._pending_moves, **self._pending}
+        requests = [AdviceRequest(step, names) for step, names in pending.items()]
+        self._in_flight.update(pending)
         self._pending.clear()
+        self._pending_moves.clear()
         return requests
 
     def apply_answer(
--- a/packages/baobablane/baobablane/scheduling/_fleet_view.py
+++ b/packages/baobablane/baobablane/scheduling/_fleet_view.py
@@ -1,9 +1,13 @@
 """Provide views of the upstreams for the planning of maintenance and moves."""
 
+from collections.abc import Collection
+
 from ..jobs import Task, TaskId
+from ._movable_run import MovableRun
 from ._orders import StopOrder
 from ._pool_demand import PoolDemand, sum_demand
 from ._reconciliation import READY_PERCENT
+from ._relocation_room import RelocationRoom
 from ._stalls import should_stop
 from ._state import SchedulerState
 from ._upstream_view import StepKey, UpstreamView
@@ -79,6 +83,59 @@
             allowances,
         )
 
+    def runs_by_zone(self, zones: Collection[str]) -> dict[str, int]:
+        """Return the number of runs in each of the given zones.
+
+        Runs on an upstream whose zone is unknown may be in any of them.
+        """
+        runs = dict.fromkeys(zones, 0)
+        unplaced = 0
+        for upstream in self.state.upstreams.values():
+            if not upstream.entry.zone:
+                unplaced += len(upstream.runs)
+            elif upstream.entry.zone in runs:
+                runs[upstream.entry.zone] += len(upstream.runs)
+        return {zone: count + unplaced for zone, count in runs.items()}
+
+    def zones(self) -> set[str]:
+        """Return the zones of all upstreams."""
+        return {upstream.entry.zone for upstream in self.state.upstreams.values()}
+
+    def movable_runs(self, zones: Collection[str]) -> list[MovableRun]:
+        """Return the long-running tasks in the given zones that are ready.
+
+        Tasks of a gang are left out: they only start together.
+        """
+        movable: list[MovableRun] = []
+        for upstream in self.state.upstreams.values():
+            if upstream.entry.zone not in zones:
+                continue
+            for run in upstream.runs.values():
+                job_run = self.state.jobs.get(run.task.job)
+                found = job_run.find_task(run.task) if job_run else None
+                if not run.is_lasting or found is None:
+                    continue
+                step_run, task = found
+                if (
+                    step_run.step.is_gang
+                    or task.run != run.number
+                    or not self._is_ready(run.task, task)
+                ):
+                    continue
+                movable.append(
+                    MovableRun(
+                        StopOrder(run.task, run.number, upstream.id),
+                        (run.task.job, run.task.step),
+                        step_run.step.may_miss,
+                        upstream.is_cordoned,
+                    )
+                )
+        return movable
+
+    def relocation_room(self, now: float) -> RelocationRoom:
+        """Return the room outside evacuated zones for tasks that leave an upstream."""
+        return RelocationRoom(self.state, now)
+
     def cordon(self, upstream_ids: set[str]) -> None:
         """Stop new work on the given upstreams, and allow it on all others."""
         for upstream in self.state.upstreams.values():
--- a/packages/baobablane/baobablane/scheduling/_lease_tracker.py
+++ b/packages/baobablane/baobablane/scheduling/_lease_tracker.py
@@ -24,11 +24,13 @@
             self._clock_read_at = read_at
             self._clock_ms = clock_ms
 
+    def clock_at(self, time: float) -> int:
+        """Return what the upstream's clock shows at a time on the owner's clock."""
+        return self._clock_ms + round((time - self._clock_read_at) * 1000)
+
     def extend(self, now: float, seconds: float) -> int:
         """Grant a lease of `seconds` from now, and return its deadline in ms."""
-        deadline_ms = self._clock_ms + round(
-            (now - self._clock_read_at + seconds) * 1000
-        )
+        deadline_ms = self.clock_at(now + seconds)
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -15,7 +15,7 @@
 class PoolDemand:
     """Hold a pool's cores, and its declared work: what is due, and what has arrived."""
 
-    # Cores of the usable upstreams.
+    # Cores of the usable upstreams outside evacuated zones.
     cores: float
     # Cores of all long-running tasks, started or not.
     lasting_cores: float
@@ -43,7 +43,11 @@
     largest = dict.fromkeys(names, 0.0)
     suspected_jobs = {task.job for task in state.suspects.held_until}
     for upstream in state.upstreams.values():
-        if upstream.entry.pool in cores and upstream.is_usable():
+        if (
+            upstream.entry.pool in cores
+            and upstream.is_usable()
+            and not state.is_evacuated(upstream)
+        ):
             upstream_cores = upstream.entry.capacity.cpu_millis / 1000
             cores[upstream.entry.pool] += upstream_cores
             largest[upstream.entry.pool] = max(
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -41,11 +41,13 @@
 def collect_room(state: SchedulerState, now: float) -> RoundRoom:
     """Return the upstreams that accept tasks, and end earlier reservations."""
     room = RoundRoom()
+    if not state.allows_starts:
+        return room
     unstable = unstable_pools(state.lost_upstreams.values(), now)
     for upstream in state.upstreams.values():
         was_reserved, upstream.is_reserved = upstream.is_reserved, False
         upstream.is_limited = False
-        if not upstream.accepts(now):
+        if not upstream.accepts(now) or state.is_evacuated(upstream):
             continue
         pool = upstream.entry.pool
         if was_reserved:
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -49,6 +49,11 @@
         self.state.configuration = configuration
         self.state.usage.set_accounts(configuration.accounts_by_name)
 
+    def set_evacuation(self, zones: frozenset[str], allows_starts: bool) -> None:
+        """Place nothing in the given zones, and nothing at all unless it is allowed."""
+        self.state.evacuated_zones = zones
+        self.state.allows_starts = allows_starts
+
     def add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
         """Schedule a job, resuming from its recorded progress if there is any.
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -29,6 +29,9 @@
         """Start without jobs and upstreams."""
         self.policy = policy
         self.configuration = Configuration(0)
+        # Zones in which nothing may start, and whether anything may start at all.
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.allows_starts = True
         self.jobs: dict[str, JobRun] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
@@ -103,6 +106,10 @@
             return upstreams
         return self.advice.eligible(step_run.key(), upstreams, now)
 
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Return whether nothing may start on an upstream because of its zone."""
+        return upstream.entry.zone in self.evacuated_zones
+
     def count_down_after_trial(self, pool: str, now: float) -> int:
         """Return how many upstreams of a pool went down in a trial and are not back."""
         return sum(
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -127,7 +127,10 @@
         upstreams = [u for u in state.upstreams.values() if u.entry.pool == pool]
         on_trial = sum(upstream.has_trial() for upstream in upstreams)
         down = state.count_down_after_trial(pool, now)
-        total = sum(u.is_usable() or u.has_trial() for u in upstreams) + down
+        total = down + sum(
+            (u.is_usable() and not state.is_evacuated(u)) or u.has_trial()
+            for u in upstreams
+        )
         self._at_risk = on_trial + down
         fraction = FULL_FRACTION if pool in room.full_pools else IDLE_FRACTION
         wanted = wanted_trials(state).get(pool, 0)
--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -29,6 +29,7 @@
     instances_under_order: Collection[str],
     cordoned_upstreams: Collection[str],
     unstable_pools: Collection[str] = (),
+    evacuated_zones: Collection[str] = (),
 ) -> list[MoveOrder]:
     """Return the moves to order now.
 
@@ -37,7 +38,9 @@
     don't count towards any pool. Only standby instances and instances whose upstream
     is in `empty_upstreams` are moved. Instances that are down count only in
     `unstable_pools`: tasks that crash the upstreams of one pool would otherwise draw
-    the whole fleet into it.
+    the whole fleet into it. Instances in `evacuated_zones` take no tasks, so they don't
+    count towards any pool and are not moved into one; idle ones go to standby. If all
+    zones are evacuated, they stay, so that the withdrawal finds the pools complete.
     """
     wanted_cores = {name: target.wanted_cores for name, target in targets.items()}
     needed_cores = {name: target.needed_cores for name, target in targets.items()}
@@ -45,19 +48,25 @@
     instance_counts: dict[str, int] = dict.fromkeys(targets, 0)
     idle_by_pool: dict[str, list[Instance]] = {name: [] for name in targets}
     standby_instances: list[Instance] = []
+    evacuated_instances: list[Instance] = []
     for instance in instances:
         if instance.state is InstanceState.DOWN and instance.pool not in unstable_pools:
             continue
         if instance.upstream and instance.upstream in cordoned_upstreams:
             continue
+        is_idle = (
+            instance.upstream in empty_upstreams
+            and instance.id not in instances_under_order
+        )
+        if instance.zone in evacuated_zones:
+            if is_idle and instance.pool in targets:
+                evacuated_instances.append(instance)
+            continue
         instance_cores = instance.capacity.cpu_millis / 1000
         if instance.pool in cores_by_pool:
             cores_by_pool[instance.pool] += instance_cores
             instance_counts[instance.pool] += 1
-            if (
-                instance.upstream in empty_upstreams
-                and instance.id not in instances_under_order
-            ):
+            if is_idle:
                 idle_by_pool[instance.pool].append(instance)
         elif (
             instance.pool == standby_pool
@@ -85,6 +94,8 @@
         needed_cores, cores_by_pool, [*sources, borrowed], standby_pool
     )
     orders += _fill_pools(wanted_cores, cores_by_pool, sources, standby_pool)
+    if any(instance.zone not in evacuated_zones for instance in instances):
+        surplus += evacuated_instances
     orders += [
         MoveOrder(i.id, standby_pool, i.upstream) for i in surplus if standby_pool
     ]
