--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
@@ -34,6 +34,7 @@
     ("keyed.progress", "order/i1"),
     ("keyed.progress", "rises"),
     ("keyed.op", "wave/3"),
+    ("keyed.op", "evacuate/"),
     ("keyed.servers", "u7"),
 )
 # A report with numbers that no task can have.
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -177,7 +177,7 @@
                 "machine": upstream.instance,
                 "pool": upstream.pool,
                 "state": "down" if upstream.is_down else self.instance_state,
-                "zone": "zone-a",
+                "zone": upstream.zone,
                 "labels": ["a"],
                 "capacity": {"cpu": upstream.cores * 1000, "memMb": 65536, "gpu": 0},
                 "id": "" if upstream.is_down else upstream.id,
--- a/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
@@ -34,6 +34,7 @@
     pool: str
     address: str
     cores: int = 8
+    zone: str = "zone-a"
     incarnation: int = field(default_factory=lambda: round(time.time() * 1000))
     # The task and the run number of every start.
     starts: list[tuple[str, int]] = field(default_factory=list)
@@ -73,7 +74,7 @@
         return {
             "service": self.pool,
             "address": self.address,
-            "zone": "zone-a",
+            "zone": self.zone,
             "version": "v1",
             "slots": 8,
             "state": "ready",
