Reserve room at their last upstream for waiting tasks too

Cause: room for a long-running task that waits was not reserved on the upstream where it ran last. If that is the only one with room, a task of an evacuated zone could be stopped for the same room.

Change: the upstream is no longer left out. The tests of the step that sends a start join those of a stale owner, with the same fixtures.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_evacuated_zones.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_evacuated_zones.py
@@ -2,13 +2,15 @@
 
 import io
 
-from baobablane_platform import KeyedRecord, NewestPage, RecordPage
+from baobablane_platform import KeyedRecord, NewestPage
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import Views
 
+from .test_topic_tail import PagedStore
 
-class NewestStore:
+
+class NewestStore(PagedStore):
     """Return the newest records of the keys that exist."""
 
     keys = ("evacuate/a", "evacuate/a", "evacuate/b", "evacuate/")
@@ -17,14 +19,10 @@
         """Return one page with all keys."""
         return NewestPage(1, [KeyedRecord(key, b"{}") for key in self.keys], None)
 
-    async def read(self, topic, partition, start, wait_ms, on_data):
-        """Return a page without records."""
-        return RecordPage(start, 0, [])
-
 
 async def test_zone_is_withdrawn_when_the_topic_is_read_anew():
     """Guard against a zone that stays closed for good after its record expired."""
-    store, output = NewestStore(), io.BytesIO()
+    store, output = NewestStore([]), io.BytesIO()
     views = Views(store, DecisionLog("entry-1", output))
     await views.operator_tail.catch_up()
     assert views.evacuated_zones == {"a", "b"}
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -10,6 +10,7 @@
 import pytest
 from baobablane.jobs import TaskId
 from baobablane.scheduling import (
+    LeaseTracker,
     PaceOrder,
     Scheduler,
     SchedulingPolicy,
@@ -20,6 +21,7 @@
 from baobablane_platform import StoreFencedError
 
 from baobablane_daemon.decision_log import DecisionLog
+from baobablane_daemon.jobs import boot_seconds
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
 from baobablane_daemon.owner._upstream_poller import UpstreamPoller
@@ -75,7 +77,7 @@
 class TestOrders:
     """Test orders of an owner whose confirmation is `age` seconds old."""
 
-    def make_sender(self, client, age):
+    def make_sender(self, client, age, window=math.inf):
         """Return a sender and its poller."""
         scheduler = make_scheduler()
         log = DecisionLog("entry-1")
@@ -93,13 +95,13 @@
             1,
             lambda: None,
             may_order,
-            lambda zone: math.inf,
+            lambda zone: window,
         )
         return sender, poller
 
-    async def send_all(self, client, age):
+    async def send_all(self, client, age, window=math.inf):
         """Send one order of each kind."""
-        sender, poller = self.make_sender(client, age)
+        sender, poller = self.make_sender(client, age, window)
         await sender.send_start(StartOrder(TASK, 1, "", "", "u", 1))
         await sender.send_stop(StopOrder(TASK, 1, "u"))
         await sender.send_pace(PaceOrder(TASK, 1, "u", 50))
@@ -114,6 +116,20 @@
         await self.send_all(client, 2.0)
         assert "start" not in client.calls
 
+    async def test_no_start_is_sent_once_its_zone_is_closed(self, client):
+        """Guard against starts that were recorded before the evacuation was read."""
+        await self.send_all(client, 0.1, 0.0)
+        assert client.calls == ["stop", "set_pace"]
+
+    @pytest.mark.parametrize(("window", "seconds"), [(math.inf, 3.8), (1.0, 0.98)])
+    async def test_deadline_bounds_a_start_in_flight(self, client, window, seconds):
+        """Guard against a delayed start in a zone that is closed by then."""
+        poller = await self.send_all(client, 0.1)
+        lease = LeaseTracker(boot_seconds(), 0)
+        poller._scheduler.state.upstreams["u"].lease = lease
+        deadline_ms = poller.start_deadline_ms(window)
+        assert deadline_ms == pytest.approx(seconds * 1000, abs=300)
+
     async def test_no_order_is_sent_once_the_ownership_has_run_out(self, client):
         poller = await self.send_all(client, MAX_UNCONFIRMED_SECONDS)
         await poller._poll()
--- a/packages/baobablane/baobablane/scheduling/_relocation_room.py
+++ b/packages/baobablane/baobablane/scheduling/_relocation_room.py
@@ -34,20 +34,19 @@
         self._reserve_for_waiting()
 
     def take(self, task: TaskId) -> bool:
-        """Reserve room for a task on another upstream; return False if none fits."""
+        """Reserve room for a task, or return False if it fits nowhere."""
         job_run = self._state.jobs.get(task.job)
         found = job_run.find_task(task) if job_run else None
         if job_run is None or found is None:
             return False
-        step_run, progress = found
+        step_run = found[0]
         placed = step_run.placed_by_upstream()
         fitting = [
             upstream
             for upstream in self._upstreams_by_pool.get(
                 self._state.pool_of(job_run), []
             )
-            if upstream.id != progress.upstream
-            and self._has_room(step_run, upstream, placed.get(upstream.id, 0))
+            if self._has_room(step_run, upstream, placed.get(upstream.id, 0))
         ]
         queue = self._state.configuration.queues_by_name.get(step_run.job.queue)
         if queue is not None and queue.needs_advice:
