Order jobs by remaining work under pressure

Cause: in a burst above the capacity of its pool, jobs ordered by latest start are each a little late, and a job that is a minute late is treated like one that is 0.1 s late.

Change: learn run times by queue and image, group jobs by the use of their results, finish begun jobs first and start those with less work left while the work in time exceeds the pool's capacity, and keep the part of the largest jobs. Without pressure, jobs in time start by latest start as before. The standing replaces the cores per weight of late jobs.

--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -35,6 +35,7 @@
         percent_changed_at=now,
         target_ms=step.target_ms,
         is_trial=bool(task.losses),
+        is_restored=True,
     )
     state.add_run(run, upstream, now)
 
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -11,6 +11,8 @@
     TaskId,
     TaskState,
 )
+from ._job_work import JobWork
+from ._run_times import RunTimes
 from ._step_run import StepRun
 
 # No more occurrences are opened while more tasks than this would be open, so that the
@@ -31,7 +33,14 @@
         self._first_open = progress.first_open if progress else 0
         self._opened = self._first_open
         self._tasks_per_occurrence = sum(step.count for step in job.steps)
-        self.declared_critical_path_ms = self._critical_path_ms(done=frozenset())
+        self.is_lasting = job.is_lasting()
+        # Its size in comparison with other jobs of its queue.
+        self.size_class = 0
+        # Whether it began in time and has not become late since.
+        self.is_kept_in_time = False
+        # Its work as last measured, and what that depended on.
+        self._work: JobWork | None = None
+        self._measured_for: tuple[int, int, int, int] = (0, 0, 0, 0)
         for key, task in (progress.tasks if progress else {}).items():
             self._restore(key, task)
         self.close_ended_occurrences()
@@ -110,16 +119,33 @@
         }
         return JobProgress(self.state, tasks, self._first_open)
 
-    def remaining_core_seconds(self) -> float:
-        """Return the declared core-seconds of unfinished tasks, except long-running."""
-        return sum(
-            (run.step.count - run.done)
-            * run.step.needs.cpu_millis
-            * run.step.estimated_ms
-            / 1e6
-            for run in self.steps.values()
-            if not run.step.is_lasting
+    def has_begun(self) -> bool:
+        """Return whether any task of the open occurrences was started."""
+        return any(step_run.tasks for step_run in self.steps.values())
+
+    def work(self, run_times: RunTimes) -> JobWork:
+        """Return the job's work by the learned run times."""
+        measured_for = (
+            run_times.version,
+            self._first_open,
+            self._opened,
+            sum(step_run.done for step_run in self.steps.values()),
         )
+        if self._work is None or measured_for != self._measured_for:
+            self._work = self._measure_work(run_times)
+            self._measured_for = measured_for
+        return self._work
+
+    def unstarted_fraction(self) -> float:
+        """Return the part of the unfinished tasks that is left to do.
+
+        A running task counts as half done.
+        """
+        unfinished = waiting = 0
+        for step_run in self.steps.values():
+            unfinished += step_run.step.count - step_run.done
+            waiting += len(step_run.waiting)
+        return (unfinished + waiting) / (2 * unfinished) if unfinished else 0.0
 
     def lasting_cores(self) -> float:
         """Return the cores of the long-running tasks; fillers need none."""
@@ -133,26 +159,36 @@
         """Return the due time of the latest open occurrence, in Unix ms."""
         return self.job.due_ms(max(0, self._opened - 1))
 
-    def remaining_critical_path_ms(self) -> int:
-        """Return the declared time, in ms, of the longest chain of unfinished steps.
-
-        Only the latest open occurrence counts.
-        """
+    def _measure_work(self, run_times: RunTimes) -> JobWork:
+        steps = self.job.steps
+        ratios = [run_times.ratio(self.job.queue, step.image) for step in steps]
         last = max(0, self._opened - 1)
         done = frozenset(
             number
             for (occurrence, number), step_run in self.steps.items()
             if occurrence == last and step_run.is_done()
         )
-        return self._critical_path_ms(done)
+        return JobWork(
+            self._critical_path_ms(ratios, done=frozenset()),
+            self._critical_path_ms(ratios, done),
+            sum(
+                (run.step.count - run.done)
+                * run.step.needs.cpu_millis
+                * run.step.estimated_ms
+                * ratios[run.number]
+                / 1e6
+                for run in self.steps.values()
+                if not run.step.is_lasting
+            ),
+        )
 
-    def _critical_path_ms(self, done: frozenset[int]) -> int:
-        longest: dict[int, int] = {}
+    def _critical_path_ms(self, ratios: list[float], done: frozenset[int]) -> float:
+        longest: dict[int, float] = {}
         for number, step in enumerate(self.job.steps):
-            own_ms = 0 if number in done else step.estimated_ms
-            before_ms = max((longest.get(n, 0) for n in step.after), default=0)
+            own_ms = 0.0 if number in done else step.estimated_ms * ratios[number]
+            before_ms = max((longest.get(n, 0.0) for n in step.after), default=0.0)
             longest[number] = before_ms + own_ms
-        return max(longest.values(), default=0)
+        return max(longest.values(), default=0.0)
 
     def _are_predecessors_done(self, step_run: StepRun) -> bool:
         return all(
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -3,6 +3,7 @@
 from ._job_run import JobRun
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
+from ._pressure import measure_pressure
 from ._round_room import RoundRoom, collect_room
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
@@ -14,7 +15,7 @@
     room_without_short_runs,
 )
 from ._upstream import Upstream
-from ._urgency import urgency_key
+from ._urgency import FIRST_RANK, UNBEGUN_RANK, JobGroup, UrgencyKey, urgency_key
 
 # Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
 MAX_YOUNG_RUNS = 4
@@ -29,11 +30,15 @@
     room = collect_room(state, now)
     candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
-    for job_run in _jobs_by_urgency(state, unix_ms):
+    measure_pressure(state, now, unix_ms)
+    for key, job_run in _jobs_by_urgency(state, unix_ms):
         try:
-            orders += _plan_job(state, job_run, room, candidates_by_pool, now)
+            started = _plan_job(state, job_run, room, candidates_by_pool, now)
         except Exception as error:
             state.set_apart(job_run.job.id, error)
+            continue
+        _count_job(state, job_run, key, bool(started))
+        orders += started
     for pool, candidates in candidates_by_pool.items():
         orders += plan_trials(state, pool, candidates, room, now)
     return orders
@@ -111,8 +116,24 @@
         healthy.remove(chosen)
 
 
-def _jobs_by_urgency(state: SchedulerState, unix_ms: int) -> list[JobRun]:
-    keyed = []
+def _count_job(
+    state: SchedulerState, job_run: JobRun, key: UrgencyKey, is_started: bool
+) -> None:
+    """Count jobs of each size that begin in time, or become late after that."""
+    is_in_time, had_begun = key[0] == JobGroup.IN_TIME, key[5] == 0.0
+    queue, size_class = job_run.job.queue, job_run.size_class
+    if is_in_time and is_started and not had_begun:
+        job_run.is_kept_in_time = True
+        state.size_classes.count_kept(queue, size_class)
+    elif not is_in_time and job_run.is_kept_in_time:
+        job_run.is_kept_in_time = False
+        state.size_classes.count_missed(queue, size_class)
+
+
+def _jobs_by_urgency(
+    state: SchedulerState, unix_ms: int
+) -> list[tuple[UrgencyKey, JobRun]]:
+    keyed: list[tuple[UrgencyKey, str, JobRun]] = []
     for job_run in list(state.jobs.values()):
         try:
             key = _job_key(state, job_run, unix_ms)
@@ -121,13 +142,30 @@
             continue
         if key is not None:
             keyed.append((key, job_run.job.id, job_run))
+    _protect_large_jobs(state, keyed)
     keyed.sort()
-    return [job_run for _, _, job_run in keyed]
+    return [(key, job_run) for key, _, job_run in keyed]
 
 
-def _job_key(
-    state: SchedulerState, job_run: JobRun, unix_ms: int
-) -> tuple[float, float, float, float] | None:
+def _protect_large_jobs(
+    state: SchedulerState, keyed: list[tuple[UrgencyKey, str, JobRun]]
+) -> None:
+    """Let as many large jobs go first as their classes lack."""
+    waiting: dict[tuple[str, int], list[tuple[float, str, int]]] = {}
+    for number, (key, job_id, job_run) in enumerate(keyed):
+        is_unbegun = key[0] == JobGroup.IN_TIME and key[3] == UNBEGUN_RANK
+        if is_unbegun and job_run.size_class:
+            name = (job_run.job.queue, job_run.size_class)
+            waiting.setdefault(name, []).append((key[4], job_id, number))
+    for (queue, size_class), rows in waiting.items():
+        missing = state.size_classes.missing(queue, size_class)
+        for _, _, number in sorted(rows)[:missing]:
+            key, job_id, job_run = keyed[number]
+            # Before all others that wait, and before those that have begun.
+            keyed[number] = ((*key[:3], FIRST_RANK, 0.0, key[5]), job_id, job_run)
+
+
+def _job_key(state: SchedulerState, job_run: JobRun, unix_ms: int) -> UrgencyKey | None:
     """Return a job's urgency, or None if no step of it can start."""
     if job_run.state.is_final():
         return None
@@ -136,8 +174,14 @@
         return None
     job = job_run.job
     queue = state.configuration.queues_by_name.get(job.queue)
+    pool = state.pool_of(job_run)
     return urgency_key(
-        job_run, queue, unix_ms, state.usage.cores_per_weight(job.account)
+        job_run,
+        queue,
+        unix_ms,
+        state.standings.standing(pool, job.account),
+        state.run_times,
+        pool in state.pressed_pools,
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -78,9 +78,10 @@
     queue = state.configuration.queues_by_name.get(job_run.job.queue)
     if queue is None:
         return 0.0
-    objective = objective_seconds(job_run, queue, job_run.declared_critical_path_ms)
+    work = job_run.work(state.run_times)
+    objective = objective_seconds(queue, work.critical_path_ms)
     seconds_left = job_run.latest_due_ms() / 1000 + objective - unix_ms / 1000
-    critical_path_seconds = job_run.remaining_critical_path_ms() / 1000
+    critical_path_seconds = work.remaining_path_ms / 1000
     if seconds_left < critical_path_seconds / 2:
         # After an outage, all waiting work is late. If it did not count, a pool would
         # give up its instances while jobs wait for them.
@@ -88,6 +89,6 @@
     if seconds_left < critical_path_seconds / 2:
         # The result comes too late to be of use, and the job uses what others leave.
         return 0.0
-    return job_run.remaining_core_seconds() / max(
+    return work.remaining_core_seconds / max(
         seconds_left, critical_path_seconds, MIN_DEADLINE_SECONDS
     )
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -126,6 +126,7 @@
     state: SchedulerState, upstream: Upstream, run: Run, ended: EndedRun, now: float
 ) -> None:
     if ended.reason is EndReason.DONE:
+        _learn_run_time(state, run, now)
         state.ejections.record_success(upstream.id)
     elif ended.reason is EndReason.FAILED and state.count_failure(upstream, now):
         state.log_decision(
@@ -133,6 +134,24 @@
         )
 
 
+def _learn_run_time(state: SchedulerState, run: Run, now: float) -> None:
+    """Learn from a first run that this owner started and that nothing slowed down."""
+    job_run = state.jobs.get(run.task.job)
+    if (
+        job_run is None
+        or run.number != 1
+        or run.is_restored
+        or run.is_lasting
+        or run.is_filler
+    ):
+        return
+    job = job_run.job
+    step = job.steps[run.task.step]
+    state.run_times.observe(
+        job.queue, step.image, now - run.started_at, run.declared_seconds
+    )
+
+
 def _finish_task(step_run: StepRun, task_id: TaskId, task: Task) -> None:
     if not step_run.step.is_gang:
         task.state = TaskState.DONE
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -77,6 +77,10 @@
         core_seconds = job.declared_core_seconds()
         self.state.arrived_core_seconds[pool] += core_seconds
         self.state.arrived_squares[pool] += core_seconds**2
+        if not job_run.is_lasting and not job.is_periodic():
+            job_run.size_class = self.state.size_classes.add_job(
+                job.queue, core_seconds, now
+            )
         if progress:
             for step_run in job_run.steps.values():
                 for index in step_run.started_indexes():
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -12,9 +12,12 @@
 from ._job_run import JobRun
 from ._lost_upstream import LostUpstream
 from ._policy import SchedulingPolicy
+from ._run_times import RunTimes
+from ._size_classes import SizeClasses
 from ._step_run import StepRun
 from ._suspects import SuspectTable
 from ._upstream import Run, Upstream
+from ._urgency import objective_seconds
 
 # Tasks rarely fail on a healthy upstream, so two failures are enough to eject one.
 EJECTION_POLICY = EjectionPolicy(
@@ -36,6 +39,11 @@
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
         self.standings = AccountStandings()
+        self.run_times = RunTimes()
+        self.size_classes = SizeClasses()
+        # Pools whose work in time exceeds their capacity, and when that was measured.
+        self.pressed_pools: frozenset[str] = frozenset()
+        self.pressure_measured_at = float("-inf")
         self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
         # Declared core-seconds of one occurrence of every job ever added to the
@@ -122,6 +130,15 @@
         queue = self.configuration.queues_by_name.get(job_run.job.queue)
         return queue.pool if queue else job_run.job.pool
 
+    def due_ms(self, job_run: JobRun) -> float | None:
+        """Return when a job should be done, in Unix ms, or None for unknown queues."""
+        queue = self.configuration.queues_by_name.get(job_run.job.queue)
+        if queue is None:
+            return None
+        critical_path_ms = job_run.work(self.run_times).critical_path_ms
+        objective_ms = objective_seconds(queue, critical_path_ms) * 1000
+        return job_run.latest_due_ms() + objective_ms
+
     def add_run(self, run: Run, upstream: Upstream, now: float) -> None:
         """Add a run whose start is about to be recorded, and count its resources."""
         upstream.add(run)
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -55,6 +55,8 @@
     # Its task is suspected of crashing upstreams; nothing starts beside it until it has
     # settled.
     is_trial: bool = False
+    # An earlier owner started it, at an unknown time.
+    is_restored: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -2,43 +2,88 @@
 
 Load pattern: during its burst, the demand of a queue is about five times its mean,
 which is more than its pool can finish in time. Jobs that can still meet their objective
-start first, ordered by their latest possible start; late jobs get what is left, so that
-a backlog does not make every later job late as well.
+start first, ordered by their latest possible start; late jobs get what is left, those
+whose results are still of use before the others, so that a backlog does not make every
+later job late as well. Under pressure, jobs that have begun are finished first, and of
+the others those with less work left begin first.
 """
 
+from enum import IntEnum
+
 from ..deployment import Queue
 from ._job_run import JobRun
+from ._run_times import RunTimes
 
 # A result that takes this multiple of its objective is useless.
 USELESS_MULTIPLE = 3.0
+# A begun job is served like one in time again, this long after its result became
+# useless, so that new jobs do not overtake it indefinitely.
+MAX_OVERTAKEN_MS = 10_000.0
+
+# Group, priority of the queue, standing of the account, rank, urgency, and 0 for a job
+# that has begun.
+UrgencyKey = tuple[float, float, float, float, float, float]
+
+# Ranks under pressure; without pressure, all jobs have the first.
+FIRST_RANK = 0.0
+UNBEGUN_RANK = 1.0
+
+
+class JobGroup(IntEnum):
+    """Name the groups of jobs, in the order in which they are served."""
+
+    LASTING = 0
+    IN_TIME = 1
+    LATE = 2
+    USELESS = 3
+    UNKNOWN_QUEUE = 4
 
 
-def objective_seconds(job_run: JobRun, queue: Queue, critical_path_ms: float) -> float:
+def objective_seconds(queue: Queue, critical_path_ms: float) -> float:
     """Return the time within which a job should be done, in seconds."""
     return (queue.slack_factor * critical_path_ms + queue.target_latency_ms) / 1000
 
 
 def urgency_key(
-    job_run: JobRun, queue: Queue | None, unix_ms: int, cores_per_weight: float
-) -> tuple[float, float, float, float]:
+    job_run: JobRun,
+    queue: Queue | None,
+    unix_ms: int,
+    standing: float,
+    run_times: RunTimes,
+    pressure: bool,
+) -> UrgencyKey:
     """Return a sort key that puts the most urgent job first.
 
-    The key consists of the group (long-running, in time, late, unknown queue), the
-    queue's priority, the cores per weight of a late job's account, and the latest start
-    in Unix ms, or the time of acceptance in the first and last group.
+    `standing` tells how far the job's account is beyond its share, and `pressure`
+    whether the work of the pool's jobs in time exceeds its capacity.
     """
-    if job_run.job.is_lasting():
-        return (0.0, 0.0, 0.0, float(job_run.job.accepted_ms))
+    accepted_ms = float(job_run.job.accepted_ms)
+    if job_run.is_lasting:
+        return (float(JobGroup.LASTING), 0.0, 0.0, FIRST_RANK, accepted_ms, 0.0)
     if queue is None:
-        return (3.0, 0.0, 0.0, float(job_run.job.accepted_ms))
-    critical_path_ms = job_run.declared_critical_path_ms
-    objective_ms = objective_seconds(job_run, queue, critical_path_ms) * 1000
-    due_ms = job_run.latest_due_ms() + objective_ms
-    latest_start_ms = due_ms - job_run.remaining_critical_path_ms()
-    is_late = unix_ms > latest_start_ms
+        return (float(JobGroup.UNKNOWN_QUEUE), 0.0, 0.0, FIRST_RANK, accepted_ms, 0.0)
+    work = job_run.work(run_times)
+    objective_ms = objective_seconds(queue, work.critical_path_ms) * 1000
+    latest_start_ms = job_run.latest_due_ms() + objective_ms - work.remaining_path_ms
+    useless_from_ms = latest_start_ms + (USELESS_MULTIPLE - 1.0) * objective_ms
+    has_begun = job_run.has_begun()
+    if unix_ms <= latest_start_ms:
+        group = JobGroup.IN_TIME
+    elif unix_ms <= useless_from_ms:
+        group = JobGroup.LATE
+    elif has_begun and unix_ms > useless_from_ms + MAX_OVERTAKEN_MS:
+        group = JobGroup.IN_TIME
+    else:
+        group = JobGroup.USELESS
+    rank, urgency = FIRST_RANK, latest_start_ms
+    if pressure and not has_begun:
+        rank, urgency = UNBEGUN_RANK, work.remaining_core_seconds
     return (
-        2.0 if is_late else 1.0,
+        float(group),
         float(queue.priority),
-        cores_per_weight if is_late else 0.0,
-        latest_start_ms,
+        standing,
+        rank,
+        urgency,
+        # Of two jobs with equal urgency, one that has begun goes first.
+        0.0 if has_begun else 1.0,
     )
