--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -121,16 +121,17 @@
 
     def has_begun(self) -> bool:
         """Return whether any task of the open occurrences was started."""
-        return any(step_run.tasks for step_run in self.steps.values())
+        for step_run in self.steps.values():  # noqa: SIM110
+            if step_run.tasks:
+                return True
+        return False
 
     def work(self, run_times: RunTimes) -> JobWork:
         """Return the job's work by the learned run times."""
-        measured_for = (
-            run_times.version,
-            self._first_open,
-            self._opened,
-            sum(step_run.done for step_run in self.steps.values()),
-        )
+        done = 0
+        for step_run in self.steps.values():
+            done += step_run.done
+        measured_for = (run_times.version, self._first_open, self._opened, done)
         if self._work is None or measured_for != self._measured_for:
             self._work = self._measure_work(run_times)
             self._measured_for = measured_for
@@ -191,10 +192,11 @@
         return max(longest.values(), default=0.0)
 
     def _are_predecessors_done(self, step_run: StepRun) -> bool:
-        return all(
-            self.steps[(step_run.occurrence, predecessor)].is_done()
-            for predecessor in step_run.step.after
-        )
+        # Called for each waiting job in each round, so without a generator.
+        for predecessor in step_run.step.after:  # noqa: SIM110
+            if not self.steps[(step_run.occurrence, predecessor)].is_done():
+                return False
+        return True
 
     def _may_open_another(self) -> bool:
         open_occurrences = self._opened - self._first_open
