--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -137,7 +137,7 @@
             self._measured_for = measured_for
         return self._work
 
-    def unstarted_fraction(self) -> float:
+    def unfinished_fraction(self) -> float:
         """Return the part of the unfinished tasks that is left to do.
 
         A running task counts as half done.
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -41,8 +41,10 @@
         self.standings = AccountStandings()
         self.run_times = RunTimes()
         self.size_classes = SizeClasses()
-        # Pools whose work in time exceeds their capacity, and when that was measured.
+        # Pools whose work in time exceeds their capacity, until when that is assumed,
+        # and when it was measured.
         self.pressed_pools: frozenset[str] = frozenset()
+        self.pressed_until: dict[str, float] = {}
         self.pressure_measured_at = float("-inf")
         self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
