Reserve room for large jobs, fill slow upstreams last, log groups and outcomes

Cause: small tasks use up room as soon as it is freed, so none of the largest jobs of a burst were in time; one slow upstream makes each job late that has a task there; the log did not tell why a job waited.

Change: up to a quarter of the upstreams is reserved for large jobs that fall behind. Slow and shrunk upstreams are filled last. Lines of starts and ends have the account, queue, group, position and outcome.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -42,6 +42,13 @@
     beside: tuple[str, ...] = ()
     # Work lost in a crash.
     core_seconds: float = 0.0
+    # Of a task that is placed: group of its job, and the jobs of its queue before it.
+    group: str = ""
+    position: int = 0
+    # Expected end of a job in Unix milliseconds, told at its first start.
+    predicted_ms: int = 0
+    # Of a completed job: in time, late or useless.
+    outcome: str = ""
     # Unix time in seconds.
     at: float = msgspec.field(default_factory=time)
 
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -80,6 +80,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self._outcomes = Counter(
+            "baobablane_job_outcomes",
+            "Completed jobs by queue, and whether they were in time, late or useless",
+            ["queue", "outcome"],
+            registry=self.registry,
+        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
@@ -99,6 +105,10 @@
         for zone in sorted(runs_by_zone)[:MAX_ZONES]:
             self._evacuating_runs.labels(zone).set(runs_by_zone[zone])
 
+    def count_outcome(self, queue: str, outcome: str) -> None:
+        """Count one completed job."""
+        self._outcomes.labels(queue, outcome).inc()
+
     def count(self, event: str) -> None:
         """Count one occurrence of a logged event."""
         counter = self._counters_by_event.get(event)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
@@ -21,7 +21,15 @@
                 incarnation=event.incarnation,
                 beside=event.beside,
                 core_seconds=event.core_seconds,
+                team=event.account,
+                queue=event.queue,
+                group=event.group,
+                position=event.position,
+                predicted_ms=event.predicted_ms,
+                outcome=event.outcome,
             )
         )
+        if event.outcome:
+            log.metrics.count_outcome(event.queue, event.outcome)
         if event.event == CRASH_EVENT:
             log.metrics.count_crash(event.reason, event.core_seconds)
--- a/packages/baobablane/baobablane/scheduling/_event.py
+++ b/packages/baobablane/baobablane/scheduling/_event.py
@@ -25,3 +25,12 @@
     beside: tuple[str, ...] = ()
     # Work lost in a crash.
     core_seconds: float = 0.0
+    account: str = ""
+    queue: str = ""
+    # Of a task that is placed: group of its job, and the jobs of its queue before it.
+    group: str = ""
+    position: int = 0
+    # Expected end of a job in Unix ms, told at its first start.
+    predicted_ms: int = 0
+    # Of a completed job: in time, late or useless.
+    outcome: str = ""
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -38,6 +38,12 @@
         self.size_class = 0
         # Whether it began in time and has not become late since.
         self.is_kept_in_time = False
+        # Whether room is reserved for it in this round, so that smaller tasks do not
+        # use it up as soon as it is freed.
+        self.may_reserve = False
+        # Group of urgency, and number of jobs of its queue before it, in this round.
+        self.group = ""
+        self.position = 0
         # Its work as last measured, and what that depended on.
         self._work: JobWork | None = None
         self._measured_for: tuple[int, int, int, int] = (0, 0, 0, 0)
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -4,7 +4,8 @@
 or full. Short tasks are packed so that whole instances stay idle and can be released.
 The long-running tasks of a step share two upstreams, in different racks if possible:
 with one upstream, a crash would end all of them; with more, few instances would be
-idle.
+idle. Short tasks use upstreams that are slow or have lost capacity only when all
+others are full; data racks go before that, because a remote task takes twice as long.
 """
 
 from collections.abc import Collection
@@ -46,6 +47,7 @@
         score = (
             float(upstream.id == avoided_id),
             float(bool(step.data_rack) and step.data_rack not in labels),
+            float(not step.is_lasting and upstream.is_last_choice),
             *_placement_score(step_run, upstream, placed, room, hosting),
         )
         if best_score is None or score < best_score:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -1,5 +1,7 @@
 """Decide which tasks start now, and where."""
 
+from collections import Counter
+
 from ._job_run import JobRun
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
@@ -20,6 +22,8 @@
 # Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
 MAX_YOUNG_RUNS = 4
 
+GROUP_NAMES = [group.name.lower().replace("_", "-") for group in JobGroup]
+
 
 def plan_starts(state: SchedulerState, now: float, unix_ms: int) -> list[StartOrder]:
     """Return the starts that fit now, and count their resources as used.
@@ -30,6 +34,7 @@
     room = collect_room(state, now)
     candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
+    state.unix_offset_seconds = unix_ms / 1000 - now
     measure_pressure(state, now, unix_ms)
     for key, job_run in _jobs_by_urgency(state, unix_ms):
         try:
@@ -84,6 +89,8 @@
             room.full_pools.add(pool)
         if others and state.usage.allows(job_run.job.account, step_run.step.needs):
             room.full.record_no_room(pool, step_run.step)
+            if job_run.may_reserve:
+                room.reserve(pool, step_run.step, len(others))
     # Without a healthy upstream, an ejected one is better than none. A long-running
     # task may always use one, because its failed attempts are not limited.
     is_stuck = step_run.step.is_lasting and bool(others)
@@ -144,6 +151,17 @@
             keyed.append((key, job_run.job.id, job_run))
     _protect_large_jobs(state, keyed)
     keyed.sort()
+    ahead_by_queue: Counter[str] = Counter()
+    for key, _, job_run in keyed:
+        job_run.group = GROUP_NAMES[int(key[0])]
+        job_run.position = ahead_by_queue[job_run.job.queue]
+        ahead_by_queue[job_run.job.queue] += 1
+        job_run.may_reserve = (
+            job_run.size_class > 0
+            and key[0] == JobGroup.IN_TIME
+            and key[3] == FIRST_RANK
+            and state.pool_of(job_run) in state.pressed_pools
+        )
     return [(key, job_run) for key, _, job_run in keyed]
 
 
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -2,11 +2,13 @@
 
 from ..jobs import JobState, Task, TaskId, TaskState
 from ._crash_evidence import clear_suspect
+from ._job_run import JobRun
 from ._report import EndedRun, EndReason, RenewalReport, RunningTask
 from ._speculation import withdraw_copy
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Run, Upstream
+from ._urgency import USELESS_MULTIPLE
 
 # A long-running task reports this progress once it is ready.
 READY_PERCENT = 100
@@ -105,7 +107,7 @@
             state.check_stops_of(ended.task.job)
         job_run.close_ended_occurrences()
         if job_run.is_complete():
-            state.finish_job(job_run, JobState.COMPLETED, "all tasks done")
+            _complete_job(state, job_run, now)
         return
     if ended.reason is EndReason.FAILED:
         _apply_failure(state, upstream, step_run, ended, task)
@@ -126,7 +128,7 @@
     state: SchedulerState, upstream: Upstream, run: Run, ended: EndedRun, now: float
 ) -> None:
     if ended.reason is EndReason.DONE:
-        _learn_run_time(state, run, now)
+        _learn_run_time(state, upstream, run, now)
         state.ejections.record_success(upstream.id)
     elif ended.reason is EndReason.FAILED and state.count_failure(upstream, now):
         state.log_decision(
@@ -134,7 +136,26 @@
         )
 
 
-def _learn_run_time(state: SchedulerState, run: Run, now: float) -> None:
+def _complete_job(state: SchedulerState, job_run: JobRun, now: float) -> None:
+    outcome = ""
+    due_ms = state.due_ms(job_run)
+    if due_ms is not None and not job_run.is_lasting:
+        unix_ms = (now + state.unix_offset_seconds) * 1000
+        useless_ms = due_ms + (USELESS_MULTIPLE - 1.0) * (
+            due_ms - job_run.latest_due_ms()
+        )
+        if unix_ms <= due_ms:
+            outcome = "in-time"
+        else:
+            outcome = "late" if unix_ms <= useless_ms else "useless"
+            if job_run.is_kept_in_time:
+                state.size_classes.count_missed(job_run.job.queue, job_run.size_class)
+    state.finish_job(job_run, JobState.COMPLETED, "all tasks done", outcome)
+
+
+def _learn_run_time(
+    state: SchedulerState, upstream: Upstream, run: Run, now: float
+) -> None:
     """Learn from a first run that this owner started and that nothing slowed down."""
     job_run = state.jobs.get(run.task.job)
     if (
@@ -145,11 +166,12 @@
         or run.is_filler
     ):
         return
-    job = job_run.job
-    step = job.steps[run.task.step]
-    state.run_times.observe(
-        job.queue, step.image, now - run.started_at, run.declared_seconds
-    )
+    queue = job_run.job.queue
+    image = job_run.job.steps[run.task.step].image
+    seconds = now - run.started_at
+    expected_seconds = run.declared_seconds * state.run_times.ratio(queue, image)
+    state.speeds.observe(upstream.entry.pool, upstream.id, seconds, expected_seconds)
+    state.run_times.observe(queue, image, seconds, run.declared_seconds)
 
 
 def _finish_task(step_run: StepRun, task_id: TaskId, task: Task) -> None:
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -2,11 +2,15 @@
 
 from dataclasses import dataclass, field
 
+from ..jobs import Step
 from ._full_pools import FullPools
 from ._lost_upstream import unstable_pools
 from ._state import SchedulerState
 from ._upstream import Upstream
 
+# Maximum part of a pool's upstreams that are kept free for the tasks of large jobs.
+RESERVABLE_PART = 0.25
+
 
 @dataclass(slots=True)
 class RoundRoom:
@@ -22,6 +26,8 @@
     lasting_pools: set[str] = field(default_factory=set)
     # Pools in which tasks found no room in this round.
     full_pools: set[str] = field(default_factory=set)
+    # Number of upstreams that may still be reserved in each pool.
+    reservable: dict[str, int] = field(default_factory=dict)
     # Unsettled runs on each upstream of the unstable pools.
     young_runs: dict[str, int] = field(default_factory=dict)
 
@@ -30,6 +36,19 @@
         others = self.healthy.get(pool) or self.usable.get(pool, [])
         return [*self.reserved.get(pool, []), *others]
 
+    def reserve(self, pool: str, step: Step, count: int) -> None:
+        """Keep some upstreams with much room free for the tasks of a large job."""
+        upstreams = self.healthy.get(pool, [])
+        left = self.reservable.setdefault(pool, int(RESERVABLE_PART * len(upstreams)))
+        fitting = [u for u in upstreams if step.needs.fits_in(u.entry.capacity)]
+        fitting.sort(key=lambda upstream: -upstream.room().cpu_millis)
+        for upstream in fitting[:left]:
+            if count <= 0:
+                break
+            count -= upstream.entry.capacity.cpu_millis // max(1, step.needs.cpu_millis)
+            self.reservable[pool] -= 1
+            self.take(pool, upstream)
+
     def take(self, pool: str, upstream: Upstream) -> None:
         """Remove an upstream, so that nothing else is placed there in this round."""
         for upstreams_by_pool in (self.usable, self.healthy, self.reserved):
@@ -50,6 +69,12 @@
         if not upstream.accepts(now) or state.is_evacuated(upstream):
             continue
         pool = upstream.entry.pool
+        cpu_millis = upstream.entry.capacity.cpu_millis
+        upstream.most_cpu_millis = max(upstream.most_cpu_millis, cpu_millis)
+        upstream.is_last_choice = (
+            cpu_millis < upstream.most_cpu_millis
+            or state.speeds.is_slow(pool, upstream.id)
+        )
         if was_reserved:
             room.reserved.setdefault(pool, []).append(upstream)
             continue
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -37,22 +37,38 @@
     state: SchedulerState, step_run: StepRun, chosen: list[tuple[int, Upstream]]
 ) -> list[StartOrder]:
     """Return the orders for the reserved runs of a step."""
+    predicted_ms = _predicted_ms(state, step_run, chosen)
     runs = {index: step_run.task(index).run + 1 for index, _ in chosen}
     if step_run.step.is_gang and runs:
         # All tasks of a gang have the same run number.
         runs = dict.fromkeys(runs, max(runs.values()))
     return [
-        _commit_start(state, step_run, index, runs[index], upstream)
-        for index, upstream in chosen
+        _commit_start(
+            state, step_run, index, runs[index], upstream, 0 if number else predicted_ms
+        )
+        for number, (index, upstream) in enumerate(chosen)
     ]
 
 
+def _predicted_ms(
+    state: SchedulerState, step_run: StepRun, chosen: list[tuple[int, Upstream]]
+) -> int:
+    """Return when a job ends that begins now, or 0 if it has begun before."""
+    job_run = state.jobs[step_run.job.id]
+    if not chosen or job_run.is_lasting or job_run.has_begun():
+        return 0
+    run = chosen[0][1].runs[step_run.task_id(chosen[0][0])]
+    now_ms = (run.started_at + state.unix_offset_seconds) * 1000
+    return round(now_ms + job_run.work(state.run_times).remaining_path_ms)
+
+
 def _commit_start(
     state: SchedulerState,
     step_run: StepRun,
     index: int,
     number: int,
     upstream: Upstream,
+    predicted_ms: int,
 ) -> StartOrder:
     task = step_run.task(index)
     task.state = TaskState.STARTED
@@ -64,7 +80,18 @@
     run = upstream.runs[task_id]
     run.number = number
     event = "trial-placed" if run.is_trial else "task-placed"
-    state.log_decision(event, task_id, task.run, upstream=upstream.id)
+    job_run = state.jobs[task_id.job]
+    state.log_decision(
+        event,
+        task_id,
+        task.run,
+        upstream=upstream.id,
+        account=step_run.job.account,
+        queue=step_run.job.queue,
+        group=job_run.group,
+        position=job_run.position,
+        predicted_ms=predicted_ms,
+    )
     return StartOrder(
         task_id,
         task.run,
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -17,6 +17,7 @@
 from ._step_run import StepRun
 from ._suspects import SuspectTable
 from ._upstream import Run, Upstream
+from ._upstream_speeds import UpstreamSpeeds
 from ._urgency import objective_seconds
 
 # Tasks rarely fail on a healthy upstream, so two failures are enough to eject one.
@@ -41,6 +42,9 @@
         self.standings = AccountStandings()
         self.run_times = RunTimes()
         self.size_classes = SizeClasses()
+        self.speeds = UpstreamSpeeds()
+        # Unix time less the time of the scheduler's clock, as of the latest round.
+        self.unix_offset_seconds = 0.0
         # Pools whose work in time exceeds their capacity, until when that is assumed,
         # and when it was measured.
         self.pressed_pools: frozenset[str] = frozenset()
@@ -230,7 +234,9 @@
                     self.remove_run(upstream, task)
         self.events.append(SchedulingEvent("job-set-apart", job_id, reason=repr(error)))
 
-    def finish_job(self, job_run: JobRun, state: JobState, reason: str) -> None:
+    def finish_job(
+        self, job_run: JobRun, state: JobState, reason: str, outcome: str = ""
+    ) -> None:
         """Set a job's final state, unless it has one."""
         if job_run.state.is_final():
             return
@@ -240,5 +246,12 @@
         self.dirty_jobs.add(job_run.job.id)
         self.check_stops_of(job_run.job.id)
         self.events.append(
-            SchedulingEvent(f"job-{state.name.lower()}", job_run.job.id, reason=reason)
+            SchedulingEvent(
+                f"job-{state.name.lower()}",
+                job_run.job.id,
+                reason=reason,
+                account=job_run.job.account,
+                queue=job_run.job.queue,
+                outcome=outcome,
+            )
         )
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -90,6 +90,10 @@
     is_reserved: bool = False
     # It gets more starts as soon as its runs have settled.
     is_limited: bool = False
+    # The largest number of cores with which this incarnation was listed.
+    most_cpu_millis: int = 0
+    # It is filled last, because it is slow or has lost capacity.
+    is_last_choice: bool = False
     # Whether any of its runs may have to be stopped. To check all runs in each round
     # takes longer than all else.
     may_need_stops: bool = True
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -27,6 +27,10 @@
 # Ranks under pressure; without pressure, all jobs have the first.
 FIRST_RANK = 0.0
 UNBEGUN_RANK = 1.0
+DOUBTFUL_RANK = 2.0
+# In a full pool, the tasks of a step start one after another. A job that has less slack
+# than this part of its critical path is mostly late if it begins now.
+MIN_SLACK = 0.2
 
 
 class JobGroup(IntEnum):
@@ -78,6 +82,9 @@
     rank, urgency = FIRST_RANK, latest_start_ms
     if pressure and not has_begun:
         rank, urgency = UNBEGUN_RANK, work.remaining_core_seconds
+        slack_ms = latest_start_ms - unix_ms
+        if group is JobGroup.IN_TIME and slack_ms < MIN_SLACK * work.remaining_path_ms:
+            rank = DOUBTFUL_RANK
     return (
         float(group),
         float(queue.priority),
