Compare the speed of upstreams with others, and test replays and urgency

Cause: the mean of a pool contained the slow upstream itself, so that one of two upstreams that took twice as long was not found.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -127,6 +127,8 @@
     state: SchedulerState, job_run: JobRun, key: UrgencyKey, is_started: bool
 ) -> None:
     """Count jobs of each size that begin in time, or become late after that."""
+    if job_run.job.is_periodic():
+        return
     is_in_time, had_begun = key[0] == JobGroup.IN_TIME, key[5] == 0.0
     queue, size_class = job_run.job.queue, job_run.size_class
     if is_in_time and is_started and not had_begun:
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -72,8 +72,7 @@
         cpu_millis = upstream.entry.capacity.cpu_millis
         upstream.most_cpu_millis = max(upstream.most_cpu_millis, cpu_millis)
         upstream.is_last_choice = (
-            cpu_millis < upstream.most_cpu_millis
-            or state.speeds.is_slow(pool, upstream.id)
+            cpu_millis < upstream.most_cpu_millis or state.speeds.is_slow(upstream.id)
         )
         if was_reserved:
             room.reserved.setdefault(pool, []).append(upstream)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -124,6 +124,7 @@
     def remove_upstream(self, upstream_id: str, reason: str) -> None:
         """Remove an upstream that certainly runs nothing, and requeue its tasks."""
         upstream = self.state.upstreams.pop(upstream_id, None)
+        self.state.speeds.remove_upstream(upstream_id)
         if upstream is not None:
             for task in list(upstream.runs):
                 self.state.requeue(upstream, task, reason)
--- a/packages/baobablane/baobablane/scheduling/_upstream_speeds.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream_speeds.py
@@ -14,24 +14,30 @@
 MIN_ENDS = 5
 # Part of the distance to the latest end's ratio by which the mean moves.
 MEAN_RATE = 0.2
-# The same for a pool, which has about 20 times as many ends.
-POOL_MEAN_RATE = 0.02
 
 
 @dataclass(slots=True)
 class _Speed:
+    pool: str
     # Mean logarithm of the ratio of measured to expected time.
     mean: float = 0.0
     ends: int = 0
 
 
+@dataclass(slots=True)
+class _PoolSpeed:
+    # Sum of the means of the pool's upstreams that had ends, and their number.
+    total: float = 0.0
+    upstreams: int = 0
+
+
 class UpstreamSpeeds:
-    """Compare the run times on each upstream with those of its pool."""
+    """Compare the run times on each upstream with those on others of its pool."""
 
     def __init__(self) -> None:
         """Start with equally fast upstreams."""
-        self._by_upstream: dict[str, _Speed] = defaultdict(_Speed)
-        self._by_pool: dict[str, _Speed] = defaultdict(_Speed)
+        self._by_upstream: dict[str, _Speed] = {}
+        self._by_pool: dict[str, _PoolSpeed] = defaultdict(_PoolSpeed)
 
     def observe(
         self, pool: str, upstream: str, measured_seconds: float, expected_seconds: float
@@ -39,22 +45,32 @@
         """Learn from the end of a run that was done."""
         if measured_seconds <= 0.0 or expected_seconds <= 0.0:
             return
-        ratio = math.log(measured_seconds / expected_seconds)
-        for speed, rate in (
-            (self._by_upstream[upstream], MEAN_RATE),
-            (self._by_pool[pool], POOL_MEAN_RATE),
-        ):
-            speed.ends += 1
-            # The first ends count equally.
-            speed.mean += max(rate, 1 / speed.ends) * (ratio - speed.mean)
-
-    def is_slow(self, pool: str, upstream: str) -> bool:
-        """Return whether an upstream takes longer than others of its pool."""
-        own = self._by_upstream.get(upstream)
-        if own is None or own.ends < MIN_ENDS:
+        speed = self._by_upstream.get(upstream)
+        if speed is None or speed.pool != pool:
+            self.remove_upstream(upstream)
+            speed = self._by_upstream[upstream] = _Speed(pool)
+            self._by_pool[pool].upstreams += 1
+        speed.ends += 1
+        # The first ends count equally.
+        rate = max(MEAN_RATE, 1 / speed.ends)
+        move = rate * (math.log(measured_seconds / expected_seconds) - speed.mean)
+        speed.mean += move
+        self._by_pool[pool].total += move
+
+    def is_slow(self, upstream: str) -> bool:
+        """Return whether tasks take longer on an upstream than on others."""
+        speed = self._by_upstream.get(upstream)
+        if speed is None or speed.ends < MIN_ENDS:
+            return False
+        pool = self._by_pool[speed.pool]
+        if pool.upstreams < 2:
             return False
-        return own.mean - self._by_pool[pool].mean > math.log(SLOW_RATIO)
+        mean_of_others = (pool.total - speed.mean) / (pool.upstreams - 1)
+        return speed.mean - mean_of_others > math.log(SLOW_RATIO)
 
     def remove_upstream(self, upstream: str) -> None:
-        """Forget an upstream that is gone or runs a new incarnation."""
-        self._by_upstream.pop(upstream, None)
+        """Forget an upstream that is gone."""
+        speed = self._by_upstream.pop(upstream, None)
+        if speed is not None:
+            self._by_pool[speed.pool].total -= speed.mean
+            self._by_pool[speed.pool].upstreams -= 1
--- a/packages/baobablane/baobablane/scheduling/tests/overload_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/overload_model.py
@@ -1,8 +1,11 @@
 """Replay loads beyond the capacity of a pool, in virtual time, under several orders."""
 
+import math
 import random
 from dataclasses import dataclass, replace
 
+from msgspec import structs
+
 from baobablane.deployment import Resources
 from baobablane.jobs import Job, Step
 from baobablane.scheduling import EndReason, _planning
@@ -11,11 +14,14 @@
 from .fleet_model import CORE, ModelFleet, add, make_configuration, make_queue
 
 TICK_SECONDS = 0.04
+# The other orders are replayed for this long after the last arrival, which is more than
+# the time in which any result has its full value.
+REPLAYED_SECONDS = 6.0
 UPSTREAMS = 16
 UPSTREAM_CORES = 16
 RACKS = 4
 CAPACITY = UPSTREAMS * UPSTREAM_CORES
-REPORT_SECONDS = 0.48
+TICKS_PER_REPORT = 12
 # The other orders take the declared times as true.
 DECLARED = RunTimes()
 
@@ -43,16 +49,11 @@
         """Return the job as it was accepted."""
         needs = Resources(round(self.cores * CORE), 100, 0)
         step = Step(self.tasks, needs, round(self.declared_seconds * 1000))
-        steps = (step, replace_after(step))
+        steps = (step, structs.replace(step, after=(0,)))
         accepted_ms = round(self.at * 1000)
         return Job(f"{number:016x}", "q", "pool", "a", "spec", steps, accepted_ms)
 
 
-def replace_after(step):
-    """Return a copy of a step that follows the first one."""
-    return Step(step.count, step.needs, step.estimated_ms, (0,))
-
-
 def make_arrivals(seed, spans, run_ratio=1.0, large_part=0.0):
     """Return arrivals for spans of (begin, end, load relative to the capacity)."""
     rng = random.Random(seed)
@@ -91,9 +92,7 @@
     def tick(self, arrivals_by_id, may_start):
         """Apply the ends and silences since the previous tick, then start tasks."""
         self.now += TICK_SECONDS
-        is_poll = (
-            round(self.now / TICK_SECONDS) % round(REPORT_SECONDS / TICK_SECONDS) == 0
-        )
+        is_poll = round(self.now / TICK_SECONDS) % TICKS_PER_REPORT == 0
         for name, model in self.upstreams.items():
             if name in self.silent:
                 self.scheduler.renewal_failed(name, self.now)
@@ -194,8 +193,11 @@
     arrivals = sorted(arrivals, key=lambda arrival: arrival.at)
     by_id = {f"{n:016x}": arrival for n, arrival in enumerate(arrivals)}
     added = 0
+    replayed_until = arrivals[-1].at + REPLAYED_SECONDS
     while len(fleet.seconds_by_job) < len(arrivals):
         assert fleet.now < 300.0, "jobs do not end"
+        if order != "present" and fleet.now > replayed_until:
+            break
         while added < len(arrivals) and arrivals[added].at <= fleet.now:
             add(fleet, arrivals[added].make_job(added))
             added += 1
@@ -203,5 +205,5 @@
         lost = rack_loss[0] <= since_start < rack_loss[1]
         fleet.silent = {f"u{n}" for n in range(0, UPSTREAMS, RACKS)} if lost else set()
         fleet.tick(by_id, not outage[0] <= since_start < outage[1])
-    seconds = [fleet.seconds_by_job[job_id] for job_id in by_id]
+    seconds = [fleet.seconds_by_job.get(job_id, math.inf) for job_id in by_id]
     return Outcome(arrivals, seconds)
