--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -7,6 +7,7 @@
 from ._placement import choose_upstream, may_run
 from ._pressure import measure_pressure
 from ._round_room import RoundRoom, collect_room
+from ._size_classes import LARGEST
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -170,13 +171,22 @@
 def _protect_large_jobs(
     state: SchedulerState, keyed: list[tuple[UrgencyKey, str, JobRun]]
 ) -> None:
-    """Let as many large jobs go first as their classes lack."""
+    """Let as many large jobs go first as their classes lack, and begun ones end."""
     waiting: dict[tuple[str, int], list[tuple[float, str, int]]] = {}
     for number, (key, job_id, job_run) in enumerate(keyed):
         is_unbegun = key[0] == JobGroup.IN_TIME and key[3] == UNBEGUN_RANK
         if is_unbegun and job_run.size_class:
             name = (job_run.job.queue, job_run.size_class)
             waiting.setdefault(name, []).append((key[4], job_id, number))
+        elif (
+            job_run.size_class == LARGEST
+            and job_run.is_kept_in_time
+            and key[0] == JobGroup.IN_TIME
+            and state.pool_of(job_run) in state.pressed_pools
+        ):
+            # It needs much of the pool at once. Behind other begun jobs, most of the
+            # largest began in time and ended late.
+            keyed[number] = ((*key[:4], 0.0, key[5]), job_id, job_run)
     for (queue, size_class), rows in waiting.items():
         missing = state.size_classes.missing(queue, size_class)
         for _, _, number in sorted(rows)[:missing]:
--- a/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
@@ -5,7 +5,8 @@
 """
 
 from baobablane.jobs import TaskId
-from baobablane.scheduling import EndReason, _stop_planning
+from baobablane.scheduling import EndReason, _pressure, _stop_planning
+from baobablane.scheduling._job_run import JobRun
 
 from .fleet_model import ModelFleet, add, make_job, make_step
 
@@ -88,3 +89,36 @@
             fleet.finish(TaskId(JOB, 0, 0, position))
         fleet.renew_all()
         assert fleet.scheduler.state.run_count_by_job == {}
+
+
+class TestOrder:
+    """Test what is measured to order the waiting jobs."""
+
+    def test_unchanged_job_is_not_measured_again(self, fleet, monkeypatch):
+        """Guard against rounds that walk through all steps of 500 waiting jobs."""
+        measured = []
+        original = JobRun._measure_work
+
+        def measure(job_run, run_times):
+            measured.append(job_run.job.id)
+            return original(job_run, run_times)
+
+        monkeypatch.setattr(JobRun, "_measure_work", measure)
+        add(fleet, make_job(make_step(20)))
+        fleet.place()
+        before = len(measured)
+        for _ in range(10):
+            fleet.now += _pressure.MEASURING_INTERVAL_SECONDS
+            fleet.place()
+        assert len(measured) == before
+
+    def test_pressure_is_not_measured_in_each_round(self, fleet, monkeypatch):
+        """Guard against a sum over all jobs in each of 50 rounds a second."""
+        calls = []
+        monkeypatch.setattr(
+            _pressure, "_pressed_pools", lambda *_: calls.append(1) or []
+        )
+        for _ in range(10):
+            fleet.now += _pressure.MEASURING_INTERVAL_SECONDS / 20
+            fleet.place()
+        assert len(calls) == 1
--- a/packages/baobablane/baobablane/scheduling/tests/test_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_urgency.py
@@ -1,5 +1,8 @@
 """Test the order of jobs, the learned run times and the choice of slow upstreams."""
 
+import pytest
+
+from baobablane.jobs import TaskId
 from baobablane.scheduling import _planning
 from baobablane.scheduling._job_run import JobRun
 from baobablane.scheduling._run_times import MAX_RATIO, RunTimes
@@ -98,3 +101,20 @@
             ("a", "q", _planning.GROUP_NAMES[JobGroup.LATE], 0)
         ] * 2
         assert [e.predicted_ms for e in events] == [1500, 0]
+
+
+class TestOutcomes:
+    """Test how the end of a job is counted."""
+
+    @pytest.mark.parametrize(
+        ("age_ms", "outcome"), [(0, "in-time"), (2000, "late"), (9000, "useless")]
+    )
+    def test_completed_job_tells_its_outcome(self, fleet, age_ms, outcome):
+        """Guard against late results that no counter shows."""
+        job = make_job(accepted_ms=round(fleet.now * 1000) - age_ms)
+        add(fleet, job)
+        fleet.place()
+        fleet.finish(TaskId(job.id, 0, 0, 0))
+        fleet.renew_all()
+        ends = [e for e in fleet.scheduler.pop_events() if e.event == "job-completed"]
+        assert [(e.account, e.queue, e.outcome) for e in ends] == [("a", "q", outcome)]
