Order jobs by their account's standing in the pool

Cause: in a full pool, a flood by one account delays the jobs of all accounts, since only late jobs were ordered by their accounts' use. Change: jobs that arrive beyond their account's weight in jobs a second go after others while the account uses more than its weighted max-min part of a full pool. An account at its cap reserves no upstream. The effect on floods is not measured yet.

--- a/packages/baobablane/baobablane/scheduling/_account_usage.py
+++ b/packages/baobablane/baobablane/scheduling/_account_usage.py
@@ -1,5 +1,6 @@
 """Count the resources that each client account uses."""
 
+import math
 from collections import defaultdict
 from collections.abc import Mapping
 
@@ -25,6 +26,14 @@
             return True
         return (self._used[account] + needs).fits_under_cap(limits.cap)
 
+    def cores_left(self, account: str) -> float:
+        """Return the cores that an account may still use under its limit."""
+        limits = self._accounts.get(account)
+        if limits is None or not limits.cap.cpu_millis:
+            return math.inf
+        left_millis = limits.cap.cpu_millis - self._used[account].cpu_millis
+        return max(0.0, left_millis / 1000)
+
     def add(self, account: str, needs: Resources) -> None:
         """Add the resources of a run."""
         if account:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -35,6 +35,13 @@
     room = collect_room(state, now)
     candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
+    state.standings.observe(
+        state.jobs.values(),
+        state.upstreams.values(),
+        state.pool_of,
+        state.usage,
+        now,
+    )
     state.unix_offset_seconds = unix_ms / 1000 - now
     measure_pressure(state, now, unix_ms)
     for key, job_run in _jobs_by_urgency(state, unix_ms):
@@ -81,6 +88,8 @@
     pool = state.pool_of(job_run)
     if room.full.has_no_room_for(pool, step_run.step):
         return orders
+    if not _is_under_cap(state, step_run):
+        return orders
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
     if healthy:
         candidates = state.advised(step_run, healthy, now)
@@ -99,12 +108,24 @@
         candidates = state.advised(step_run, usable, now)
         orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
-    if is_stuck and others and pool not in room.lasting_pools:
+    is_stuck = is_stuck and bool(others) and _is_under_cap(state, step_run)
+    if is_stuck and pool not in room.lasting_pools:
         room.lasting_pools.add(pool)
         _reserve_upstream(step_run, healthy, usable)
     return orders
 
 
+def _is_under_cap(state: SchedulerState, step_run: StepRun) -> bool:
+    """Return whether the account's cap allows a task, or the whole gang.
+
+    Otherwise, a long-running task would reserve an upstream that its account may not
+    use, and others would wait for it.
+    """
+    step, account = step_run.step, step_run.job.account
+    count = step.count if step.is_gang else 1
+    return not account or state.usage.allows(account, step.needs.times(count))
+
+
 def _reserve_upstream(
     step_run: StepRun, healthy: list[Upstream], usable: list[Upstream]
 ) -> None:
@@ -209,7 +230,7 @@
         job_run,
         queue,
         unix_ms,
-        state.standings.standing(pool, job.account),
+        state.standings.standing(pool, job.account, job.id),
         state.run_times,
         pool in state.pressed_pools,
     )
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -48,6 +48,7 @@
         """Apply a version of the configuration."""
         self.state.configuration = configuration
         self.state.usage.set_accounts(configuration.accounts_by_name)
+        self.state.standings.set_accounts(configuration.accounts_by_name)
 
     def set_evacuation(self, zones: frozenset[str], allows_starts: bool) -> None:
         """Place nothing in the given zones, and nothing at all unless it is allowed."""
@@ -71,6 +72,7 @@
         check_job(job)
         job_run = JobRun(job, progress, now)
         self.state.jobs[job.id] = job_run
+        self.state.standings.record_arrival(job)
         if job_run.state.is_final():
             self.state.final_jobs.add(job.id)
         pool = self.state.pool_of(job_run)
@@ -89,6 +91,11 @@
                     )
                 restore_losses(self.state, step_run, now)
 
+    def note_past_job(self, job: Job) -> None:
+        """Count a job that ended under an earlier owner against its account's rate."""
+        self.state.standings.record_arrival(job)
+        self.state.standings.remove_job(job.id)
+
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended, so that its runs are stopped."""
         # Without this entry, runs of an unknown job are stopped.
@@ -373,6 +380,7 @@
         self.state.final_jobs.difference_update(ended)
         for job_id in ended:
             self.state.jobs.pop(job_id, None)
+            self.state.standings.remove_job(job_id)
             self.state.advice.remove_job(job_id)
         return ended
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -152,6 +152,7 @@
             upstream.may_need_stops = True
         self.run_count_by_job[run.task.job] += 1
         self.usage.add(run.account, run.needs)
+        self.standings.add_run(run, upstream.entry.pool)
         self.ejections.record_sent(upstream.id, now)
         self.dirty_jobs.add(run.task.job)
 
@@ -163,6 +164,7 @@
             if not self.run_count_by_job[task.job]:
                 del self.run_count_by_job[task.job]
             self.usage.remove(run.account, run.needs)
+            self.standings.remove_run(run, upstream.entry.pool)
             # Its end completes a probe of an ejected upstream, even if it does not show
             # whether the upstream is healthy.
             self.ejections.record_inconclusive(upstream.id)
@@ -226,6 +228,7 @@
         """
         self.errors_by_job[job_id] = repr(error)
         self.jobs.pop(job_id, None)
+        self.standings.remove_job(job_id)
         self.suspects.remove_job(job_id)
         self.dirty_jobs.discard(job_id)
         for upstream in self.upstreams.values():
