Divide a full pool between entitled and excess work

Change: jobs within their account's weight in jobs a second go first; what they leave is divided by weighted max-min. Tasks of accounts beyond their shares leave the upstreams with the most room to larger tasks that found none.

--- a/packages/baobablane/baobablane/scheduling/_account_standings.py
+++ b/packages/baobablane/baobablane/scheduling/_account_standings.py
@@ -2,12 +2,13 @@
 
 Load pattern: one or more accounts send up to twenty times their usual rate for several
 seconds, on its own or in the burst of a pool. The jobs of all other accounts are served
-as if the flood did not exist; the flood gets its weighted max-min fair part and what
-nobody else asks for.
+as if the flood did not exist. Jobs within their account's rate come first; what they
+leave of a full pool is divided among the others by weighted max-min fairness.
 """
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
 
 from ..deployment import ClientAccount
 from ..jobs import Job
@@ -19,11 +20,13 @@
 # Rounds follow each other within milliseconds, and a pass over all jobs and runs in
 # each would double their cost. A task runs for at least ten times this interval.
 MIN_DIVISION_INTERVAL_SECONDS = 0.05
+# In a full pool, a job beyond its account's rate goes after those within. Before this
+# bound, an account took its part in the order of urgency, and in a replay the jobs of
+# others waited up to 1.2 s while a flood held a quarter of the pool.
+MIN_EXCESS_STANDING = 1e-6
 # A weight of 0 is allowed in configurations.
 MIN_WEIGHT = 1e-3
 
-CoresByAccount = defaultdict[str, float]
-
 
 class AccountStandings:
     """Hold the standing of each client account in each pool."""
@@ -35,8 +38,8 @@
         # Accounts of the jobs that arrived beyond the entitled rate of their account.
         self._excess_jobs: dict[str, str] = {}
         self._excess_job_counts: Counter[str] = Counter()
-        self._running_by_pool: dict[str, CoresByAccount] = {}
-        self._waiting_by_pool: dict[str, CoresByAccount] = {}
+        self._running_by_pool: dict[str, _PoolCores] = defaultdict(_PoolCores)
+        self._waiting_by_pool: dict[str, _PoolCores] = defaultdict(_PoolCores)
         self._division_by_pool: dict[str, PoolDivision] = {}
         self._divided_at = float("-inf")
 
@@ -69,13 +72,11 @@
 
     def add_run(self, run: Run, pool: str) -> None:
         """Add the cores of a run."""
-        if _is_shared(run):
-            self._running(pool)[run.account] += run.needs.cpu_millis / 1000
+        self._count_run(run, pool, run.needs.cpu_millis / 1000)
 
     def remove_run(self, run: Run, pool: str) -> None:
         """Subtract the cores of a run."""
-        if _is_shared(run):
-            self._running(pool)[run.account] -= run.needs.cpu_millis / 1000
+        self._count_run(run, pool, -run.needs.cpu_millis / 1000)
 
     def observe(
         self,
@@ -94,33 +95,31 @@
         self._division_by_pool = {
             pool: self._divide(pool, capacity)
             for pool, capacity in capacity_by_pool.items()
-            if self._waiting_by_pool.get(pool)
+            if pool in self._waiting_by_pool
         }
 
     def standing(self, pool: str, account: str, job_id: str = "") -> float:
         """Return 0.0 for an account within its share, and more the further beyond.
 
-        With a job, also return 0.0 if it arrived within the account's entitled rate.
+        With a job, return 0.0 if it arrived within the account's entitled rate, and
+        otherwise at least `MIN_EXCESS_STANDING`.
         """
         division = self._division_by_pool.get(pool)
-        if division is None:
+        if division is None or not division.is_full():
             return 0.0
-        if job_id not in self._excess_jobs if job_id else not self._has_excess(account):
+        if job_id and job_id not in self._excess_jobs:
             return 0.0
-        return division.excess(account, self._running(pool)[account])
+        running = self._running_by_pool[pool].excess.get(account, 0.0)
+        least = MIN_EXCESS_STANDING if job_id else 0.0
+        return max(least, division.standing(account, running))
 
     def is_beyond_share(self, pool: str, account: str) -> bool:
-        """Return whether an account floods a pool that is full.
+        """Return whether an account floods a full pool.
 
-        It then has jobs beyond its entitled rate, and runs and waits for more than its
-        part of the pool.
+        It then has more jobs beyond its entitled rate than its part of the pool allows.
         """
         division = self._division_by_pool.get(pool)
-        return (
-            division is not None
-            and self._has_excess(account)
-            and division.has_unmet_demand(account)
-        )
+        return division is not None and division.has_unmet_demand(account)
 
     def running_cores(self) -> dict[str, float]:
         """Return the cores of all short runs by account."""
@@ -130,41 +129,37 @@
         """Return the cores of all short tasks that can start, by account."""
         return _sum_by_account(self._waiting_by_pool.values())
 
-    def _has_excess(self, account: str) -> bool:
-        return self._excess_job_counts[account] > 0
-
-    def _running(self, pool: str) -> CoresByAccount:
-        return self._running_by_pool.setdefault(pool, defaultdict(float))
+    def _count_run(self, run: Run, pool: str, cores: float) -> None:
+        if run.is_lasting or run.is_filler:
+            return
+        self._running_by_pool[pool].add(
+            run.account, cores, run.task.job in self._excess_jobs
+        )
 
     def _count_running(self, upstreams: Iterable[Upstream]) -> dict[str, float]:
-        """Count all runs anew, and return the cores left for shares by pool.
+        """Count all runs anew, and return the cores of each pool for short runs.
 
         An upstream's entry, and with it the pool, may arrive after its runs are known.
         """
-        self._running_by_pool = {}
+        self._running_by_pool = defaultdict(_PoolCores)
         capacity_by_pool: dict[str, float] = defaultdict(float)
         for upstream in upstreams:
-            running = self._running(upstream.entry.pool)
-            used = upstream.used.cpu_millis
+            pool, used = upstream.entry.pool, upstream.used.cpu_millis
             cores = upstream.entry.capacity.cpu_millis if upstream.is_usable() else used
             for run in upstream.runs.values():
-                if _is_shared(run):
-                    running[run.account] += run.needs.cpu_millis / 1000
-                if not run.is_filler and not self._takes_part(run):
+                self._count_run(run, pool, run.needs.cpu_millis / 1000)
+                if run.is_lasting and not run.is_filler:
                     cores -= run.needs.cpu_millis
-            capacity_by_pool[upstream.entry.pool] += max(0, cores) / 1000
+            capacity_by_pool[pool] += max(0, cores) / 1000
         return capacity_by_pool
 
-    def _takes_part(self, run: Run) -> bool:
-        return _is_shared(run) and run.account in self._weights
-
     def _count_waiting(
         self,
         jobs: Iterable[JobRun],
         pool_of: Callable[[JobRun], str],
         usage: AccountUsage,
     ) -> None:
-        self._waiting_by_pool = {}
+        self._waiting_by_pool = defaultdict(_PoolCores)
         for job_run in jobs:
             if job_run.state.is_final():
                 continue
@@ -174,26 +169,46 @@
                 # The planner meets the same error and sets the job apart.
                 continue
             if cores:
-                waiting = self._waiting_by_pool.setdefault(
-                    pool_of(job_run), defaultdict(float)
+                job = job_run.job
+                self._waiting_by_pool[pool_of(job_run)].add(
+                    job.account, cores, job.id in self._excess_jobs
                 )
-                waiting[job_run.job.account] += cores
         for waiting in self._waiting_by_pool.values():
-            for account, cores in waiting.items():
-                waiting[account] = min(cores, usage.cores_left(account))
+            waiting.limit(usage.cores_left)
 
     def _divide(self, pool: str, capacity: float) -> PoolDivision:
-        running, waiting = self._running(pool), self._waiting_by_pool[pool]
-        demands = {
-            account: max(0.0, running.get(account, 0.0)) + waiting.get(account, 0.0)
-            for account in running.keys() | waiting.keys()
-            if account in self._weights
-        }
-        return divide_pool(capacity, demands, self._weights)
+        running, waiting = self._running_by_pool[pool], self._waiting_by_pool[pool]
+        return divide_pool(
+            capacity,
+            _add_cores(running.entitled, waiting.entitled),
+            {
+                account: cores
+                for account, cores in _add_cores(running.excess, waiting.excess).items()
+                if account in self._weights
+            },
+            self._weights,
+        )
+
+
+@dataclass(slots=True)
+class _PoolCores:
+    """Hold cores by account, of jobs within and beyond their accounts' rates."""
 
+    entitled: dict[str, float] = field(default_factory=dict)
+    excess: dict[str, float] = field(default_factory=dict)
 
-def _is_shared(run: Run) -> bool:
-    return not run.is_lasting and not run.is_filler
+    def add(self, account: str, cores: float, is_excess: bool) -> None:
+        """Add cores of an account; a negative number subtracts."""
+        cores_by_account = self.excess if is_excess else self.entitled
+        cores_by_account[account] = cores_by_account.get(account, 0.0) + cores
+
+    def limit(self, max_cores: Callable[[str], float]) -> None:
+        """Limit the cores of each account, first those within its rate."""
+        for account, cores in self.entitled.items():
+            self.entitled[account] = min(cores, max_cores(account))
+        for account, cores in self.excess.items():
+            left = max_cores(account) - self.entitled.get(account, 0.0)
+            self.excess[account] = min(cores, left)
 
 
 def _startable_cores(job_run: JobRun, usage: AccountUsage) -> float:
@@ -208,10 +223,15 @@
     )
 
 
-def _sum_by_account(pools: Iterable[CoresByAccount]) -> dict[str, float]:
-    cores_by_account: dict[str, float] = defaultdict(float)
-    for running in pools:
-        for account, cores in running.items():
-            if account and cores > 0:
-                cores_by_account[account] += cores
-    return dict(cores_by_account)
+def _add_cores(
+    first: Mapping[str, float], second: Mapping[str, float]
+) -> dict[str, float]:
+    accounts = first.keys() | second.keys()
+    return {a: max(0.0, first.get(a, 0.0) + second.get(a, 0.0)) for a in accounts}
+
+
+def _sum_by_account(pools: Iterable[_PoolCores]) -> dict[str, float]:
+    totals: dict[str, float] = {}
+    for pool in pools:
+        totals = _add_cores(totals, _add_cores(pool.entitled, pool.excess))
+    return {account: cores for account, cores in totals.items() if account and cores}
--- a/packages/baobablane/baobablane/scheduling/_full_pools.py
+++ b/packages/baobablane/baobablane/scheduling/_full_pools.py
@@ -18,7 +18,7 @@
 
     def record_no_room(self, pool: str, step: Step) -> None:
         """Record that a step found no room, unless it also waits for something else."""
-        if _waits_for_room_only(step):
+        if waits_for_room_only(step):
             self._needs_by_pool.setdefault(pool, []).append(step.needs)
 
     def has_no_room_for(self, pool: str, step: Step) -> bool:
@@ -31,7 +31,8 @@
         return any(needs.fits_in(step.needs) for needs in tried)
 
 
-def _waits_for_room_only(step: Step) -> bool:
+def waits_for_room_only(step: Step) -> bool:
+    """Return whether a step can start as soon as an upstream has room for it."""
     return not (
         step.is_filler
         or step.is_lasting
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -86,11 +86,19 @@
 ) -> list[StartOrder]:
     orders: list[StartOrder] = []
     pool = state.pool_of(job_run)
-    if room.full.has_no_room_for(pool, step_run.step):
-        return orders
     if not _is_under_cap(state, step_run):
         return orders
+    job = job_run.job
+    is_beyond = state.standings.standing(pool, job.account, job.id) > 0
+    full = room.full_beyond_shares if is_beyond else room.full
+    if full.has_no_room_for(pool, step_run.step):
+        if not is_beyond:
+            room.note_unplaced(pool, step_run.step, len(others))
+        return orders
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
+    if is_beyond:
+        usable = room.without_held(pool, usable)
+        healthy = room.without_held(pool, healthy)
     if healthy:
         candidates = state.advised(step_run, healthy, now)
         orders += _plan_step(state, step_run, others, candidates, room, now)
@@ -98,7 +106,9 @@
         if others:
             room.full_pools.add(pool)
         if others and state.usage.allows(job_run.job.account, step_run.step.needs):
-            room.full.record_no_room(pool, step_run.step)
+            full.record_no_room(pool, step_run.step)
+            if not is_beyond:
+                room.note_unplaced(pool, step_run.step, len(others))
             if job_run.may_reserve:
                 room.reserve(pool, step_run.step, len(others))
     # Without a healthy upstream, an ejected one is better than none. A long-running
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..jobs import Step
-from ._full_pools import FullPools
+from ._full_pools import FullPools, waits_for_room_only
 from ._lost_upstream import unstable_pools
 from ._state import SchedulerState
 from ._upstream import Upstream
@@ -22,12 +22,18 @@
     # Kept free of other starts for trials.
     reserved: dict[str, list[Upstream]] = field(default_factory=dict)
     full: FullPools = field(default_factory=FullPools)
+    # The same for accounts beyond their shares, which may use fewer upstreams.
+    full_beyond_shares: FullPools = field(default_factory=FullPools)
     # Pools in which an upstream is reserved for a long-running task.
     lasting_pools: set[str] = field(default_factory=set)
     # Pools in which tasks found no room in this round.
     full_pools: set[str] = field(default_factory=set)
     # Number of upstreams that may still be reserved in each pool.
     reservable: dict[str, int] = field(default_factory=dict)
+    # Tasks of accounts within their shares that found no room in this round, by pool,
+    # and the upstreams that are kept free for them.
+    unplaced: dict[str, int] = field(default_factory=dict)
+    held: dict[str, set[str]] = field(default_factory=dict)
     # Unsettled runs on each upstream of the unstable pools.
     young_runs: dict[str, int] = field(default_factory=dict)
 
@@ -49,6 +55,34 @@
             self.reservable[pool] -= 1
             self.take(pool, upstream)
 
+    def note_unplaced(self, pool: str, step: Step, count: int) -> None:
+        """Count tasks that found no room, if they fit once other tasks have ended."""
+        if waits_for_room_only(step) and any(
+            step.needs.fits_in(upstream.entry.capacity)
+            for upstream in self.healthy.get(pool, ())
+        ):
+            self.unplaced[pool] = self.unplaced.get(pool, 0) + count
+
+    def without_held(self, pool: str, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams that an account beyond its share may use.
+
+        Otherwise, its small tasks would use up room as soon as it is freed, and the
+        large tasks of others would wait for the end of its flood. One upstream is kept
+        free for each task without room, those with the most room first.
+        """
+        unplaced = self.unplaced.get(pool, 0)
+        if not unplaced:
+            return upstreams
+        held = self.held.get(pool)
+        if held is None:
+            by_room = sorted(
+                self.healthy.get(pool, []),
+                key=lambda upstream: upstream.room().cpu_millis,
+                reverse=True,
+            )
+            held = self.held[pool] = {upstream.id for upstream in by_room[:unplaced]}
+        return [upstream for upstream in upstreams if upstream.id not in held]
+
     def take(self, pool: str, upstream: Upstream) -> None:
         """Remove an upstream, so that nothing else is placed there in this round."""
         for upstreams_by_pool in (self.usable, self.healthy, self.reserved):
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -79,6 +79,9 @@
         group = JobGroup.IN_TIME
     else:
         group = JobGroup.USELESS
+    if standing > 0.0 and group is JobGroup.IN_TIME:
+        # It delays no late job of an account within its share.
+        group = JobGroup.LATE
     rank, urgency = FIRST_RANK, latest_start_ms
     if pressure and not has_begun:
         rank, urgency = UNBEGUN_RANK, work.remaining_core_seconds
--- a/packages/baobablane/baobablane/shares/_arrival_meter.py
+++ b/packages/baobablane/baobablane/shares/_arrival_meter.py
@@ -8,6 +8,8 @@
 
 # Clusters of a few seconds at several times the entitled rate are usual traffic.
 BURST_ALLOWANCE_SECONDS = 3.0
+# With independent arrivals at a low rate, two or three jobs often come together.
+MIN_BURST_JOBS = 4
 
 
 class ArrivalMeter:
@@ -23,10 +25,12 @@
 
     def is_within_rate(self, account: str, per_second: float, at: float) -> bool:
         """Count an arrival at a time in seconds, and return whether it is entitled."""
+        interval = 1.0 / per_second
+        allowance = max(BURST_ALLOWANCE_SECONDS, (MIN_BURST_JOBS - 1) * interval)
         next_due_at = max(self._next_due_at.get(account, at), at)
-        if next_due_at - at > BURST_ALLOWANCE_SECONDS:
+        if next_due_at - at > allowance:
             return False
-        self._next_due_at[account] = next_due_at + 1.0 / per_second
+        self._next_due_at[account] = next_due_at + interval
         return True
 
     def keep_only(self, accounts: Mapping[str, object]) -> None:
--- a/packages/baobablane/baobablane/shares/_pool_division.py
+++ b/packages/baobablane/baobablane/shares/_pool_division.py
@@ -1,4 +1,4 @@
-"""Divide a pool among accounts, and tell which of them exceed their parts."""
+"""Divide a pool between entitled work and work beyond the accounts' rates."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,30 +8,43 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolDivision:
-    """Hold each account's part of a pool; a pool that is not full has no parts."""
+    """Hold each account's part of what entitled work leaves of a full pool."""
 
-    cores_by_account: Mapping[str, float] = field(default_factory=dict)
-    weights: Mapping[str, float] = field(default_factory=dict)
+    parts: Mapping[str, float] = field(default_factory=dict)
     demands: Mapping[str, float] = field(default_factory=dict)
+    weights: Mapping[str, float] = field(default_factory=dict)
+
+    def standing(self, account: str, running_cores: float) -> float:
+        """Return 0.0 up to an account's part, and the excess per weight beyond it.
 
-    def excess(self, account: str, running_cores: float) -> float:
-        """Return the cores per weight that an account has beyond its part."""
-        part = self.cores_by_account.get(account)
+        Only cores of work beyond its rate count.
+        """
+        part = self.parts.get(account)
         if part is None:
             return 0.0
         return max(0.0, running_cores - part) / self.weights[account]
 
+    def is_full(self) -> bool:
+        """Return whether the demands exceed the pool."""
+        return bool(self.parts)
+
     def has_unmet_demand(self, account: str) -> bool:
-        """Return whether an account runs and waits for more than its part."""
-        part = self.cores_by_account.get(account)
-        return part is not None and self.demands[account] > part
+        """Return whether an account asks for more than its part."""
+        return self.demands.get(account, 0.0) > self.parts.get(account, 0.0)
 
 
 def divide_pool(
-    capacity: float, demands: Mapping[str, float], weights: Mapping[str, float]
+    capacity: float,
+    entitled: Mapping[str, float],
+    excess: Mapping[str, float],
+    weights: Mapping[str, float],
 ) -> PoolDivision:
-    """Return the weighted max-min fair parts, or none if all demands fit."""
-    if sum(demands.values()) <= capacity:
+    """Return the parts of a pool for work beyond the accounts' rates.
+
+    Entitled work comes first, as if there were no other. What it leaves is divided by
+    weighted max-min fairness. There are no parts if all demands, in cores, fit.
+    """
+    left = max(0.0, capacity - sum(entitled.values()))
+    if not excess or sum(excess.values()) <= left:
         return PoolDivision()
-    parts = weighted_max_min(capacity, demands, weights)
-    return PoolDivision(parts, weights, demands)
+    return PoolDivision(weighted_max_min(left, excess, weights), excess, weights)
