Rebuild accounts' rates at a takeover and export their cores

Cause: a new owner took all jobs for entitled, and neither logs nor metrics told which account uses a pool. Change: a takeover replays the jobs accepted in the last 60 s in the order of acceptance, also those that have ended. task-placed, trial-placed and the ends of jobs carry the account; gauges have the running and waiting cores of up to 50 accounts.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -9,6 +9,10 @@
 # Maximum number of zones with a time series of their own.
 MAX_ZONES = 16
 
+# Accounts beyond these are summed under one name, to bound the size of a scrape.
+MAX_ACCOUNTS = 50
+OTHER_ACCOUNTS = "others"
+
 
 class ProcessMetrics:
     """Own a registry, so that processes and tests don't share counters."""
@@ -86,6 +90,18 @@
             ["queue", "outcome"],
             registry=self.registry,
         )
+        self._running_cores = Gauge(
+            "baobablane_account_running_cores",
+            "Cores of an account's short runs, at the owner",
+            ["account"],
+            registry=self.registry,
+        )
+        self._waiting_cores = Gauge(
+            "baobablane_account_waiting_cores",
+            "Cores of an account's short tasks that wait for room, at the owner",
+            ["account"],
+            registry=self.registry,
+        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
@@ -109,9 +125,26 @@
         """Count one completed job."""
         self._outcomes.labels(queue, outcome).inc()
 
+    def set_account_cores(
+        self, running: Mapping[str, float], waiting: Mapping[str, float]
+    ) -> None:
+        """Replace the running and waiting cores of all accounts."""
+        _set_by_account(self._running_cores, running)
+        _set_by_account(self._waiting_cores, waiting)
+
     def count(self, event: str) -> None:
         """Count one occurrence of a logged event."""
         counter = self._counters_by_event.get(event)
         if counter is None:
             counter = self._counters_by_event[event] = self._decisions.labels(event)
         counter.inc()
+
+
+def _set_by_account(gauge: Gauge, cores_by_account: Mapping[str, float]) -> None:
+    by_cores = sorted(cores_by_account.items(), key=lambda item: (-item[1], item[0]))
+    gauge.clear()
+    for account, cores in by_cores[: MAX_ACCOUNTS - 1]:
+        gauge.labels(account).set(cores)
+    others = sum(cores for _, cores in by_cores[MAX_ACCOUNTS - 1 :])
+    if others:
+        gauge.labels(OTHER_ACCOUNTS).set(others)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -53,6 +53,10 @@
 # Errors that show that another process owns the placement.
 OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
 TAKEOVER_RETRY_SECONDS = 0.1
+# Ended jobs accepted within this time count towards the rates of their accounts. The
+# allowance of an account is full again after a few seconds without arrivals.
+SHARE_HISTORY_MS = 60_000
+METRICS_INTERVAL_SECONDS = 1.0
 
 
 class Owner:
@@ -110,6 +114,7 @@
         )
         self._max_progress_bytes = settings.limits.max_record_bytes - MAX_KEY_BYTES
         self._changed_job_ids: list[str] = []
+        self._metrics_set_at = float("-inf")
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
         self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -130,6 +135,7 @@
             self._views.on_change = lambda job_id: None
             self._views.set_is_owner(False)
             self._log.metrics.set_evacuating_runs({})
+            self._log.metrics.set_account_cores({}, {})
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -151,10 +157,16 @@
         self._apply_configuration()
         now = boot_seconds()
         job_table = self._views.job_table
-        for job in job_table.jobs_by_id.values():
+        # The rates of accounts are counted in the order of acceptance.
+        since_ms = unix_ms() - SHARE_HISTORY_MS
+        for job in sorted(
+            job_table.jobs_by_id.values(), key=lambda job: job.accepted_ms
+        ):
             progress = job_table.progress_by_id.get(job.id)
             if progress is not None and progress.state.is_final():
                 self._ended_jobs.add(job.id, now)
+                if job.accepted_ms >= since_ms:
+                    self._scheduler.note_past_job(job)
                 continue
             self._scheduler.add_job(job, progress, now)
             if job.id in job_table.cancelled:
@@ -222,6 +234,15 @@
         await self._job_deleter.delete_due(now)
         for start in starts:
             self._start_task(self._order_sender.send_start(start))
+        self._set_account_metrics(now)
+
+    def _set_account_metrics(self, now: float) -> None:
+        if now - self._metrics_set_at >= METRICS_INTERVAL_SECONDS:
+            self._metrics_set_at = now
+            standings = self._scheduler.state.standings
+            self._log.metrics.set_account_cores(
+                standings.running_cores(), standings.waiting_cores()
+            )
 
     async def _record_progress(
         self,
--- a/packages/baobablane/baobablane/scheduling/_event.py
+++ b/packages/baobablane/baobablane/scheduling/_event.py
@@ -14,6 +14,8 @@
     # The task within the job, as `occurrence.step.position`.
     task: str = ""
     run: int = 0
+    # Client account of the job; only where a task starts or a job ends.
+    account: str = ""
     upstream: str = ""
     reason: str = ""
     # Seconds since the run started or, for a stalled run, since its progress changed; 0
@@ -25,7 +27,6 @@
     beside: tuple[str, ...] = ()
     # Work lost in a crash.
     core_seconds: float = 0.0
-    account: str = ""
     queue: str = ""
     # Of a task that is placed: group of its job, and the jobs of its queue before it.
     group: str = ""
