Add replays of floods and the design of accounts' shares

Cause: the order of jobs under a flood was covered by no test, and a job was not counted as waiting in the first round that it met. Change: replays over the scheduler in virtual time against FIFO, earliest deadline and the previous order; work within the accounts' rates is divided by max-min too if it alone exceeds the pool; a job is counted from its first round.

--- a/packages/baobablane/baobablane/scheduling/_account_standings.py
+++ b/packages/baobablane/baobablane/scheduling/_account_standings.py
@@ -20,10 +20,10 @@
 # Rounds follow each other within milliseconds, and a pass over all jobs and runs in
 # each would double their cost. A task runs for at least ten times this interval.
 MIN_DIVISION_INTERVAL_SECONDS = 0.05
-# In a full pool, a job beyond its account's rate goes after those within. Before this
-# bound, an account took its part in the order of urgency, and in a replay the jobs of
-# others waited up to 1.2 s while a flood held a quarter of the pool.
-MIN_EXCESS_STANDING = 1e-6
+# Added to the standing of a job beyond its account's rate, so that it goes after every
+# job within. Without this, an account took its part in the order of urgency, and in a
+# replay the jobs of others waited up to 1.2 s while a flood held a quarter of the pool.
+EXCESS_STANDING = 1e9
 # A weight of 0 is allowed in configurations.
 MIN_WEIGHT = 1e-3
 
@@ -85,13 +85,14 @@
         pool_of: Callable[[JobRun], str],
         usage: AccountUsage,
         now: float,
+        unix_ms: int,
     ) -> None:
         """Divide all pools anew, unless that was done a moment ago."""
         if now - self._divided_at < MIN_DIVISION_INTERVAL_SECONDS:
             return
         self._divided_at = now
         capacity_by_pool = self._count_running(upstreams)
-        self._count_waiting(jobs, pool_of, usage)
+        self._count_waiting(jobs, pool_of, usage, unix_ms)
         self._division_by_pool = {
             pool: self._divide(pool, capacity)
             for pool, capacity in capacity_by_pool.items()
@@ -101,17 +102,26 @@
     def standing(self, pool: str, account: str, job_id: str = "") -> float:
         """Return 0.0 for an account within its share, and more the further beyond.
 
-        With a job, return 0.0 if it arrived within the account's entitled rate, and
-        otherwise at least `MIN_EXCESS_STANDING`.
+        With a job, only the account's other work within or beyond its rate counts,
+        whichever the job belongs to, and `EXCESS_STANDING` is added to the latter.
         """
         division = self._division_by_pool.get(pool)
         if division is None or not division.is_full():
             return 0.0
+        running = self._running_by_pool[pool]
         if job_id and job_id not in self._excess_jobs:
-            return 0.0
-        running = self._running_by_pool[pool].excess.get(account, 0.0)
-        least = MIN_EXCESS_STANDING if job_id else 0.0
-        return max(least, division.standing(account, running))
+            return division.entitled_standing(
+                account, running.entitled.get(account, 0.0)
+            )
+        standing = division.standing(account, running.excess.get(account, 0.0))
+        return standing + (EXCESS_STANDING if job_id else 0.0)
+
+    def is_excess(self, pool: str, job_id: str) -> bool:
+        """Return whether a job in a full pool arrived beyond its account's rate."""
+        division = self._division_by_pool.get(pool)
+        return (
+            division is not None and division.is_full() and job_id in self._excess_jobs
+        )
 
     def is_beyond_share(self, pool: str, account: str) -> bool:
         """Return whether an account floods a full pool.
@@ -158,12 +168,15 @@
         jobs: Iterable[JobRun],
         pool_of: Callable[[JobRun], str],
         usage: AccountUsage,
+        unix_ms: int,
     ) -> None:
         self._waiting_by_pool = defaultdict(_PoolCores)
         for job_run in jobs:
             if job_run.state.is_final():
                 continue
             try:
+                # A job that has just arrived has no steps yet.
+                job_run.open_due_occurrences(unix_ms)
                 cores = _startable_cores(job_run, usage)
             except Exception:
                 # The planner meets the same error and sets the job apart.
@@ -178,16 +191,14 @@
 
     def _divide(self, pool: str, capacity: float) -> PoolDivision:
         running, waiting = self._running_by_pool[pool], self._waiting_by_pool[pool]
-        return divide_pool(
-            capacity,
-            _add_cores(running.entitled, waiting.entitled),
-            {
-                account: cores
-                for account, cores in _add_cores(running.excess, waiting.excess).items()
-                if account in self._weights
-            },
-            self._weights,
-        )
+        entitled = _add_cores(running.entitled, waiting.entitled)
+        excess = _add_cores(running.excess, waiting.excess)
+        # Jobs of public queues and of removed accounts have no weight, and a standing
+        # of 0.0.
+        for cores_by_account in (entitled, excess):
+            for account in cores_by_account.keys() - self._weights.keys():
+                capacity -= cores_by_account.pop(account)
+        return divide_pool(max(0.0, capacity), entitled, excess, self._weights)
 
 
 @dataclass(slots=True)
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -41,6 +41,7 @@
         state.pool_of,
         state.usage,
         now,
+        unix_ms,
     )
     state.unix_offset_seconds = unix_ms / 1000 - now
     measure_pressure(state, now, unix_ms)
@@ -89,7 +90,7 @@
     if not _is_under_cap(state, step_run):
         return orders
     job = job_run.job
-    is_beyond = state.standings.standing(pool, job.account, job.id) > 0
+    is_beyond = state.standings.is_excess(pool, job.id)
     full = room.full_beyond_shares if is_beyond else room.full
     if full.has_no_room_for(pool, step_run.step):
         if not is_beyond:
--- a/packages/baobablane/baobablane/scheduling/tests/replay_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/replay_model.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -17,10 +18,12 @@
 from baobablane.scheduling import EndReason, _planning
 from baobablane.scheduling._account_standings import AccountStandings
 from baobablane.scheduling._urgency import urgency_key
+from baobablane.shares import weighted_max_min
 
 from .fleet_model import CORE, ModelFleet, ModelUpstream, make_queue
 
-ROUND_SECONDS = 0.05
+# The owner plans within milliseconds of each arrival and end.
+ROUND_SECONDS = 0.025
 RENEWAL_SECONDS = 1.0
 # The store's heartbeat time-out and the reads of a new owner.
 TAKEOVER_SECONDS = 1.6
@@ -126,21 +129,37 @@
     received: list = field(default_factory=list)
     entitled: list = field(default_factory=list)
 
-    def wait_p95(self, excluded):
-        """Return the 95th percentile of seconds from acceptance to first start."""
-        return self._percentile(self.first_start_by_job, excluded, 0.95)
+    def worst_second(self, accounts, begin, end):
+        """Return the least received over entitled of the accounts in any second."""
+        ratios = []
+        for second in range(begin, end):
+            received, entitled = self.received[second], self.entitled[second]
+            total = sum(entitled[name] for name in accounts)
+            if total:
+                ratios.append(sum(received[name] for name in accounts) / total)
+        return min(ratios)
 
-    def end_p90(self, excluded):
-        """Return the 90th percentile of seconds from acceptance to the end."""
-        return self._percentile(self.end_by_job, excluded, 0.90)
 
-    def _percentile(self, time_by_job, excluded, fraction):
-        values = sorted(
-            time_by_job.get(job.id, float("inf")) - job.accepted_ms / 1000
-            for job in self.jobs_by_id.values()
-            if job.account not in excluded
-        )
-        return values[int(len(values) * fraction)]
+def wait_p95(outcomes, accounts):
+    """Return the 95th percentile of seconds from acceptance to first start."""
+    return _percentile(
+        outcomes, accounts, 0.95, lambda outcome: outcome.first_start_by_job
+    )
+
+
+def end_p90(outcomes, accounts):
+    """Return the 90th percentile of seconds from acceptance to the end."""
+    return _percentile(outcomes, accounts, 0.90, lambda outcome: outcome.end_by_job)
+
+
+def _percentile(outcomes, accounts, fraction, times):
+    values = sorted(
+        times(outcome).get(job.id, float("inf")) - job.accepted_ms / 1000
+        for outcome in outcomes
+        for job in outcome.jobs_by_id.values()
+        if job.account in accounts
+    )
+    return values[int(len(values) * fraction)]
 
 
 class Replay(ModelFleet):
@@ -166,7 +185,6 @@
         self.progress_by_job = {}
         self._ends = []
         self._renewed_at = {}
-        self._usage_samples = []
 
     def _add_upstream(self, name, rack, cores):
         capacity = Resources(cores * CORE, 1_000_000, 0)
@@ -262,8 +280,35 @@
                 self.scheduler.upstream_listed(model.entry, self.now)
 
     def _sample(self):
+        """Count what each account runs, and its fair part of what all ask for."""
+        second = int(self.now - self.start)
+        while len(self.outcome.received) <= second:
+            self.outcome.received.append(Counter())
+            self.outcome.entitled.append(Counter())
         if self.scheduler is None:
             return
+        state = self.scheduler.state
+        demands = Counter()
+        for upstream in state.upstreams.values():
+            for run in upstream.runs.values():
+                demands[run.account] += run.needs.cpu_millis / CORE
+        self.outcome.received[second].update(demands)
+        for job_run in state.jobs.values():
+            for step in job_run.startable_steps():
+                cores = len(step.waiting) * step.step.needs.cpu_millis / CORE
+                demands[job_run.job.account] += cores
+        capacity = sum(
+            model.entry.capacity.cpu_millis / CORE
+            for model in self.upstreams.values()
+            if not model.entry.is_draining
+        )
+        weights = {
+            name: account.weight
+            for name, account in self.configuration.accounts_by_name.items()
+        }
+        self.outcome.entitled[second].update(
+            weighted_max_min(capacity, demands, weights)
+        )
 
 
 def replay(arrivals, weights, order="shares", **options):
@@ -276,4 +321,5 @@
         if order != "shares":
             patch.setattr(_planning, "urgency_key", ORDERS[order])
             patch.setattr(AccountStandings, "standing", lambda *_: 0.0)
+            patch.setattr(AccountStandings, "is_excess", lambda *_: False)
         return model.run(**run_options)
--- a/packages/baobablane/baobablane/shares/_pool_division.py
+++ b/packages/baobablane/baobablane/shares/_pool_division.py
@@ -8,8 +8,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolDivision:
-    """Hold each account's part of what entitled work leaves of a full pool."""
+    """Hold each account's part of what entitled work leaves of a full pool.
 
+    If entitled work alone exceeds the pool, also hold its parts.
+    """
+
+    entitled_parts: Mapping[str, float] = field(default_factory=dict)
     parts: Mapping[str, float] = field(default_factory=dict)
     demands: Mapping[str, float] = field(default_factory=dict)
     weights: Mapping[str, float] = field(default_factory=dict)
@@ -24,9 +28,16 @@
             return 0.0
         return max(0.0, running_cores - part) / self.weights[account]
 
+    def entitled_standing(self, account: str, running_cores: float) -> float:
+        """Return the same for the work within an account's rate."""
+        part = self.entitled_parts.get(account)
+        if part is None:
+            return 0.0
+        return max(0.0, running_cores - part) / self.weights[account]
+
     def is_full(self) -> bool:
         """Return whether the demands exceed the pool."""
-        return bool(self.parts)
+        return bool(self.parts or self.entitled_parts)
 
     def has_unmet_demand(self, account: str) -> bool:
         """Return whether an account asks for more than its part."""
@@ -44,7 +55,11 @@
     Entitled work comes first, as if there were no other. What it leaves is divided by
     weighted max-min fairness. There are no parts if all demands, in cores, fit.
     """
-    left = max(0.0, capacity - sum(entitled.values()))
-    if not excess or sum(excess.values()) <= left:
+    left = capacity - sum(entitled.values())
+    if sum(excess.values()) <= left:
         return PoolDivision()
-    return PoolDivision(weighted_max_min(left, excess, weights), excess, weights)
+    entitled_parts: Mapping[str, float] = {}
+    if left < 0:
+        entitled_parts = weighted_max_min(capacity, entitled, weights)
+    parts = weighted_max_min(max(0.0, left), excess, weights)
+    return PoolDivision(entitled_parts, parts, excess, weights)
--- a/packages/baobablane/baobablane/shares/tests/test_shares.py
+++ b/packages/baobablane/baobablane/shares/tests/test_shares.py
@@ -2,10 +2,13 @@
 
 import pytest
 from baobablane.shares import (
+    BURST_ALLOWANCE_SECONDS,
+    ArrivalMeter,
     DemandLine,
     DemandTable,
     FairClock,
     compute_pool_shares,
+    divide_pool,
     weighted_max_min,
 )
 from hypothesis import given
@@ -107,3 +110,45 @@
         clock.charge("heavy", 4.0, 4.0)
         clock.charge("light", 2.0, 1.0)
         assert clock.next_team(["heavy", "light"]) == "heavy"
+
+
+class TestArrivalMeter:
+    """Test which arrivals of an account are within its rate."""
+
+    def test_flood_keeps_the_entitled_rate(self):
+        """Guards against a flood that loses its account all entitlement."""
+        meter = ArrivalMeter()
+        within = sum(meter.is_within_rate("a", 5.0, n / 100) for n in range(1000))
+        assert 50 <= within <= 5.0 * (10 + BURST_ALLOWANCE_SECONDS) + 1
+
+    def test_rare_clusters_are_entitled(self):
+        """Guards against accounts of low weight that are punished for chance."""
+        meter = ArrivalMeter()
+        assert all(meter.is_within_rate("a", 0.1, 0.0) for _ in range(4))
+        assert not meter.is_within_rate("a", 0.1, 0.0)
+
+
+class TestPoolDivision:
+    """Test the parts of entitled and other work in one pool."""
+
+    def test_pool_that_is_not_full_gives_no_standing(self):
+        """Guards against another order of jobs under ordinary loads."""
+        division = divide_pool(10.0, {"a": 6.0}, {"b": 4.0}, {"a": 1.0, "b": 1.0})
+        assert not division.is_full()
+        assert division.standing("b", 4.0) == 0.0
+
+    def test_entitled_work_is_divided_as_if_there_were_no_other(self):
+        """Guards against a flood that takes a part before entitled work."""
+        weights = {"a": 1.0, "b": 2.0}
+        division = divide_pool(9.0, {"a": 9.0, "b": 9.0}, {"b": 90.0}, weights)
+        assert division.entitled_standing("a", 4.0) == pytest.approx(1.0)
+        assert division.entitled_standing("b", 6.0) == 0.0
+        assert division.standing("b", 2.0) == pytest.approx(1.0)
+
+    def test_excess_work_gets_what_entitled_work_leaves(self):
+        """Guards against idle cores while only excess work waits."""
+        weights = {"a": 1.0, "b": 1.0}
+        division = divide_pool(10.0, {"a": 4.0}, {"a": 5.0, "b": 5.0}, weights)
+        assert division.standing("b", 3.0) == 0.0
+        assert division.standing("b", 4.0) == pytest.approx(1.0)
+        assert division.has_unmet_demand("b")
