Reject jobs whose results would be of no use

Cause: in a flood, every job is accepted, also those that complete after three times their objective. Change: the owner publishes the load of backlogged pools, and entry instances reject by it. Accounts' standings are a stub, so nothing is rejected yet.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -49,6 +49,12 @@
     predicted_ms: int = 0
     # Of a completed job: in time, late or useless.
     outcome: str = ""
+    # Of a job that is rejected for load: the core-seconds that go first, the predicted
+    # seconds to its completion, the version of the load record, and Retry-After.
+    ahead_core_seconds: float = 0.0
+    predicted_seconds: float = 0.0
+    load_version: int = 0
+    retry_after_seconds: int = 0
     # Unix time in seconds.
     at: float = msgspec.field(default_factory=time)
 
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -102,6 +102,18 @@
             ["account"],
             registry=self.registry,
         )
+        self.rejected_jobs = Counter(
+            "baobablane_rejected_jobs",
+            "Jobs rejected for load by pool",
+            ["pool"],
+            registry=self.registry,
+        )
+        self._checked_rejections = Counter(
+            "baobablane_checked_rejections",
+            "Jobs rejected for load by whether they would have been in time",
+            ["in_time"],
+            registry=self.registry,
+        )
         self._decisions = Counter(
             "baobablane_decisions",
             "Decisions by kind",
@@ -132,6 +144,10 @@
         _set_by_account(self._running_cores, running)
         _set_by_account(self._waiting_cores, waiting)
 
+    def count_checked_rejection(self, would_be_in_time: bool) -> None:
+        """Count one rejected job for which it is known whether that was wrong."""
+        self._checked_rejections.labels(str(would_be_in_time).lower()).inc()
+
     def count(self, event: str) -> None:
         """Count one occurrence of a logged event."""
         counter = self._counters_by_event.get(event)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -11,6 +11,7 @@
     holder_instance,
     make_holder,
 )
+from ._owner_load import OwnerLoad
 from ._state_reader import register_state_reader
 from ._topic_tail import TopicTail
 from ._views import (
@@ -19,6 +20,7 @@
     HOST_PREFIX,
     INSTANCE_ORDER_PREFIX,
     JOBS_TOPIC,
+    LOAD_KEY,
     OWNER_HEARTBEAT_KEY,
     PROGRESS_TOPIC,
     STATE_READER_PREFIX,
@@ -31,6 +33,7 @@
     "CANCEL_PREFIX",
     "HOST_PREFIX",
     "JOBS_TOPIC",
+    "LOAD_KEY",
     "INSTANCE_ORDER_PREFIX",
     "PROGRESS_TOPIC",
     "STATES_TOPIC",
@@ -42,6 +45,7 @@
     "JobActions",
     "WAVE_PROGRESS_PREFIX",
     "OwnerHeartbeat",
+    "OwnerLoad",
     "TopicTail",
     "Views",
     "boot_seconds",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -52,6 +52,10 @@
             self._wake.set()
         await asyncio.shield(future)
 
+    def is_writing(self, key: str) -> bool:
+        """Return whether the write of a record is open."""
+        return key in self._futures_by_key
+
     def confirm_stored(self, key: str) -> None:
         """Complete the write of a record that was read back, if it is still open."""
         self._complete_write(key, None)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import msgspec
+from baobablane.admission import decode_load
 from baobablane.crashes import Host, decode_host
 from baobablane.deployment import Configuration, Wave
 from baobablane.jobs import JobState, JobTable, decode_job, decode_progress
@@ -26,6 +27,7 @@
 from ._clock import boot_seconds, loggable_age, unix_ms
 from ._order_record import InstanceOrderRecord, decode_order_record
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
+from ._owner_load import OwnerLoad
 from ._topic_tail import TopicTail
 
 # Written by all entry instances: accepted jobs and cancellations.
@@ -53,6 +55,8 @@
 BURST_STARTS_KEY = "rises"
 # Key of the owner's heartbeats, in the topic of progress.
 OWNER_HEARTBEAT_KEY = "owner"
+# Key of the load record, in the topics of progress and of states.
+LOAD_KEY = "load"
 
 
 class Views:
@@ -81,6 +85,8 @@
         self.burst_starts: BurstStarts = []
         # The owner's latest heartbeat, or None before the first.
         self.owner_heartbeat: OwnerHeartbeat | None = None
+        # The latest load record, or None before the first.
+        self.owner_load: OwnerLoad | None = None
         self.job_table = JobTable()
         self.operator_tail = TopicTail(
             store,
@@ -106,6 +112,8 @@
         self.state_view = self.progress_tail if follows_progress else self.states_tail
         # Called with the id of a changed job, or an empty string after other changes.
         self.on_change: Callable[[str], None] = lambda job_id: None
+        # Called after each newer load record.
+        self.on_load: Callable[[OwnerLoad], None] = lambda load: None
         # Called with the key of each record read from the topic of jobs.
         self.on_job_read: Callable[[str], None] = lambda key: None
 
@@ -223,6 +231,8 @@
         try:
             if record.key == OWNER_HEARTBEAT_KEY:
                 self._apply_heartbeat(record.value)
+            elif record.key == LOAD_KEY:
+                self._apply_load(record.value)
             else:
                 state = JobState(int(record.value))
                 self.job_table.set_state(record.key, state)
@@ -239,6 +249,14 @@
         if known is None or heartbeat.epoch >= known.epoch:
             self.owner_heartbeat = heartbeat
 
+    def _apply_load(self, value: bytes) -> None:
+        summary = decode_load(value)
+        # Both topics have the record, and a topic may be read again from its start.
+        if self.owner_load and summary.version <= self.owner_load.summary.version:
+            return
+        self.owner_load = OwnerLoad(summary, boot_seconds())
+        self.on_load(self.owner_load)
+
     def _on_progress_record(self, record: KeyedRecord) -> None:
         if record.value is None:
             self.job_table.remove(record.key)
@@ -255,6 +273,8 @@
                 self.host_by_instance[instance] = decode_host(record.value)
             elif record.key == OWNER_HEARTBEAT_KEY:
                 self._apply_heartbeat(record.value)
+            elif record.key == LOAD_KEY:
+                self._apply_load(record.value)
             elif record.key == BURST_STARTS_KEY:
                 self.burst_starts = decode_burst_starts(record.value)
             else:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -111,6 +111,10 @@
             age = max(0.0, (unix_ms() - order.at_ms) / 1000)
             self._reserved_until[instance] = now + seconds - age
 
+    def instances(self) -> list[Instance]:
+        """Return the instances as last listed."""
+        return self._instances
+
     def _is_reserved(self, instance: str) -> bool:
         return boot_seconds() < self._reserved_until.get(instance, 0.0)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -40,6 +40,7 @@
 from ._event_log import log_events
 from ._instance_manager import InstanceManager
 from ._job_deleter import JobDeleter
+from ._load_publisher import LoadPublisher
 from ._order_sender import OrderSender
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
@@ -117,6 +118,9 @@
         self._metrics_set_at = float("-inf")
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
         self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
+        self._load_publisher = LoadPublisher(
+            self._scheduler, self._instance_manager.instances, self._writer, log, epoch
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -181,6 +185,7 @@
         self._start_task(tail.run())
         self._start_task(self._writer.states.run())
         self._start_task(self._instance_manager.run())
+        self._start_task(self._load_publisher.run())
 
     async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
         while True:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_state_publisher.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_state_publisher.py
@@ -11,7 +11,7 @@
 from baobablane.jobs import JobState
 from baobablane_platform import KeyedRecord, StoreClient
 
-from ..jobs import OWNER_HEARTBEAT_KEY, STATES_TOPIC
+from ..jobs import LOAD_KEY, OWNER_HEARTBEAT_KEY, STATES_TOPIC
 from ._fenced_appender import FencedAppender
 
 # Well below the store's limit for one call.
@@ -51,6 +51,11 @@
         if self.is_active:
             self._add(OWNER_HEARTBEAT_KEY, value)
 
+    def publish_load(self, value: bytes) -> None:
+        """Publish the value of a load record that is recorded."""
+        if self.is_active:
+            self._add(LOAD_KEY, value)
+
     def delete(self, job_ids: list[str]) -> None:
         """Delete the states of jobs."""
         for job_id in job_ids:
