--- a/packages/baobablane/baobablane/admission/_completion.py
+++ b/packages/baobablane/baobablane/admission/_completion.py
@@ -28,33 +28,41 @@
 ) -> Completion:
     """Return when a job of an account with a standing completes.
 
-    `age_seconds` is the age of `load`; the pool has done work since then.
+    `age_seconds` is the age of `load`; the pool has done work since then. While all its
+    work is in time, small jobs of an account go before larger ones. If sizes are spread
+    evenly up to twice their mean, the part of the work in jobs below a size is
+    (size / (2 * mean)) ** 2.
     """
     rate = load.drain_rate + load.arriving_cores
     if rate <= 0:
         return Completion(math.inf, math.inf, math.inf)
-    in_time, late = _work_ahead(demand, load, standing)
     done = rate * age_seconds
-    ahead = max(0.0, load.running + in_time - done)
+    before_in_time, before_late = _work_of_others(demand, load, standing)
+    own_in_time, own_late, jobs = _own_work(demand, load)
+    mean = (own_in_time + own_late) / jobs if jobs else 0.0
+    smaller_part = min(1.0, (demand.core_seconds / (2 * mean)) ** 2) if mean else 1.0
+    ahead = max(0.0, load.running + before_in_time + smaller_part * own_in_time - done)
     if ahead / rate + demand.critical_path_seconds > demand.objective_seconds:
-        # The job becomes late while it waits, and then late jobs go first too.
-        ahead = max(0.0, load.running + in_time + late - done)
+        # The job becomes late while it waits, and then all earlier jobs go first.
+        work = before_in_time + before_late + own_in_time + own_late
+        ahead = max(0.0, load.running + work - done)
     wait = ahead / rate
     return Completion(ahead, wait, wait + demand.critical_path_seconds)
 
 
-def _work_ahead(
+def _own_work(demand: JobDemand, load: PoolLoad) -> tuple[float, float, int]:
+    for row in load.accounts:
+        if row.account == demand.account and row.priority == demand.priority:
+            return row.in_time, row.late, row.jobs
+    return 0.0, 0.0, 0
+
+
+def _work_of_others(
     demand: JobDemand, load: PoolLoad, standing: float
 ) -> tuple[float, float]:
     in_time = late = 0.0
     for row in load.accounts:
-        if row.account == demand.account and row.priority == demand.priority:
-            # In a full pool, a small job goes before larger ones of its account.
-            mean = (row.in_time + row.late) / max(1, row.jobs)
-            part = min(1.0, demand.core_seconds / mean) if mean else 1.0
-            in_time += part * row.in_time
-            late += part * row.late
-        elif row.priority < demand.priority or (
+        if row.priority < demand.priority or (
             row.priority == demand.priority and row.standing < standing
         ):
             in_time += row.in_time
--- /dev/null
+++ b/packages/baobablane/baobablane/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the sizing of pools."""
