--- a/packages/baobablane/baobablane/admission/_completion.py
+++ b/packages/baobablane/baobablane/admission/_completion.py
@@ -41,11 +41,12 @@
     own_in_time, own_late, jobs = _own_work(demand, load)
     mean = (own_in_time + own_late) / jobs if jobs else 0.0
     smaller_part = min(1.0, (demand.core_seconds / (2 * mean)) ** 2) if mean else 1.0
-    ahead = max(0.0, load.running + before_in_time + smaller_part * own_in_time - done)
+    # Running tasks do not count: the job starts when the first of them have ended.
+    ahead = max(0.0, before_in_time + smaller_part * own_in_time - done)
     if ahead / rate + demand.critical_path_seconds > demand.objective_seconds:
         # The job becomes late while it waits, and then all earlier jobs go first.
         work = before_in_time + before_late + own_in_time + own_late
-        ahead = max(0.0, load.running + work - done)
+        ahead = max(0.0, work - done)
     wait = ahead / rate
     return Completion(ahead, wait, wait + demand.critical_path_seconds)
 
--- a/packages/baobablane/baobablane/admission/_job_demand.py
+++ b/packages/baobablane/baobablane/admission/_job_demand.py
@@ -5,6 +5,7 @@
 from ..deployment import Queue
 from ..jobs import Job
 from ..scheduling._job_run import JobRun
+from ..scheduling._run_times import RunTimes
 from ..scheduling._urgency import objective_seconds
 
 
@@ -29,7 +30,7 @@
 def describe_demand(job: Job, queue: Queue) -> JobDemand:
     """Return what the decision on a new job needs."""
     run = JobRun(job, None, 0.0)
-    critical_path_ms = run.declared_critical_path_ms
+    critical_path_ms = run.work(RunTimes()).critical_path_ms
     first_steps = [step for step in job.steps if not step.after]
     cores = [step.needs.cpu_millis / 1000 for step in first_steps]
     return JobDemand(
@@ -39,7 +40,7 @@
         queue.priority,
         job.declared_core_seconds(),
         critical_path_ms / 1000,
-        objective_seconds(run, queue, critical_path_ms),
+        objective_seconds(queue, critical_path_ms),
         sum(step.count * c for step, c in zip(first_steps, cores, strict=True)),
         max(cores, default=0.0),
         not (job.is_lasting() or job.is_periodic()),
--- a/packages/baobablane/baobablane/admission/_summarize.py
+++ b/packages/baobablane/baobablane/admission/_summarize.py
@@ -114,7 +114,7 @@
                 pool.running += left * cores
             elif not run.is_filler and upstream.is_usable():
                 pool.lasting_cores += cores
-        if upstream.is_usable():
+        if upstream.is_usable() and not scheduler.state.is_evacuated(upstream):
             room_cores = max(0, upstream.room().cpu_millis) / 1000
             pool.cores += upstream.entry.capacity.cpu_millis / 1000
             pool.free_cores += room_cores
@@ -139,9 +139,10 @@
     if queue is None:
         # It is placed after all others.
         return
-    objective = objective_seconds(job_run, queue, job_run.declared_critical_path_ms)
+    work = job_run.work(scheduler.state.run_times)
+    objective = objective_seconds(queue, work.critical_path_ms)
     age_seconds = (unix_ms - job_run.latest_due_ms()) / 1000
-    earliest_end = age_seconds + job_run.remaining_critical_path_ms() / 1000
+    earliest_end = age_seconds + work.remaining_path_ms / 1000
     key = (job_run.job.account, queue.priority)
     account = pool.accounts.setdefault(key, _AccountSums())
     if earliest_end <= objective:
