--- a/packages/baobablane/baobablane/admission/tests/__init__.py
+++ b/packages/baobablane/baobablane/admission/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Test the sizing of pools."""
+"""Test the rejection of jobs for load."""
