Check caps only for steps that may find room

Cause: each waiting step was checked against its account's cap in each round, even if its pool had no room. Change: the check comes after the one for room; unplaced tasks are counted only while more upstreams may be kept free for them.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -87,15 +87,19 @@
 ) -> list[StartOrder]:
     orders: list[StartOrder] = []
     pool = state.pool_of(job_run)
-    if not _is_under_cap(state, step_run):
-        return orders
     job = job_run.job
     is_beyond = state.standings.is_excess(pool, job.id)
     full = room.full_beyond_shares if is_beyond else room.full
     if full.has_no_room_for(pool, step_run.step):
-        if not is_beyond:
+        if (
+            not is_beyond
+            and room.may_hold_more(pool)
+            and _is_under_cap(state, step_run)
+        ):
             room.note_unplaced(pool, step_run.step, len(others))
         return orders
+    if not _is_under_cap(state, step_run):
+        return orders
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
     if is_beyond:
         usable = room.without_held(pool, usable)
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -63,6 +63,10 @@
         ):
             self.unplaced[pool] = self.unplaced.get(pool, 0) + count
 
+    def may_hold_more(self, pool: str) -> bool:
+        """Return whether more unplaced tasks would keep more upstreams free."""
+        return self.unplaced.get(pool, 0) < len(self.healthy.get(pool, ()))
+
     def without_held(self, pool: str, upstreams: list[Upstream]) -> list[Upstream]:
         """Return the upstreams that an account beyond its share may use.
 
