Keep jobs beyond their account's rate in groups of their own

Cause: once the order by size and the standing of accounts were merged, each job beyond its account's rate was in the group of late jobs.

Change: excess jobs in time and late ones have groups after those of entitled jobs. The replays of rejection run on the scheduler's own order.

--- a/packages/baobablane/baobablane/admission/tests/flood_model.py
+++ b/packages/baobablane/baobablane/admission/tests/flood_model.py
@@ -15,6 +15,7 @@
 )
 from baobablane.deployment import ClientAccount, Configuration, Pool, Resources
 from baobablane.jobs import Job, JobState, Step
+from baobablane.scheduling._account_standings import AccountStandings
 from baobablane.scheduling.tests.fleet_model import CORE, ModelFleet, make_queue
 
 STEP_SECONDS = 0.1
@@ -23,13 +24,17 @@
 MAX_SENDS = 5
 
 
-class FloodStandings:
+class FloodStandings(AccountStandings):
     """Put one account beyond its share in every pool."""
 
-    def standing(self, pool, account):
+    def standing(self, pool, account, job_id=""):
         """Return 1.0 for the flooding account."""
         return 1.0 if account == FLOOD_ACCOUNT else 0.0
 
+    def is_excess(self, pool, job_id):
+        """Treat no job alone as beyond its account's rate."""
+        return False
+
 
 def make_arrivals(seed, flood_rate, calm_rate=2.0, seconds=25.0, flood=(3.0, 11.0)):
     """Return (time, job) pairs; declared times are wrong by up to a factor of two."""
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -39,8 +39,21 @@
     LASTING = 0
     IN_TIME = 1
     LATE = 2
-    USELESS = 3
-    UNKNOWN_QUEUE = 4
+    # Of jobs whose account is beyond its share.
+    EXCESS_IN_TIME = 3
+    EXCESS_LATE = 4
+    USELESS = 5
+    UNKNOWN_QUEUE = 6
+
+    def is_in_time(self) -> bool:
+        """Return whether its jobs can meet their objective."""
+        return self in (JobGroup.IN_TIME, JobGroup.EXCESS_IN_TIME)
+
+
+_EXCESS_GROUPS = {
+    JobGroup.IN_TIME: JobGroup.EXCESS_IN_TIME,
+    JobGroup.LATE: JobGroup.EXCESS_LATE,
+}
 
 
 def objective_seconds(queue: Queue, critical_path_ms: float) -> float:
@@ -79,15 +92,15 @@
         group = JobGroup.IN_TIME
     else:
         group = JobGroup.USELESS
-    if standing > 0.0 and group is JobGroup.IN_TIME:
-        # It delays no late job of an account within its share.
-        group = JobGroup.LATE
     rank, urgency = FIRST_RANK, latest_start_ms
     if pressure and not has_begun:
         rank, urgency = UNBEGUN_RANK, work.remaining_core_seconds
         slack_ms = latest_start_ms - unix_ms
         if group is JobGroup.IN_TIME and slack_ms < MIN_SLACK * work.remaining_path_ms:
             rank = DOUBTFUL_RANK
+    if standing > 0.0:
+        # It delays not even a late job of an account within its share.
+        group = _EXCESS_GROUPS.get(group, group)
     return (
         float(group),
         float(queue.priority),
--- a/packages/baobablane/baobablane/scheduling/tests/replay_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/replay_model.py
@@ -30,20 +30,21 @@
 POOL = "pool"
 
 
-def fifo_key(job_run, queue, unix_ms, standing, cores_per_weight):
+def fifo_key(job_run, queue, unix_ms, standing, run_times, pressure):
     """Order jobs by acceptance."""
-    return (float(job_run.job.accepted_ms),)
+    return (1.0, 0.0, 0.0, 0.0, float(job_run.job.accepted_ms), 0.0)
 
 
-def earliest_deadline_key(job_run, queue, unix_ms, standing, cores_per_weight):
+def earliest_deadline_key(job_run, queue, unix_ms, standing, run_times, pressure):
     """Order jobs by the time at which they are due."""
-    slack_ms = queue.slack_factor * job_run.declared_critical_path_ms
-    return (job_run.job.accepted_ms + slack_ms,)
+    slack_ms = queue.slack_factor * job_run.work(run_times).critical_path_ms
+    due_ms = job_run.job.accepted_ms + slack_ms
+    return (1.0, 0.0, 0.0, 0.0, due_ms, 0.0)
 
 
-def previous_key(job_run, queue, unix_ms, standing, cores_per_weight):
+def previous_key(job_run, queue, unix_ms, standing, run_times, pressure):
     """Order jobs without regard to the standing of their accounts."""
-    return urgency_key(job_run, queue, unix_ms, 0.0, cores_per_weight)
+    return urgency_key(job_run, queue, unix_ms, 0.0, run_times, pressure)
 
 
 ORDERS = {
