--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -18,7 +18,14 @@
     room_without_short_runs,
 )
 from ._upstream import Upstream
-from ._urgency import FIRST_RANK, UNBEGUN_RANK, JobGroup, UrgencyKey, urgency_key
+from ._urgency import (
+    FIRST_RANK,
+    IN_TIME_GROUPS,
+    UNBEGUN_RANK,
+    JobGroup,
+    UrgencyKey,
+    urgency_key,
+)
 
 # Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
 MAX_YOUNG_RUNS = 4
@@ -166,7 +173,7 @@
     """Count jobs of each size that begin in time, or become late after that."""
     if job_run.job.is_periodic():
         return
-    is_in_time, had_begun = JobGroup(key[0]).is_in_time(), key[5] == 0.0
+    is_in_time, had_begun = key[0] in IN_TIME_GROUPS, key[5] == 0.0
     queue, size_class = job_run.job.queue, job_run.size_class
     if is_in_time and is_started and not had_begun:
         job_run.is_kept_in_time = True
@@ -197,7 +204,7 @@
         ahead_by_queue[job_run.job.queue] += 1
         job_run.may_reserve = (
             job_run.size_class > 0
-            and JobGroup(key[0]).is_in_time()
+            and key[0] in IN_TIME_GROUPS
             and key[3] == FIRST_RANK
             and state.pool_of(job_run) in state.pressed_pools
         )
@@ -210,14 +217,14 @@
     """Let as many large jobs go first as their classes lack, and begun ones end."""
     waiting: dict[tuple[str, int], list[tuple[float, str, int]]] = {}
     for number, (key, job_id, job_run) in enumerate(keyed):
-        is_unbegun = JobGroup(key[0]).is_in_time() and key[3] == UNBEGUN_RANK
+        is_unbegun = key[0] in IN_TIME_GROUPS and key[3] == UNBEGUN_RANK
         if is_unbegun and job_run.size_class:
             name = (job_run.job.queue, job_run.size_class)
             waiting.setdefault(name, []).append((key[4], job_id, number))
         elif (
             job_run.size_class == LARGEST
             and job_run.is_kept_in_time
-            and JobGroup(key[0]).is_in_time()
+            and key[0] in IN_TIME_GROUPS
             and state.pool_of(job_run) in state.pressed_pools
         ):
             # It needs much of the pool at once. Behind other begun jobs, most of the
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -45,11 +45,9 @@
     USELESS = 5
     UNKNOWN_QUEUE = 6
 
-    def is_in_time(self) -> bool:
-        """Return whether its jobs can meet their objective."""
-        return self in (JobGroup.IN_TIME, JobGroup.EXCESS_IN_TIME)
-
 
+# Groups of jobs that can meet their objective.
+IN_TIME_GROUPS = frozenset({JobGroup.IN_TIME, JobGroup.EXCESS_IN_TIME})
 _EXCESS_GROUPS = {
     JobGroup.IN_TIME: JobGroup.EXCESS_IN_TIME,
     JobGroup.LATE: JobGroup.EXCESS_LATE,
