--- a/packages/baobablane/baobablane/admission/_job_demand.py
+++ b/packages/baobablane/baobablane/admission/_job_demand.py
@@ -4,9 +4,7 @@
 
 from ..deployment import Queue
 from ..jobs import Job
-from ..scheduling._job_run import JobRun
-from ..scheduling._run_times import RunTimes
-from ..scheduling._urgency import objective_seconds
+from ..scheduling import JobRun, RunTimes, objective_seconds
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobablane/baobablane/admission/_rejection.py
+++ b/packages/baobablane/baobablane/admission/_rejection.py
@@ -8,7 +8,7 @@
 import math
 from dataclasses import dataclass
 
-from ..scheduling._urgency import USELESS_MULTIPLE
+from ..scheduling import USELESS_MULTIPLE
 from ._completion import predict_completion
 from ._job_demand import JobDemand
 from ._load_summary import LoadSummary
--- a/packages/baobablane/baobablane/admission/_summarize.py
+++ b/packages/baobablane/baobablane/admission/_summarize.py
@@ -8,9 +8,7 @@
 from dataclasses import dataclass, field
 
 from ..deployment import Instance, InstanceState
-from ..scheduling import Scheduler
-from ..scheduling._job_run import JobRun
-from ..scheduling._urgency import USELESS_MULTIPLE, objective_seconds
+from ..scheduling import USELESS_MULTIPLE, JobRun, Scheduler, objective_seconds
 from ._account_load import AccountLoad
 from ._drain_meter import DrainMeter
 from ._pool_load import BACKLOG_SECONDS, PoolLoad
--- a/packages/baobablane/baobablane/scheduling/_account_usage.py
+++ b/packages/baobablane/baobablane/scheduling/_account_usage.py
@@ -43,10 +43,3 @@
         """Subtract the resources of a run."""
         if account:
             self._used[account] = self._used[account] - needs
-
-    def cores_per_weight(self, account: str) -> float:
-        """Return the cores that an account uses for each unit of its weight."""
-        limits = self._accounts.get(account)
-        if limits is None:
-            return 0.0
-        return self._used[account].cpu_millis / 1000 / max(limits.weight, 1e-9)
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -4,8 +4,8 @@
 which is more than its pool can finish in time. Jobs that can still meet their objective
 start first, ordered by their latest possible start; late jobs get what is left, those
 whose results are still of use before the others, so that a backlog does not make every
-later job late as well. Under pressure, jobs that have begun are finished first, and of
-the others those with less work left begin first.
+later job late as well. Under pressure, jobs in time that have begun are finished first,
+and of the others those with less work left begin first.
 """
 
 from enum import IntEnum
@@ -91,10 +91,11 @@
     else:
         group = JobGroup.USELESS
     rank, urgency = FIRST_RANK, latest_start_ms
-    if pressure and not has_begun:
+    # Late jobs stay in the order of their due times: ordered by work, more of them
+    # became useless.
+    if pressure and not has_begun and group is JobGroup.IN_TIME:
         rank, urgency = UNBEGUN_RANK, work.remaining_core_seconds
-        slack_ms = latest_start_ms - unix_ms
-        if group is JobGroup.IN_TIME and slack_ms < MIN_SLACK * work.remaining_path_ms:
+        if latest_start_ms - unix_ms < MIN_SLACK * work.remaining_path_ms:
             rank = DOUBTFUL_RANK
     if standing > 0.0:
         # It delays not even a late job of an account within its share.
