Set a job apart whose work can't be measured

Cause: the measurement of pressure walks over all jobs outside of the guard of each job, so one that raises would end this owner and each later one.

Change: the error sets that job apart, as in the order and the placement.

Measured: the test fails with KeyError without the change; 11 tests of jobs set apart pass with it.

--- a/packages/baobablane/baobablane/scheduling/_pressure.py
+++ b/packages/baobablane/baobablane/scheduling/_pressure.py
@@ -5,6 +5,7 @@
 little late; those with less work go first instead.
 """
 
+from ._job_run import JobRun
 from ._state import SchedulerState
 
 # Time between two measurements: each takes about a millisecond with 1,000 jobs.
@@ -40,24 +41,34 @@
             capacity = upstream.entry.capacity.cpu_millis / 1000
             cores[pool] = cores.get(pool, 0.0) + capacity
     wanted: dict[str, float] = {}
-    for job_run in state.jobs.values():
+    for job_run in list(state.jobs.values()):
         if job_run.state.is_final():
             continue
         pool = state.pool_of(job_run)
         if job_run.is_lasting:
             cores[pool] = cores.get(pool, 0.0) - job_run.lasting_cores()
             continue
-        due_ms = state.due_ms(job_run)
-        if due_ms is None:
+        try:
+            needed = _needed_cores(state, job_run, unix_ms)
+        except Exception as error:
+            state.set_apart(job_run.job.id, error)
             continue
-        work = job_run.work(state.run_times)
-        left_ms = due_ms - unix_ms
-        if left_ms >= work.remaining_path_ms:
-            left = job_run.unfinished_fraction() * work.remaining_core_seconds
-            needed = left * 1000 / max(left_ms, MIN_HORIZON_MS)
-            wanted[pool] = wanted.get(pool, 0.0) + needed
+        wanted[pool] = wanted.get(pool, 0.0) + needed
     return [
         pool
         for pool, needed in wanted.items()
         if needed > USED_FRACTION * cores.get(pool, 0.0)
     ]
+
+
+def _needed_cores(state: SchedulerState, job_run: JobRun, unix_ms: int) -> float:
+    """Return the cores that a job needs to be in time, or 0.0 if it can't be."""
+    due_ms = state.due_ms(job_run)
+    if due_ms is None:
+        return 0.0
+    work = job_run.work(state.run_times)
+    left_ms = due_ms - unix_ms
+    if left_ms < work.remaining_path_ms:
+        return 0.0
+    left = job_run.unfinished_fraction() * work.remaining_core_seconds
+    return left * 1000 / max(left_ms, MIN_HORIZON_MS)
--- a/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
@@ -36,6 +36,24 @@
         orders = fleet.place()
         assert {order.task.job for order in orders} >= {GOOD}
 
+    def test_error_in_the_measurement_of_pressure_sets_one_job_apart(
+        self, fleet, monkeypatch
+    ):
+        """Guards against a job whose work can't be measured and that ends the owner."""
+        unmeasurable = "c" * 16
+        add(fleet, make_job(name=unmeasurable))
+        job_runs = fleet.scheduler.state.jobs
+        work = type(job_runs[GOOD]).work
+
+        def raise_for_one_job(job_run, run_times):
+            if job_run.job.id == unmeasurable:
+                raise KeyError("no such step")
+            return work(job_run, run_times)
+
+        monkeypatch.setattr(type(job_runs[GOOD]), "work", raise_for_one_job)
+        assert {order.task.job for order in fleet.place()} == {GOOD}
+        assert unmeasurable in fleet.scheduler.state.errors_by_job
+
     def test_error_is_reported_once(self, fleet):
         for _ in range(3):
             fleet.place()
