--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 import msgspec
 from baobablane.crashes import Host, encode_host
@@ -79,7 +79,10 @@
         self._log = log
         self._epoch = epoch
         self._scheduler = Scheduler(
-            make_policy(ownership.last_renewal_age(boot_seconds()))
+            replace(
+                make_policy(ownership.last_renewal_age(boot_seconds())),
+                divides_by_account=settings.divides_by_account,
+            )
         )
         self._writer = ProgressWriter(
             store, epoch, ownership.holder, is_large(settings), ownership.confirm
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -42,14 +42,15 @@
     room = collect_room(state, now)
     candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
-    state.standings.observe(
-        state.jobs.values(),
-        state.upstreams.values(),
-        state.pool_of,
-        state.usage,
-        now,
-        unix_ms,
-    )
+    if state.policy.divides_by_account:
+        state.standings.observe(
+            state.jobs.values(),
+            state.upstreams.values(),
+            state.pool_of,
+            state.usage,
+            now,
+            unix_ms,
+        )
     state.unix_offset_seconds = unix_ms / 1000 - now
     measure_pressure(state, now, unix_ms)
     for key, job_run in _jobs_by_urgency(state, unix_ms):
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -42,3 +42,6 @@
     # An order without a response may be carried out up to this long after it was sent,
     # even by the upstream's next incarnation.
     late_order_seconds: float = 13.0
+    # Whether a full pool is divided between client accounts by their weights. Without
+    # it, the standing of every account is 0.0.
+    divides_by_account: bool = True
