Log a rejection that was skipped, and use the field's words in two places

Cause: a read that failed before a rejection for load left no log line; two doc strings had words of the users' pages.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -208,7 +208,8 @@
             # the view shows that another one has stored it.
             async with asyncio.timeout(REJECTION_CHECK_TIMEOUT_SECONDS):
                 await self._views.jobs_tail.catch_up()
-        except (StoreError, TimeoutError):
+        except (StoreError, TimeoutError) as error:
+            self._log.info("rejection-skipped", request=job.id, reason=repr(error))
             return
         rejection = self._decide_rejection(job, queue)
         if rejection is None or self._may_be_stored(job.id):
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform.py
@@ -8,7 +8,7 @@
 
 
 class TestJobs:
-    """Test jobs from submission to their end."""
+    """Test jobs from their acceptance to their end."""
 
     async def test_accepted_job_runs_each_task_once_and_completes(self):
         async with run_deployment() as deployment:
--- a/packages/baobablane/baobablane/scheduling/_pacing.py
+++ b/packages/baobablane/baobablane/scheduling/_pacing.py
@@ -1,6 +1,6 @@
 """Throttle fillers by the tail latency of the serving tasks that they disturb.
 
-Load pattern: the disturbance by fillers changes within seconds, and so does the serving
+Load pattern: the interference by fillers changes within seconds, and so does the serving
 tasks' own load. The pace is reduced immediately and restored slowly.
 """
 
