--- a/packages/baobablane/baobablane/scheduling/_pacing.py
+++ b/packages/baobablane/baobablane/scheduling/_pacing.py
@@ -1,7 +1,7 @@
 """Throttle fillers by the tail latency of the serving tasks that they disturb.
 
-Load pattern: the interference by fillers changes within seconds, and so does the serving
-tasks' own load. The pace is reduced immediately and restored slowly.
+Load pattern: the interference by fillers changes within seconds, and so does the
+serving tasks' own load. The pace is reduced immediately and restored slowly.
 """
 
 from ._orders import PaceOrder
