Use one figure of the store's silence for readiness and acceptance

Cause: readiness looked at the topic of the configuration, acceptance at the topic of the jobs. When the store fails, the two fall silent some milliseconds apart, so an instance that was no longer ready could still send a job to the store.

Change: both use the longer of the two silences.

Result: the new test fails on the previous code in both orders and passes now; the tests of the package jobs pass.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -85,7 +85,7 @@
         return (
             not self.is_stopping
             and views.has_read_all()
-            and views.operator_tail.silence() < MAX_SILENCE_SECONDS
+            and self._store_silence() <= MAX_SILENCE_SECONDS
             and views.operator_tail.age() < self._max_configuration_age_seconds
         )
 
@@ -179,10 +179,19 @@
             self._views.on_change(job.id)
         self._log_decision("job-accepted", job, queue.name)
 
+    def _store_silence(self) -> float:
+        """Return the seconds since a followed topic last brought data, the longest.
+
+        Readiness and acceptance use the same figure, so an instance that isn't ready
+        stores no jobs.
+        """
+        views = self._views
+        return max(views.operator_tail.silence(), views.jobs_tail.silence())
+
     def _find_store_fault(self) -> str:
         """Return why a job can't be stored in time, or an empty string if it can."""
         forecast, now = self._job_writer.forecast, boot_seconds()
-        silence = self._views.jobs_tail.silence()
+        silence = self._store_silence()
         max_silence_seconds = (
             MAX_SILENCE_AFTER_TIMEOUT_SECONDS
             if forecast.has_timed_out(now)
@@ -328,6 +337,6 @@
                 team=job.account,
                 queue=queue,
                 reason=reason,
-                seconds=self._views.jobs_tail.silence(),
+                seconds=self._store_silence(),
             )
         )
