Read the states of jobs when a caller asks for one

Cause: a narrow instance read the states of jobs ten times a second and still showed an end up to 0.1 s late, although callers ask at the moment at which their job should end and again 0.25 s or more later.

Change: a narrow instance reads the states at the query for a job that has not ended (at most 0.3 s, then its view answers), and every 0.4 s without queries.

Result: the new tests of a stored end and of a slow store pass, as do the tests of the daemon's platform and views.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -45,6 +45,9 @@
 # A job that another instance has stored is known after one read, which takes about
 # 20 ms. A rejection is not delayed for longer than this.
 REJECTION_CHECK_TIMEOUT_SECONDS = 0.25
+# A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
+# result, the answer comes from a view that is at most 1.3 s old.
+STATE_READ_TIMEOUT_SECONDS = 0.3
 # More ids than appends of unknown outcome during the longest outage of the store.
 MAX_UNSURE_IDS = 10_000
 # A fault of the store, or of the connection to it, lasts for seconds at least.
@@ -280,6 +283,8 @@
         if state is None:
             await self._catch_up()
             state = self._views.job_table.state(job_id)
+        if state is not None and not state.is_final():
+            state = await self._refresh_state(job_id, state)
         if state is not None and not state.is_final():
             age = self._views.state_view.age()
             if age > MAX_VIEW_AGE_SECONDS:
@@ -289,6 +294,18 @@
                 )
         return state
 
+    async def _refresh_state(self, job_id: str, state: JobState) -> JobState | None:
+        """Return a job's state as stored now, or the known one if that takes long."""
+        if self._views.follows_progress:
+            # This view is read without a break, so it is as new as a read of its own.
+            return state
+        try:
+            async with asyncio.timeout(STATE_READ_TIMEOUT_SECONDS):
+                await self._views.state_view.catch_up()
+        except (StoreError, TimeoutError) as error:
+            self._log.info("state-read-skipped", request=job_id, reason=repr(error))
+        return self._views.job_table.state(job_id)
+
     async def cancel(self, job_id: str) -> JobState | None:
         """Cancel a job; return its state, or None if it certainly does not exist.
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -40,6 +40,9 @@
 # Callers ask for a state at about the time at which the job ends, and again later. An
 # older view would show the end only then. Larger reads are slower over a narrow link.
 PROGRESS_PAUSE_SECONDS = 0.1
+# A query for a job that has not ended reads immediately, and only the timeout of the
+# owner's heartbeats, which small instances double, needs the view between queries.
+STATES_PAUSE_SECONDS = 0.4
 # A query for an unknown job reads immediately, and only the owner needs each new job.
 JOBS_PAUSE_SECONDS = 0.25
 # Key prefix in the topic of jobs; the id of a job follows.
@@ -106,7 +109,7 @@
             PROGRESS_PAUSE_SECONDS,
         )
         self.states_tail = TopicTail(
-            store, log, STATES_TOPIC, self._on_state_record, PROGRESS_PAUSE_SECONDS
+            store, log, STATES_TOPIC, self._on_state_record, STATES_PAUSE_SECONDS
         )
         # Shows the states of jobs and the owner's heartbeats.
         self.state_view = self.progress_tail if follows_progress else self.states_tail
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -1,12 +1,14 @@
-"""Test that readiness and the acceptance of jobs agree about the store."""
+"""Test readiness, the acceptance of jobs and queries without a deployment."""
 
+import asyncio
 import io
 from types import SimpleNamespace
 
 import pytest
 from baobablane.deployment import PlatformLimits, Resources
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import Job, JobTable, Step
+from baobablane.jobs import Job, JobState, JobTable, Step
+from baobablane_platform import StoreError
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import JobActions
@@ -29,6 +31,15 @@
     )
 
 
+def make_actions(views, log=None):
+    """Return the actions of an instance whose writer can't write."""
+    settings = SimpleNamespace(limits=PlatformLimits())
+    writer = SimpleNamespace(forecast=AppendForecast())
+    return JobActions(
+        settings, views, writer, log or DecisionLog("entry-0", io.BytesIO())
+    )
+
+
 class TestStoreOutage:
     """Test a store whose silence shows in one topic some milliseconds earlier."""
 
@@ -36,12 +47,47 @@
     # next one to the store.
     @pytest.mark.parametrize("silences", [(1.301, 1.299), (1.299, 1.301)])
     async def test_instance_that_is_not_ready_stores_no_job(self, silences):
-        settings = SimpleNamespace(limits=PlatformLimits())
-        # A writer without a method to write with.
-        writer = SimpleNamespace(forecast=AppendForecast())
-        log = DecisionLog("entry-0", io.BytesIO())
-        actions = JobActions(settings, make_views(*silences), writer, log)
+        actions = make_actions(make_views(*silences))
         assert not actions.is_ready()
         with pytest.raises(RejectedError) as raised:
             await actions.submit(JOB, SimpleNamespace(name="q"))
         assert raised.value.code is ResultCode.LOG_UNAVAILABLE
+
+
+class TestStateOfReader:
+    """Test queries at an instance that reads the states of jobs from time to time.
+
+    A caller asks when its job should have ended. An older view shows the end only at
+    the caller's next query, after the time at which the result is due.
+    """
+
+    def make_views(self, catch_up):
+        """Return views in which the job runs, and that are read by `catch_up`."""
+        views = make_views(0.1, 0.1)
+        views.follows_progress = False
+        views.job_table.accept(JOB)
+        views.job_table.set_state(JOB.id, JobState.RUNNING)
+        views.state_view = SimpleNamespace(catch_up=catch_up, age=lambda: 0.4)
+        return views
+
+    async def test_query_shows_an_end_that_was_stored_after_the_last_read(self):
+        async def read_end():
+            views.job_table.set_state(JOB.id, JobState.COMPLETED)
+
+        views = self.make_views(read_end)
+        assert await make_actions(views).state(JOB.id) is JobState.COMPLETED
+
+    async def test_view_answers_while_the_store_does_not(self):
+        async def wait():
+            await asyncio.sleep(10.0)
+
+        async def fail():
+            raise StoreError("the store returned status 503")
+
+        for catch_up in (wait, fail):
+            stream = io.BytesIO()
+            log = DecisionLog("entry-0", stream)
+            actions = make_actions(self.make_views(catch_up), log)
+            async with asyncio.timeout(1.0):
+                assert await actions.state(JOB.id) is JobState.RUNNING
+            assert b"state-read-skipped" in stream.getvalue()
