Tell bursts from single large jobs, and size each by its own rate

Cause: a burst began when the fast average of the arrival rate passed a quarter of the pool's equal share. Besides, a burst that was lower than the previous one of its pool kept the cores of that one to its end, and a pool past its peak kept its equal share.

Past its peak, a pool has no lower limit but its measured demand.

--- a/packages/baobablane/baobablane/sizing/_sizing.py
+++ b/packages/baobablane/baobablane/sizing/_sizing.py
@@ -7,45 +7,23 @@
 jobs that were accepted before.
 """
 
-import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..scheduling import PoolDemand
 from ._arrival import Arrival
+from ._demand_history import MOVE_LEAD_SECONDS, PoolDemandHistory
 from ._forecast import BurstForecast
 from ._target import PoolTarget
 
-# Time constant of the average arrival rate: spans a few arrivals, but is much shorter
-# than a burst.
-RATE_TIME_CONSTANT_SECONDS = 1.0
-# Time constant of the fast average, which detects the start of a burst early.
-FAST_RATE_TIME_CONSTANT_SECONDS = 0.5
-# Time constant of the sustained average, which measures how high a burst was: about the
-# objective of a job, within which the work of a few large jobs can be spread.
-SUSTAINED_RATE_TIME_CONSTANT_SECONDS = 2.5
-# Time constant with which cores that were added in a burst are given up again. Each
-# release and return costs two moves, so a dip of a second or two is waited out.
-BURST_CORES_TIME_CONSTANT_SECONDS = 4.0
 # Declared task sizes are inexact, and cores can only be moved by whole instances.
 HEADROOM_FACTOR = 1.25
-# A burst starts when the arrival rate exceeds the first fraction of the pool's equal
-# share of the fleet, and ends when it is below the second.
-BURST_START_FRACTION = 0.25
-BURST_END_FRACTION = 0.1
 # Fraction of its equal share that a pool reserves for its first burst and doesn't lend,
 # even if other pools are short of cores.
 FIRST_BURST_RESERVE_FRACTION = 0.5
-# A burst is past its peak once the arrival rate is below this fraction of the peak.
-PAST_PEAK_FRACTION = 0.6
-# Bounds the extrapolated rate: at most twice the present rate by the time that ordered
-# cores are usable.
-MAX_GROWTH_FACTOR = 2.0
 # Fraction of its equal share that a pool keeps free for new work.
 FREE_RESERVE_FRACTION = 0.15
-# A move takes 1.5 s, and the instance list shows it up to 0.5 s later.
-MOVE_LEAD_SECONDS = 2.3
 # If a burst is later than forecast by more than this, its cores are released.
 MAX_BURST_DELAY_SECONDS = 1.5
 # A new owner rebuilds the history of this time, which covers a burst of every pool, in
@@ -54,52 +32,12 @@
 RESTORED_STEP_SECONDS = 0.25
 
 
-@dataclass(slots=True)
-class _PoolDemandHistory:
-    # As last observed; None if the next observation is the first one of an owner.
-    arrived_core_seconds: float | None
-    arrived_squares: float
-    equal_share_cores: float = 0.0
-    # Averages of the arrival rate, in cores (core-seconds per second).
-    rate: float = 0.0
-    fast_rate: float = 0.0
-    sustained_rate: float = 0.0
-    # Average rate of the squared core-seconds of jobs, smoothed like `rate`.
-    square_rate: float = 0.0
-    is_in_burst: bool = False
-    # Peaks of the sustained rate in the latest burst and in the one before, in cores.
-    peak_rate: float = 0.0
-    previous_peak_rate: float = 0.0
-    # Cores that were wanted in the current burst, decaying with time.
-    burst_cores: float = 0.0
-
-    def is_past_peak(self) -> bool:
-        """Return whether the rate has dropped well below the burst's peak."""
-        return self.sustained_rate < PAST_PEAK_FRACTION * self.peak_rate
-
-    def expected_rate(self) -> float:
-        """Return the rate, in cores, at the time when cores ordered now are usable."""
-        # Under linear growth, each average lags by its time constant, so the slope
-        # follows from their difference. With few or very different jobs, the fast
-        # average also deviates by chance; its standard error does not count as growth.
-        sampling_error = math.sqrt(
-            self.square_rate / (2 * FAST_RATE_TIME_CONSTANT_SECONDS)
-        )
-        certain_rate = max(self.rate, self.fast_rate - sampling_error)
-        growth = certain_rate - self.rate
-        growth /= RATE_TIME_CONSTANT_SECONDS - FAST_RATE_TIME_CONSTANT_SECONDS
-        rate = certain_rate + growth * (
-            FAST_RATE_TIME_CONSTANT_SECONDS + MOVE_LEAD_SECONDS
-        )
-        return min(rate, MAX_GROWTH_FACTOR * self.rate)
-
-
 @dataclass(slots=True)
 class PoolSizing:
     """Track the demand of each pool over time and derive its target size."""
 
     forecast: BurstForecast = field(default_factory=BurstForecast)
-    _pools: dict[str, _PoolDemandHistory] = field(default_factory=dict)
+    _pools: dict[str, PoolDemandHistory] = field(default_factory=dict)
     _observed_at: float | None = None
 
     def observe(
@@ -115,12 +53,14 @@
         for name, demand in demands.items():
             pool = self._pools.get(name)
             if pool is None:
-                pool = self._pools[name] = _PoolDemandHistory(
+                pool = self._pools[name] = PoolDemandHistory(
                     demand.arrived_core_seconds, demand.arrived_squares
                 )
             pool.equal_share_cores = equal_share_cores
-            if previous_observed_at is not None and now > previous_observed_at:
-                self._update_rates(name, pool, demand, now - previous_observed_at, now)
+            if previous_observed_at is None or now <= previous_observed_at:
+                continue
+            if pool.observe(demand, now - previous_observed_at):
+                self.forecast.record_burst(name, now)
         for name in set(self._pools) - set(demands):
             del self._pools[name]
 
@@ -195,20 +135,17 @@
             pool.rate, demand.due_cores
         )
         if pool.is_in_burst:
-            # A burst needs at least the equal share.
             wanted_cores = max(
-                wanted_cores,
-                pool.equal_share_cores,
-                baseline_cores + HEADROOM_FACTOR * pool.expected_rate(),
+                wanted_cores, baseline_cores + HEADROOM_FACTOR * pool.expected_rate()
             )
             if not pool.is_past_peak():
-                # The burst probably peaks as high as the previous one. Cores that were
-                # added in this burst are kept during a short dip of the demand.
-                cores_for_previous_peak = (
-                    baseline_cores + HEADROOM_FACTOR * pool.previous_peak_rate
-                )
+                # A burst needs at least the equal share. Cores that were added in this
+                # burst are kept during a short dip of the demand.
                 wanted_cores = pool.burst_cores = max(
-                    wanted_cores, cores_for_previous_peak, pool.burst_cores
+                    wanted_cores,
+                    pool.equal_share_cores,
+                    baseline_cores + HEADROOM_FACTOR * pool.forecast_peak_rate(),
+                    pool.burst_cores,
                 )
         is_burst_expected = self._is_burst_expected(name, now)
         if not self.forecast.has_recorded_burst(name):
@@ -230,51 +167,3 @@
         ):
             return False
         return name in self.forecast.next_burst_pools(set(self._pools))
-
-    def _update_rates(
-        self,
-        name: str,
-        pool: _PoolDemandHistory,
-        demand: PoolDemand,
-        seconds: float,
-        now: float,
-    ) -> None:
-        previous_core_seconds = pool.arrived_core_seconds
-        previous_squares = pool.arrived_squares
-        pool.arrived_core_seconds = demand.arrived_core_seconds
-        pool.arrived_squares = demand.arrived_squares
-        if previous_core_seconds is None:
-            return
-        new_core_seconds = demand.arrived_core_seconds - previous_core_seconds
-        new_squares = demand.arrived_squares - previous_squares
-        weight = _smoothing_weight(seconds, RATE_TIME_CONSTANT_SECONDS)
-        pool.square_rate += weight * (new_squares / seconds - pool.square_rate)
-        rate = new_core_seconds / seconds
-        pool.rate += weight * (rate - pool.rate)
-        pool.fast_rate += _smoothing_weight(
-            seconds, FAST_RATE_TIME_CONSTANT_SECONDS
-        ) * (rate - pool.fast_rate)
-        pool.sustained_rate += _smoothing_weight(
-            seconds, SUSTAINED_RATE_TIME_CONSTANT_SECONDS
-        ) * (rate - pool.sustained_rate)
-        pool.burst_cores *= math.exp(-seconds / BURST_CORES_TIME_CONSTANT_SECONDS)
-        if (
-            not pool.is_in_burst
-            and pool.fast_rate > BURST_START_FRACTION * pool.equal_share_cores
-        ):
-            pool.is_in_burst = True
-            pool.previous_peak_rate, pool.peak_rate = pool.peak_rate, 0.0
-            pool.burst_cores = 0.0
-            self.forecast.record_burst(name, now)
-        elif (
-            pool.is_in_burst
-            and max(pool.rate, pool.fast_rate)
-            < BURST_END_FRACTION * pool.equal_share_cores
-        ):
-            pool.is_in_burst = False
-        if pool.is_in_burst:
-            pool.peak_rate = max(pool.peak_rate, pool.sustained_rate)
-
-
-def _smoothing_weight(seconds: float, time_constant_seconds: float) -> float:
-    return 1.0 - math.exp(-seconds / time_constant_seconds)
--- a/packages/baobablane/baobablane/sizing/tests/test_sizing.py
+++ b/packages/baobablane/baobablane/sizing/tests/test_sizing.py
@@ -5,6 +5,8 @@
 from .burst_model import (
     BURST_SECONDS,
     EQUAL_SHARE_CORES,
+    POOLS,
+    STEP_SECONDS,
     make_demand,
     simulate_bursts,
 )
@@ -65,3 +67,47 @@
             if 4 * BURST_SECONDS + 0.5 <= now < 5 * BURST_SECONDS
         ]
         assert min(in_burst) > 400.0
+
+
+class TestLowerBurst:
+    """Test a burst that is much lower than the previous one of its pool.
+
+    Until it ended, the pool kept the cores of the previous burst, most of them idle.
+    """
+
+    PREVIOUS_PEAK = 300.0
+    PEAK = 120.0
+
+    def simulate(self, seconds):
+        """Return the wanted cores after so many seconds of the lower burst."""
+        sizing = PoolSizing()
+        simulate_bursts(sizing, 4, peak=self.PREVIOUS_PEAK)
+        arrived = sizing._pools["a"].arrived_core_seconds
+        now = 4 * BURST_SECONDS
+        for _ in range(round(seconds / STEP_SECONDS)):
+            arrived += self.PEAK * STEP_SECONDS
+            now += STEP_SECONDS
+            demand = make_demand(arrived)
+            sizing.observe({"a": demand}, EQUAL_SHARE_CORES, now)
+            wanted = sizing.wanted_cores("a", demand, now)
+        return wanted
+
+    def test_previous_peak_is_wanted_while_the_burst_is_young(self):
+        assert self.simulate(1.5) > self.PREVIOUS_PEAK
+
+    def test_cores_follow_the_burst_once_its_rate_is_known(self):
+        # The cores of its beginning decay with a time constant of 4 s.
+        assert self.simulate(9.0) <= EQUAL_SHARE_CORES
+
+    def test_pool_past_its_peak_gives_up_the_equal_share(self):
+        sizing = PoolSizing()
+        simulate_bursts(sizing, 5, peak=self.PREVIOUS_PEAK)
+        history = sizing._pools["a"]
+        now = 5 * BURST_SECONDS
+        demands = {p: make_demand(sizing._pools[p].arrived_core_seconds) for p in POOLS}
+        while not history.is_past_peak():
+            now += STEP_SECONDS
+            sizing.observe(demands, EQUAL_SHARE_CORES, now)
+        history.rate = history.fast_rate = EQUAL_SHARE_CORES / 4
+        assert history.is_in_burst
+        assert sizing.wanted_cores("a", demands["a"], now) < EQUAL_SHARE_CORES
