Divide a full pool between accounts only in a flood

Cause: in a burst without a flood, entitled work was divided by max-min, which overtook begun jobs of accounts beyond their parts; upstreams were kept free of accounts at twice their rate; and in a flood, the flood's own work put its pool under pressure, which changed the order of all other jobs.

Change: jobs are excess only if their account exceeds twice its rate. Without excess work no pool is divided, entitled jobs that have begun keep a standing of 0.0, and a flood counts only for the pressure of its own jobs.

--- a/packages/baobablane/baobablane/scheduling/_account_standings.py
+++ b/packages/baobablane/baobablane/scheduling/_account_standings.py
@@ -6,14 +6,15 @@
 leave of a full pool is divided among the others by weighted max-min fairness.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..deployment import ClientAccount
 from ..jobs import Job
-from ..shares import ArrivalMeter, PoolDivision, divide_pool
+from ..shares import PoolDivision, divide_pool
 from ._account_usage import AccountUsage
+from ._excess_jobs import ExcessJobs
 from ._job_run import JobRun
 from ._upstream import Run, Upstream
 
@@ -34,10 +35,7 @@
     def __init__(self) -> None:
         """Start without jobs, when every account is within its share."""
         self._weights: dict[str, float] = {}
-        self._meter = ArrivalMeter()
-        # Accounts of the jobs that arrived beyond the entitled rate of their account.
-        self._excess_jobs: dict[str, str] = {}
-        self._excess_job_counts: Counter[str] = Counter()
+        self._excess_jobs = ExcessJobs()
         self._running_by_pool: dict[str, _PoolCores] = defaultdict(_PoolCores)
         self._waiting_by_pool: dict[str, _PoolCores] = defaultdict(_PoolCores)
         self._division_by_pool: dict[str, PoolDivision] = {}
@@ -49,7 +47,7 @@
             name: max(MIN_WEIGHT, account.weight)
             for name, account in accounts_by_name.items()
         }
-        self._meter.keep_only(accounts_by_name)
+        self._excess_jobs.keep_only(accounts_by_name)
 
     def record_arrival(self, job: Job) -> None:
         """Count an accepted job against its account's rate, by its time of acceptance.
@@ -60,15 +58,11 @@
         weight = self._weights.get(job.account)
         if weight is None or job.is_lasting() or job.is_periodic():
             return
-        if not self._meter.is_within_rate(job.account, weight, job.accepted_ms / 1000):
-            self._excess_jobs[job.id] = job.account
-            self._excess_job_counts[job.account] += 1
+        self._excess_jobs.record_arrival(job, weight)
 
     def remove_job(self, job_id: str) -> None:
         """Forget a job that has ended."""
-        account = self._excess_jobs.pop(job_id, None)
-        if account is not None:
-            self._excess_job_counts[account] -= 1
+        self._excess_jobs.remove_job(job_id)
 
     def add_run(self, run: Run, pool: str) -> None:
         """Add the cores of a run."""
@@ -99,17 +93,22 @@
             if pool in self._waiting_by_pool
         }
 
-    def standing(self, pool: str, account: str, job_id: str = "") -> float:
+    def standing(
+        self, pool: str, account: str, job_id: str = "", has_begun: bool = False
+    ) -> float:
         """Return 0.0 for an account within its share, and more the further beyond.
 
         With a job, only the account's other work within or beyond its rate counts,
-        whichever the job belongs to, and `EXCESS_STANDING` is added to the latter.
+        whichever the job belongs to, and `EXCESS_STANDING` is added to the latter. A
+        job within the rate that has begun keeps 0.0: overtaken, it would end late.
         """
         division = self._division_by_pool.get(pool)
         if division is None or not division.is_full():
             return 0.0
         running = self._running_by_pool[pool]
         if job_id and job_id not in self._excess_jobs:
+            if has_begun:
+                return 0.0
             return division.entitled_standing(
                 account, running.entitled.get(account, 0.0)
             )
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -5,7 +5,7 @@
 from ._job_run import JobRun
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
-from ._pressure import measure_pressure
+from ._pressure import is_pressed, measure_pressure
 from ._round_room import RoundRoom, collect_room
 from ._size_classes import LARGEST
 from ._starting import commit_starts, reserve_run
@@ -207,7 +207,7 @@
             job_run.size_class > 0
             and key[0] in IN_TIME_GROUPS
             and key[3] == FIRST_RANK
-            and state.pool_of(job_run) in state.pressed_pools
+            and is_pressed(state, job_run)
         )
     return [(key, job_run) for key, _, job_run in keyed]
 
@@ -226,7 +226,7 @@
             job_run.size_class == LARGEST
             and job_run.is_kept_in_time
             and key[0] in IN_TIME_GROUPS
-            and state.pool_of(job_run) in state.pressed_pools
+            and is_pressed(state, job_run)
         ):
             # It needs much of the pool at once. Behind other begun jobs, most of the
             # largest began in time and ended late.
@@ -253,9 +253,9 @@
         job_run,
         queue,
         unix_ms,
-        state.standings.standing(pool, job.account, job.id),
+        state.standings.standing(pool, job.account, job.id, job_run.has_begun()),
         state.run_times,
-        pool in state.pressed_pools,
+        is_pressed(state, job_run),
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/_pressure.py
+++ b/packages/baobablane/baobablane/scheduling/_pressure.py
@@ -33,14 +33,22 @@
     )
 
 
-def _pressed_pools(state: SchedulerState, unix_ms: int) -> list[str]:
+def is_pressed(state: SchedulerState, job_run: JobRun) -> bool:
+    """Return whether the work that a job competes with exceeds its pool."""
+    pool = state.pool_of(job_run)
+    is_excess = state.standings.is_excess(pool, job_run.job.id)
+    return (pool, is_excess) in state.pressed_pools
+
+
+def _pressed_pools(state: SchedulerState, unix_ms: int) -> list[tuple[str, bool]]:
     cores: dict[str, float] = {}
     for upstream in state.upstreams.values():
         if upstream.is_usable():
             pool = upstream.entry.pool
             capacity = upstream.entry.capacity.cpu_millis / 1000
             cores[pool] = cores.get(pool, 0.0) + capacity
-    wanted: dict[str, float] = {}
+    # By pool, without (False) and with (True) the work of floods.
+    wanted: dict[tuple[str, bool], float] = {}
     for job_run in list(state.jobs.values()):
         if job_run.state.is_final():
             continue
@@ -53,10 +61,12 @@
         except Exception as error:
             state.set_apart(job_run.job.id, error)
             continue
-        wanted[pool] = wanted.get(pool, 0.0) + needed
+        wanted[(pool, True)] = wanted.get((pool, True), 0.0) + needed
+        if not state.standings.is_excess(pool, job_run.job.id):
+            wanted[(pool, False)] = wanted.get((pool, False), 0.0) + needed
     return [
-        pool
-        for pool, needed in wanted.items()
+        (pool, with_floods)
+        for (pool, with_floods), needed in wanted.items()
         if needed > USED_FRACTION * cores.get(pool, 0.0)
     ]
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -45,10 +45,10 @@
         self.speeds = UpstreamSpeeds()
         # Unix time less the time of the scheduler's clock, as of the latest round.
         self.unix_offset_seconds = 0.0
-        # Pools whose work in time exceeds their capacity, until when that is assumed,
-        # and when it was measured.
-        self.pressed_pools: frozenset[str] = frozenset()
-        self.pressed_until: dict[str, float] = {}
+        # Pools whose work in time, without (False) and with (True) that of floods,
+        # exceeds their capacity, until when that is assumed, and when it was measured.
+        self.pressed_pools: frozenset[tuple[str, bool]] = frozenset()
+        self.pressed_until: dict[tuple[str, bool], float] = {}
         self.pressure_measured_at = float("-inf")
         self.advice = AdviceTable()
         self.ejections = EjectionTable(EJECTION_POLICY)
--- a/packages/baobablane/baobablane/shares/_arrival_meter.py
+++ b/packages/baobablane/baobablane/shares/_arrival_meter.py
@@ -25,15 +25,22 @@
 
     def is_within_rate(self, account: str, per_second: float, at: float) -> bool:
         """Count an arrival at a time in seconds, and return whether it is entitled."""
-        interval = 1.0 / per_second
-        allowance = max(BURST_ALLOWANCE_SECONDS, (MIN_BURST_JOBS - 1) * interval)
         next_due_at = max(self._next_due_at.get(account, at), at)
-        if next_due_at - at > allowance:
+        if next_due_at - at > _allowance_seconds(per_second):
             return False
-        self._next_due_at[account] = next_due_at + interval
+        self._next_due_at[account] = next_due_at + 1.0 / per_second
         return True
 
+    def has_half_allowance(self, account: str, per_second: float, at: float) -> bool:
+        """Return whether at least half of an account's allowance is left."""
+        used_seconds = self._next_due_at.get(account, at) - at
+        return used_seconds <= _allowance_seconds(per_second) / 2
+
     def keep_only(self, accounts: Mapping[str, object]) -> None:
         """Forget the accounts that are no longer configured."""
         for account in self._next_due_at.keys() - accounts.keys():
             del self._next_due_at[account]
+
+
+def _allowance_seconds(per_second: float) -> float:
+    return max(BURST_ALLOWANCE_SECONDS, (MIN_BURST_JOBS - 1) / per_second)
--- a/packages/baobablane/baobablane/shares/_pool_division.py
+++ b/packages/baobablane/baobablane/shares/_pool_division.py
@@ -53,10 +53,14 @@
     """Return the parts of a pool for work beyond the accounts' rates.
 
     Entitled work comes first, as if there were no other. What it leaves is divided by
-    weighted max-min fairness. There are no parts if all demands, in cores, fit.
+    weighted max-min fairness. There are no parts if all demands, in cores, fit, or if
+    there is no excess work.
     """
     left = capacity - sum(entitled.values())
-    if sum(excess.values()) <= left:
+    excess_cores = sum(excess.values())
+    # Divided without a flood, begun jobs of accounts beyond their parts were overtaken
+    # and ended late: in replays of a burst, 0.67 of the jobs were in time, not 0.77.
+    if not excess_cores or excess_cores <= left:
         return PoolDivision()
     entitled_parts: Mapping[str, float] = {}
     if left < 0:
