Give the standings of the flood replay the new argument

Cause: the test double of the standings lacked the argument for begun jobs, so each job was set apart and none was rejected. Change: it takes the argument. No check is changed.

--- a/packages/baobablane/baobablane/admission/tests/flood_model.py
+++ b/packages/baobablane/baobablane/admission/tests/flood_model.py
@@ -27,7 +27,7 @@
 class FloodStandings(AccountStandings):
     """Put one account beyond its share in every pool."""
 
-    def standing(self, pool, account, job_id=""):
+    def standing(self, pool, account, job_id="", has_begun=False):
         """Return 1.0 for the flooding account."""
         return 1.0 if account == FLOOD_ACCOUNT else 0.0
 
