Record burst starts before a round plans, not in the middle of it

Cause: a round planned maintenance orders, then waited for the record of a new burst, and cordoned the upstreams only after that. The write is retried until stored, so the wait lasts as long as the store's trouble. A task that started on such an upstream in the meantime ended with it, beyond its step's allowance.

Nothing is awaited between the plan and the cordon.

Result: the new test fails on the previous code (plan, write, cordon) and passes now.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -141,6 +141,7 @@
             self.unrecorded_waves.add(number)
 
     async def _run_round(self) -> None:
+        await self._record_burst_starts()
         requested_at = boot_seconds()
         before = {instance.id: instance for instance in self._instances}
         try:
@@ -164,7 +165,8 @@
         )
         plan.orders = [o for o in plan.orders if not self._is_reserved(o.instance)]
         moves = self._plan_moves(plan)
-        await self._record_burst_starts()
+        # Nothing may be awaited between the plan and the cordon: a task that starts on
+        # an upstream in between would end with it, beyond its step's allowance.
         moving = {move.upstream for move in moves if move.upstream}
         self._scheduler.fleet.cordon(plan.cordoned_upstreams | moving)
         for number in plan.completed_waves:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -153,3 +153,72 @@
     @pytest.mark.parametrize("record", [b"1700000000000", b'{"at_ms":1700000000000}'])
     def test_record_of_the_earlier_format_is_read(self, record):
         assert decode_order_record(record).at_ms == 1_700_000_000_000
+
+
+class RoundFleet:
+    """Record when a round plans by its state and when it cordons upstreams."""
+
+    def __init__(self, events):
+        """Append to the given events."""
+        self._events = events
+
+    def missing_by_step(self):
+        """Return that no step misses tasks."""
+        self._events.append("plan")
+        return {}
+
+    def cordon(self, upstream_ids):
+        """Record that no more tasks start on the upstreams."""
+        self._events.append("cordon")
+
+    def movable_runs(self, zones):
+        """Return no runs."""
+        return []
+
+    def runs_by_zone(self, zones):
+        """Return no zones."""
+        return {}
+
+    def zones(self):
+        """Return no zones."""
+        return set()
+
+
+class TestRound:
+    """Test that a plan is carried out on the state that it was made for.
+
+    On a drawn day, a maintenance order ended a task beyond its step's allowance. A
+    record was written between the plan and the cordon, for which the round waits while
+    the store is slow, and tasks could start on the upstream in the meantime.
+    """
+
+    async def test_nothing_is_written_between_the_plan_and_the_cordon(self):
+        events = []
+
+        async def write(values_by_key):
+            events.append("write")
+
+        views = SimpleNamespace(
+            waves={}, configuration=None, evacuated_zones=frozenset()
+        )
+        scheduler = SimpleNamespace(
+            fleet=RoundFleet(events),
+            draining_upstreams=lambda: set(),
+            instances_listed=lambda *arguments: None,
+        )
+        client = FakeClient(None, make_instance(InstanceState.UP, "u1"))
+        client.unknown_states_by_instance = {}
+        manager = InstanceManager(
+            client,
+            views,
+            scheduler,
+            SimpleNamespace(instance="entry-1"),
+            DecisionLog("entry-1"),
+            1,
+            3.0,
+            SimpleNamespace(write=write),
+            lambda: None,
+        )
+        manager._sizing.forecast.record_burst("pool", 1.0)
+        await manager._run_round()
+        assert events == ["write", "plan", "cordon"]
