--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -3,12 +3,6 @@
 import asyncio
 import math
 
-from baobablane.admission import (
-    Rejection,
-    RejectionAudit,
-    decide_rejection,
-    describe_demand,
-)
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobState, encode_job
@@ -21,9 +15,9 @@
 
 from ..decision_log import Decision, DecisionLog
 from ._append_forecast import MAX_ACCEPT_SECONDS
-from ._clock import boot_seconds, unix_ms
+from ._clock import boot_seconds
 from ._job_writer import JobWriter
-from ._owner_load import OwnerLoad
+from ._load_rejection import LoadRejection
 from ._views import CANCEL_PREFIX, Views
 
 # Covers the time from reading the view's age to the answer, and the error of the clock.
@@ -42,14 +36,9 @@
 MAX_LOGGED_CHARACTERS = 200
 # Callers wait for 3 s, so after a rejection they have time to try another instance.
 CATCH_UP_TIMEOUT_SECONDS = 1.0
-# A job that another instance has stored is known after one read, which takes about
-# 20 ms. A rejection is not delayed for longer than this.
-REJECTION_CHECK_TIMEOUT_SECONDS = 0.25
 # A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
 # result, the answer comes from a view that is at most 1.3 s old.
 STATE_READ_TIMEOUT_SECONDS = 0.3
-# More ids than appends of unknown outcome during the longest outage of the store.
-MAX_UNSURE_IDS = 10_000
 # A fault of the store, or of the connection to it, lasts for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
 
@@ -76,11 +65,8 @@
         self._views = views
         self._job_writer = job_writer
         self._log = log
-        self._audit = RejectionAudit()
-        # Jobs whose appends have an unknown outcome, in the order of the appends.
-        self._unsure_ids: dict[str, None] = {}
+        self._load_rejection = LoadRejection(views, job_writer, log)
         self.is_stopping = False
-        views.on_load = self._check_rejections
 
     def is_ready(self) -> bool:
         """Return whether new callers should be routed to this instance."""
@@ -156,7 +142,7 @@
             # Nothing is sent to the store, so the job certainly will not run.
             self._log_decision("job-refused", job, queue.name, reason)
             raise RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
-        await self._reject_for_load(job, queue)
+        await self._load_rejection.check(job, queue)
         if job.id in self._views.job_table.jobs_by_id:
             self._log_decision("job-known", job, queue.name)
             return
@@ -175,7 +161,7 @@
                 ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
             ) from error
         except StoreError as error:
-            self._add_unsure(job.id)
+            self._load_rejection.add_unsure(job.id)
             self._log_decision("job-unsure", job, queue.name, str(error))
             raise RejectedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
         if self._views.job_table.accept(job):
@@ -207,73 +193,6 @@
             return f"the store would take {seconds:.1f} s to accept it"
         return ""
 
-    async def _reject_for_load(self, job: Job, queue: Queue) -> None:
-        """Raise RejectedError if the job's result would come too late to be of use.
-
-        Nothing is sent to the store for a rejected job. A job that may already be
-        stored is never rejected.
-        """
-        if self._decide_rejection(job, queue) is None or self._may_be_stored(job.id):
-            return
-        try:
-            # A caller that got no answer may send its job again to this instance before
-            # the view shows that another one has stored it.
-            async with asyncio.timeout(REJECTION_CHECK_TIMEOUT_SECONDS):
-                await self._views.jobs_tail.catch_up()
-        except (StoreError, TimeoutError) as error:
-            self._log.info("rejection-skipped", request=job.id, reason=repr(error))
-            return
-        rejection = self._decide_rejection(job, queue)
-        if rejection is None or self._may_be_stored(job.id):
-            return
-        self._audit.add(rejection, boot_seconds())
-        self._log.metrics.rejected_jobs.labels(rejection.pool).inc()
-        self._log.write(
-            Decision(
-                "job-refused",
-                request=job.id,
-                team=job.account,
-                queue=queue.name,
-                reason="its result would be of no use",
-                result=int(ResultCode.QUEUE_FULL),
-                seconds=rejection.age_seconds,
-                ahead_core_seconds=rejection.ahead_core_seconds,
-                predicted_seconds=rejection.predicted_seconds,
-                load_version=rejection.version,
-                retry_after_seconds=rejection.retry_after_seconds,
-            )
-        )
-        raise RejectedError(
-            ResultCode.QUEUE_FULL,
-            f"the job would take {rejection.predicted_seconds:.1f} s",
-            rejection.retry_after_seconds,
-        )
-
-    def _decide_rejection(self, job: Job, queue: Queue) -> Rejection | None:
-        load = self._views.owner_load
-        if load is None:
-            return None
-        age = load.age_seconds(boot_seconds(), unix_ms())
-        return decide_rejection(describe_demand(job, queue), load.summary, age)
-
-    def _may_be_stored(self, job_id: str) -> bool:
-        return (
-            job_id in self._views.job_table.jobs_by_id
-            or job_id in self._unsure_ids
-            or self._job_writer.is_writing(job_id)
-        )
-
-    def _add_unsure(self, job_id: str) -> None:
-        self._unsure_ids[job_id] = None
-        if len(self._unsure_ids) > MAX_UNSURE_IDS:
-            del self._unsure_ids[next(iter(self._unsure_ids))]
-
-    def _check_rejections(self, load: OwnerLoad) -> None:
-        now = boot_seconds()
-        age = load.age_seconds(now, unix_ms())
-        for would_be_in_time in self._audit.settle(load.summary, age, now):
-            self._log.metrics.count_checked_rejection(would_be_in_time)
-
     async def state(self, job_id: str) -> JobState | None:
         """Return a job's state, or None if the job certainly does not exist.
 
