--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -187,9 +187,9 @@
 class TestRound:
     """Test that a plan is carried out on the state that it was made for.
 
-    On a drawn day, a maintenance order ended a task beyond its step's allowance. A
-    record was written between the plan and the cordon, for which the round waits while
-    the store is slow, and tasks could start on the upstream in the meantime.
+    A record used to be written between the plan and the cordon. The round waits for it
+    while the store is slow, and a task that starts on the upstream in the meantime ends
+    with it, beyond its step's allowance.
     """
 
     async def test_nothing_is_written_between_the_plan_and_the_cordon(self):
