--- a/review/standin/checks.py
+++ b/review/standin/checks.py
@@ -13,14 +13,15 @@
     broken: list[str] = []
     open_runs: dict[str, dict[str, tuple[int, float]]] = defaultdict(dict)
     done: dict[str, list[dict]] = defaultdict(list)
-    acknowledged: dict[str, int] = defaultdict(int)
-    lapses: dict[str, list[float]] = defaultdict(list)
+    # By executor and boot.
+    acknowledged: dict[tuple[str, int], int] = defaultdict(int)
+    lapses: dict[tuple[str, int], list[float]] = defaultdict(list)
     for row in rows:
         if row["event"] == "acknowledged":
-            name = row["executor"]
-            acknowledged[name] = max(acknowledged[name], row["number"])
+            boot = (row["executor"], row["born"])
+            acknowledged[boot] = max(acknowledged[boot], row["number"])
         elif row["event"] == "lapse":
-            lapses[row["executor"]].append(row["at"])
+            lapses[row["executor"], row["born"]].append(row["at"])
     for row in rows:
         executor, task = row.get("executor", ""), row.get("task", "")
         if row["event"] == "crash":
@@ -28,7 +29,10 @@
                 runs.pop(executor, None)
         elif row["event"] == "end":
             open_runs[task].pop(executor, None)
-            if row["how"] == "done" and row["number"] <= acknowledged[executor]:
+            if (
+                row["how"] == "done"
+                and row["number"] <= acknowledged[executor, row["born"]]
+            ):
                 done[task].append(row)
         elif row["event"] == "start":
             for other, (run, at) in open_runs[task].items():
@@ -37,7 +41,10 @@
                     f" while run {run} runs on {other} since {at} s"
                 )
             for end in done[task]:
-                if any(end["at"] <= at <= row["at"] for at in lapses[end["executor"]]):
+                if any(
+                    end["at"] <= at <= row["at"]
+                    for at in lapses[end["executor"], end["born"]]
+                ):
                     continue
                 broken.append(
                     f"{task}: run {row['run']} starts on {executor} at {row['at']} s,"
--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from weakref import WeakKeyDictionary
 
 from aiohttp import web
 
@@ -18,6 +19,8 @@
 CHECKPOINT_SECONDS = 0.5
 GANG_TIMEOUT_SECONDS = 3.0
 FAIL_SECONDS = 0.1
+# Longer than any caller waits.
+SILENT_SECONDS = 60.0
 MAX_HOLD_MS = 10_000
 
 
@@ -103,6 +106,10 @@
         self.is_grey = False
         self.address = ""
         self.lives = 0
+        # The life at the first call over each channel.
+        self._first_lives: WeakKeyDictionary[asyncio.Transport, int] = (
+            WeakKeyDictionary()
+        )
         # May answer a start in place of the executor; None leaves it to the executor.
         self.intercept: Callable[
             [web.Request, dict, Executor], web.StreamResponse | None
@@ -151,6 +158,19 @@
             self.world.break_gang(gang)
         await self.close()
 
+    def fall_silent(self) -> None:
+        """Lose everything without a sign; open calls get no response."""
+        self.world.write("crash", executor=self.id, how="silent")
+        self.is_up = False
+        self.running, self.ended = {}, []
+
+    def return_under_same_id(self) -> None:
+        """Begin a new life under the same id; it enters itself at its next beat."""
+        name = self.id
+        self._begin_life()
+        self.id = name
+        self.world.write("executor-starts", executor=self.id, born=self.born)
+
     async def restart(self) -> None:
         """Begin a new life on the same machine."""
         self._begin_life()
@@ -190,7 +210,7 @@
         if not self.is_up:
             return
         if self.running and self._clock_ms() > self.deadline_ms:
-            self.world.write("lapse", executor=self.id)
+            self.world.write("lapse", executor=self.id, born=self.born)
             for run in list(self.running.values()):
                 self.end(run, "lapsed")
             return
@@ -237,6 +257,7 @@
         self.world.write(
             "end",
             executor=self.id,
+            born=self.born,
             task=run.task,
             run=run.number,
             how=how,
@@ -272,8 +293,24 @@
     def _is_other_boot(self, request: web.Request) -> bool:
         return request.headers.get("Baobablane-Expected-Instance", self.id) != self.id
 
+    async def _is_lost_with_earlier_life(self, request: web.Request) -> bool:
+        """Return whether a call came over a channel to an earlier life; close that.
+
+        While the executor is silent, this does not return.
+        """
+        while not self.is_up:
+            await asyncio.sleep(SILENT_SECONDS)
+        first_life = request.transport in self._first_lives
+        life = self._first_lives.setdefault(request.transport, self.lives)
+        if first_life and life != self.lives and request.transport is not None:
+            request.transport.abort()
+            return True
+        return False
+
     async def _start(self, request: web.Request) -> web.StreamResponse:
         order = json.loads(await request.read())
+        if await self._is_lost_with_earlier_life(request):
+            return web.Response()
         if self._is_other_boot(request):
             return self._reply(421)
         self.world.write(
@@ -336,6 +373,8 @@
 
     async def _stop(self, request: web.Request) -> web.StreamResponse:
         order = json.loads(await request.read())
+        if await self._is_lost_with_earlier_life(request):
+            return web.Response()
         if self._is_other_boot(request):
             return self._reply(421)
         if int(order.get("fencingToken", 0)) < self.token:
@@ -351,6 +390,8 @@
 
     async def _hold(self, request: web.Request) -> web.StreamResponse:
         order = json.loads(await request.read())
+        if await self._is_lost_with_earlier_life(request):
+            return web.Response()
         if self._is_other_boot(request):
             return self._reply(421)
         if int(order.get("fencingToken", 0)) < self.token:
@@ -359,11 +400,17 @@
         self._extend_lease(order)
         acknowledged = int(order.get("ackCursor", 0))
         if self.ended and int(str(self.ended[0][0])) <= acknowledged:
-            self.world.write("acknowledged", executor=self.id, number=acknowledged)
+            self.world.write(
+                "acknowledged", executor=self.id, born=self.born, number=acknowledged
+            )
         self.ended = [row for row in self.ended if int(str(row[0])) > acknowledged]
         wait_until = time.monotonic() + int(order.get("waitMs", 0)) / 1000
+        life = self.lives
         while not self.ended and time.monotonic() < wait_until:
             await asyncio.sleep(TICK_SECONDS)
+            if not self.is_up or life != self.lives:
+                # The caller gets no response from a life that is over.
+                await asyncio.sleep(SILENT_SECONDS)
         now = time.monotonic()
         running = [
             [
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -170,6 +170,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._session: aiohttp.ClientSession | None = None
+        # Set when the executors have written their entries, and then replaced.
+        self._beat = asyncio.Event()
 
     async def __aenter__(self) -> "Fleet":
         """Start everything, and wait until all entry processes are ready."""
@@ -297,6 +299,10 @@
         name = str(owner["holder"]).rpartition("-")[0]
         return next(entry for entry in self.entries if entry.name == name)
 
+    async def wait_for_beat(self) -> None:
+        """Wait until the executors have just written their entries."""
+        await self._beat.wait()
+
     async def _are_ready(self) -> bool:
         statuses = [await self.call(e, "GET", READY_PATH) for e in self.entries]
         return all(status == 200 for status, _ in statuses) and bool(
@@ -347,6 +353,8 @@
                 if now - at > 3 * HEARTBEAT_SECONDS:
                     del seen[name]
                     self.store.put("keyed.servers", name, None)
+            self._beat.set()
+            self._beat = asyncio.Event()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
