--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,5 @@
 """Let an unhealthy executor lose the answer to a start and reject its repetition."""
 
-import asyncio
 import os
 import sys
 import time
@@ -11,7 +10,7 @@
 from aiohttp import web  # noqa: E402
 from standin.checks import find_twice  # noqa: E402
 from standin.executor import Executor  # noqa: E402
-from standin.fleet import CaseError, Fleet  # noqa: E402
+from standin.fleet import Fleet, run_case  # noqa: E402
 
 JOB = "00000000000000c1"
 STEP = {"count": 1, "cpu": 2_000, "memMb": 1_000, "estimatedMs": 3_000}
@@ -50,22 +49,18 @@
 async def main() -> int:
     """Return 1 if a task ran twice, 0 if none did, and 2 if the case did not run."""
     path = Path(__file__).with_name("record.txt")
-    try:
-        async with Fleet(path, executors=10) as fleet:
-            if os.environ.get("TROUBLE", "1") != "0":
-                unhealthy = UnhealthyExecutor(fleet)
-                for executor in fleet.world.executors:
-                    executor.intercept = unhealthy.answer
-            await fleet.submit(JOB, SPEC, [STEP])
+    async with Fleet(path, executors=10) as fleet:
+        if os.environ.get("TROUBLE", "1") != "0":
+            unhealthy = UnhealthyExecutor(fleet)
+            for executor in fleet.world.executors:
+                executor.intercept = unhealthy.answer
+        await fleet.submit(JOB, SPEC, [STEP])
 
-            async def is_completed() -> bool:
-                return await fleet.state(JOB) == "completed"
+        async def is_completed() -> bool:
+            return await fleet.state(JOB) == "completed"
 
-            await fleet.wait_for(is_completed, FINISH_SECONDS, "not completed")
-            rows = fleet.record.rows
-    except CaseError as error:
-        print(f"the case did not run: {error}")
-        return 2
+        await fleet.wait_for(is_completed, FINISH_SECONDS, "not completed")
+        rows = fleet.record.rows
     broken = find_twice(rows)
     for line in broken[:5]:
         print(line)
@@ -74,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standin.fleet import CaseError, Fleet  # noqa: E402
+from standin.fleet import Fleet, run_case  # noqa: E402
 
 LONG_JOB = "00000000000000d1"
 LATER_JOB = "00000000000000d2"
@@ -30,39 +30,34 @@
 async def main() -> int:
     """Return 1 if LOST was broken, 0 if it held, and 2 if the case did not run."""
     path = Path(__file__).with_name("record.txt")
-    try:
-        async with Fleet(path, executors=10, labelled=1) as fleet:
-            labelled = fleet.world.executors[0]
-            labelled.is_grey = os.environ.get("TROUBLE", "1") != "0"
-            fleet.record.write("grey-begins", executor=labelled.id)
-            await fleet.submit(LONG_JOB, {"ms": [60_000, 60_000]}, [LONG_STEP])
-            await asyncio.sleep(GREY_SECONDS)
-            labelled.is_grey = False
-            fleet.record.write("grey-ends", executor=labelled.id)
+    async with Fleet(path, executors=10, labelled=1) as fleet:
+        labelled = fleet.world.executors[0]
+        labelled.is_grey = os.environ.get("TROUBLE", "1") != "0"
+        fleet.record.write("grey-begins", executor=labelled.id)
+        await fleet.submit(LONG_JOB, {"ms": [60_000, 60_000]}, [LONG_STEP])
+        await asyncio.sleep(GREY_SECONDS)
+        labelled.is_grey = False
+        fleet.record.write("grey-ends", executor=labelled.id)
 
-            async def runs_long_job() -> bool:
-                return len(labelled.running) == LONG_STEP["count"]
+        async def runs_long_job() -> bool:
+            return len(labelled.running) == LONG_STEP["count"]
 
-            await fleet.wait_for(runs_long_job, 20.0, "the long tasks don't run")
-            await asyncio.sleep(CALM_SECONDS)
-            await fleet.submit(LATER_JOB, {"ms": [1_000, 1_000]}, [LATER_STEP])
-            accepted_at = fleet.record.now()
-            state = ""
-            while (
-                state != "completed"
-                and fleet.record.now() < accepted_at + OBSERVED_SECONDS
-            ):
-                await asyncio.sleep(0.25)
-                state = await fleet.state(LATER_JOB)
-            starts = [
-                row["at"]
-                for row in fleet.record.of("start")
-                if row["task"].startswith(LATER_JOB)
-            ]
-            ended_at = fleet.record.now()
-    except CaseError as error:
-        print(f"the case did not run: {error}")
-        return 2
+        await fleet.wait_for(runs_long_job, 20.0, "the long tasks don't run")
+        await asyncio.sleep(CALM_SECONDS)
+        await fleet.submit(LATER_JOB, {"ms": [1_000, 1_000]}, [LATER_STEP])
+        accepted_at = fleet.record.now()
+        state = ""
+        while (
+            state != "completed" and fleet.record.now() < accepted_at + OBSERVED_SECONDS
+        ):
+            await asyncio.sleep(0.25)
+            state = await fleet.state(LATER_JOB)
+        starts = [
+            row["at"]
+            for row in fleet.record.of("start")
+            if row["task"].startswith(LATER_JOB)
+        ]
+        ended_at = fleet.record.now()
     waited = (starts[0] if starts else ended_at) - accepted_at
     print(
         f"{LATER_JOB}: accepted at {accepted_at:.1f} s, nothing of it ran for"
@@ -72,4 +67,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/standin/executor.py
+++ b/review/standin/executor.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 TICK_SECONDS = 0.005
+BEAT_SECONDS = 1.5
 MAX_ENDS_PER_REPORT = 500
 STOP_SECONDS = 0.05
 CHECKPOINT_SECONDS = 0.5
@@ -114,6 +115,8 @@
         self.intercept: Callable[
             [web.Request, dict, Executor], web.StreamResponse | None
         ] = lambda request, order, executor: None
+        # When the latest call to `hold` arrived.
+        self.held_at = float("-inf")
         self._runner: web.AppRunner | None = None
         self._begin_life()
 
@@ -127,9 +130,11 @@
         self.closed: dict[str, int] = {}
         self.token = self.end_count = self.deadline_ms = 0
         self.boot = time.monotonic()
+        # A life enters itself in the store at its beats, and the first ones at once.
+        self.next_beat_at = self.boot if self.lives == 1 else self.boot + BEAT_SECONDS
 
     async def serve(self) -> None:
-        """Listen on a free loopback port, the same in each life."""
+        """Listen on `address`, which must be set."""
         app = web.Application()
         app.router.add_post("/baobablane/run-start", self._start)
         app.router.add_post("/baobablane/run-stop", self._stop)
@@ -137,11 +142,7 @@
         self._runner = web.AppRunner(app, shutdown_timeout=0.01)
         await self._runner.setup()
         host, _, port = self.address.partition(":")
-        site = web.TCPSite(self._runner, host or "127.0.0.1", int(port or 0))
-        await site.start()
-        if not self.address:
-            sockname = site._server.sockets[0].getsockname()  # type: ignore
-            self.address = f"127.0.0.1:{sockname[1]}"
+        await web.TCPSite(self._runner, host, int(port)).start()
 
     async def close(self) -> None:
         """Stop listening."""
@@ -397,6 +398,7 @@
         if int(order.get("fencingToken", 0)) < self.token:
             return self._reply(409, reason="fence")
         self.token = int(order["fencingToken"])
+        self.held_at = time.monotonic()
         self._extend_lease(order)
         acknowledged = int(order.get("ackCursor", 0))
         if self.ended and int(str(self.ended[0][0])) <= acknowledged:
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -3,19 +3,22 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import signal
 import socket
 import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from types import TracebackType
 
 import aiohttp
 from aiohttp import web
 
-from .executor import TICK_SECONDS, Executor, Step, World
+from .executor import BEAT_SECONDS, TICK_SECONDS, Executor, Step, World
 from .store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -24,9 +27,12 @@
 PREFIX = "/jobs/"
 KEY = "key-a"
 READY_PATH = "/baobablane/ready"
-HEARTBEAT_SECONDS = 1.5
+CHECK_IN_SECONDS = 0.05
 RESTART_SECONDS = 1.0
 START_TIMEOUT_SECONDS = 30.0
+PORTS = range(20_000, 32_000)
+MAX_PORT_TRIES = 1_000
+_taken_ports: set[int] = set()
 
 
 class CaseError(Exception):
@@ -170,8 +176,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._session: aiohttp.ClientSession | None = None
-        # Set when the executors have written their entries, and then replaced.
-        self._beat = asyncio.Event()
 
     async def __aenter__(self) -> "Fleet":
         """Start everything, and wait until all entry processes are ready."""
@@ -192,6 +196,7 @@
         self.store_address = f"127.0.0.1:{port}"
         for number in range(executors):
             executor = Executor(self.world, f"m{number}", SERVICE, "zone-a")
+            executor.address = f"127.0.0.1:{_free_port()}"
             executor.kind = "b" if number < labelled else "a"
             await executor.serve()
             self.world.executors.append(executor)
@@ -228,7 +233,9 @@
         self._folder.cleanup()
         self.record.close()
 
-    async def wait_for(self, condition, seconds: float, what: str) -> None:  # noqa: ANN001
+    async def wait_for(
+        self, condition: Callable[[], Awaitable[bool]], seconds: float, what: str
+    ) -> None:
         """Wait until an asynchronous condition holds, or raise CaseError."""
         until = time.monotonic() + seconds
         while not await condition():
@@ -253,7 +260,7 @@
             ) as response:
                 text = await response.text()
                 return response.status, json.loads(text) if text else {}
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return 0, {}
 
     async def submit(self, job: str, spec: object, steps: list[dict]) -> None:
@@ -299,10 +306,6 @@
         name = str(owner["holder"]).rpartition("-")[0]
         return next(entry for entry in self.entries if entry.name == name)
 
-    async def wait_for_beat(self) -> None:
-        """Wait until the executors have just written their entries."""
-        await self._beat.wait()
-
     async def _are_ready(self) -> bool:
         statuses = [await self.call(e, "GET", READY_PATH) for e in self.entries]
         return all(status == 200 for status, _ in statuses) and bool(
@@ -342,23 +345,52 @@
         sequence = 0
         seen: dict[str, float] = {}
         while True:
-            sequence += 1
             now = time.monotonic()
             for executor in self.world.executors:
-                if executor.is_up:
+                if executor.is_up and now >= executor.next_beat_at:
+                    sequence += 1
+                    executor.next_beat_at = now + BEAT_SECONDS
                     seen[executor.id] = now
                     entry = executor.entry(sequence)
                     self.store.put("keyed.servers", executor.id, entry)
             for name, at in list(seen.items()):
-                if now - at > 3 * HEARTBEAT_SECONDS:
+                if now - at > 3 * BEAT_SECONDS:
                     del seen[name]
                     self.store.put("keyed.servers", name, None)
-            self._beat.set()
-            self._beat = asyncio.Event()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(CHECK_IN_SECONDS)
+
+
+def run_case(case: Callable[[], Coroutine[None, None, int]]) -> int:
+    """Run a case, and return its exit code; 2 means that it could not run.
+
+    A signal to stop cancels the case, so that its processes end with it.
+    """
+
+    async def run() -> int:
+        task = asyncio.ensure_future(case())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        return asyncio.run(run())
+    except (CaseError, asyncio.CancelledError, KeyboardInterrupt) as error:
+        print(f"the case did not run: {error!r}")
+    except Exception:
+        traceback.print_exc()
+    return 2
 
 
 def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a port on which nobody listens, outside of the range of clients' ports."""
+    for _ in range(MAX_PORT_TRIES):
+        port = random.choice(PORTS)
+        if port in _taken_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
+    raise CaseError("no free port")
