Acknowledge ends only over a connection of the life that listed them

Cause: a renewal carries the number of the last recorded end of the life that the owner knows, whichever life answers. The new one forgot its own ends up to that number before it had listed them, and its report then named neither runs nor ends. The repetition over a new connection, after the old one was closed, did the same within one call.

Evidence: the new life logs `acknowledged` 16 right before its first report; to a renewal with number 0 it lists all 16 ends.

Change: RenewalConnection owns one connection per upstream. The first call over each only asks which life answers; ends are acknowledged and leases extended only over a connection over which that life has reported, and such a call opens no other one. A connection ends with its process, so this holds however the restart falls between two calls. Checks acknowledge nothing.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -73,6 +73,12 @@
 
     async def run(self) -> None:
         """Poll until the upstream is removed, or raise UpstreamFencedError."""
+        try:
+            await self._poll_until_removed()
+        finally:
+            await self._orders.close_renewals(self._id)
+
+    async def _poll_until_removed(self) -> None:
         while self._id in self._scheduler.state.upstreams:
             try:
                 await self._poll()
@@ -92,9 +98,7 @@
             return
         requested_at = boot_seconds()
         try:
-            report = await self._orders.renew_leases(
-                upstream.entry, self._fencing_token, None, upstream.recorded_end, 0
-            )
+            report = await self._orders.read_runs(upstream.entry, self._fencing_token)
         except UpstreamUnreachableError as error:
             self._handle_unreachable(str(error))
             return
