Conclude nothing from runs that an incomplete list of ends omits

Cause: a report lists at most 500 ends. apply_report took every confirmed run in neither list for lost, and asked to stop starts of unknown outcome.

Evidence: the first report after the takeover lists 500 ends, 200 tasks of each upstream are put back with `not-listed`, and the next report lists their ends; with 499 ends nothing runs again. `ends-truncated` now says that a list may be cut off.

Change: a report tells whether it can lack ends, and only one that can't proves a loss. Ends are recorded and acknowledged as before, so the next reports list the others.

--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -37,6 +37,21 @@
             _apply_running(state, upstream, row, now)
         except Exception as error:
             state.set_apart(row.task.job, error)
+    if report.has_all_ends:
+        _apply_absence(state, upstream, listed, requested_at, now)
+    elif not upstream.has_hidden_ends:
+        state.log_truncated_report(upstream, len(report.ended))
+    upstream.has_hidden_ends = not report.has_all_ends
+
+
+def _apply_absence(
+    state: SchedulerState,
+    upstream: Upstream,
+    listed: set[TaskId],
+    requested_at: float,
+    now: float,
+) -> None:
+    """Apply that all other runs are neither running nor have ends to be reported."""
     for task, run in list(upstream.runs.items()):
         if task in listed:
             continue
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -111,6 +111,17 @@
             )
         )
 
+    def log_truncated_report(self, upstream: Upstream, end_count: int) -> None:
+        """Queue for the log that an upstream's list of ends may be cut off."""
+        self.events.append(
+            SchedulingEvent(
+                "ends-truncated",
+                upstream=upstream.id,
+                incarnation=upstream.entry.incarnation,
+                reason=f"{end_count} ends listed, {len(upstream.runs)} runs open",
+            )
+        )
+
     def advised(
         self, step_run: StepRun, upstreams: list[Upstream], now: float
     ) -> list[Upstream]:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -71,6 +71,8 @@
     # Number of the last end that was applied, and of the last one that is recorded.
     applied_end: int = 0
     recorded_end: int = 0
+    # Its latest report may lack ends, so it does not show which runs are lost.
+    has_hidden_ends: bool = False
     is_listed: bool = True
     # No new work, because its instance is about to be moved or is due for maintenance.
     is_cordoned: bool = False
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -67,6 +67,8 @@
     highest_ended_run: dict[TaskId, int] = field(default_factory=dict)
     percent: dict[TaskId, int] = field(default_factory=dict)
     end_count: int = 0
+    # How many ends a report lists.
+    max_listed_ends: int = 500
     epoch: int = 0
     lease_expires_at: float = 0.0
 
@@ -113,7 +115,14 @@
             RunningTask(task, run, "", self.percent.get(task, 50))
             for task, run in self.running.items()
         )
-        return RenewalReport(self.entry.incarnation, 0, rows, tuple(self.ended))
+        listed = tuple(self.ended[: self.max_listed_ends])
+        return RenewalReport(
+            self.entry.incarnation,
+            0,
+            rows,
+            listed,
+            has_all_ends=len(listed) < self.max_listed_ends,
+        )
 
 
 class ModelFleet:
