Let the only upstream that can do some work have a way out of ejection

Cause: the first start after an ejection is the probe, and it keeps the upstream closed until it ends, however long it runs. Ejected upstreams are used only if a pool has no healthy one; nobody asked whether a healthy one can run the task. Each further ejection lasts twice as long, up to 60 s, which such work waits for too.

Evidence: with a probe of 1 s the job starts after that second; the nine healthy upstreams lack the label; there is no order to the tenth.

Change: a probe closes its upstream for 2 s at most, then more may start, again for 2 s, until there is a result. Trials of suspects use the same last resort.

--- a/packages/baobablane/baobablane/routing/_ejection.py
+++ b/packages/baobablane/baobablane/routing/_ejection.py
@@ -18,6 +18,9 @@
     # Each further ejection lasts twice as long, until a probe succeeds.
     first_ejection_seconds: float = 5.0
     max_ejection_seconds: float = 60.0
+    # A probe without a result keeps the upstream closed for this long. Then more may
+    # be sent, as the probe may run for minutes, and a bad upstream fails early.
+    max_probe_seconds: float = 2.0
     # Multiplies the counts of earlier results when a new one is recorded.
     decay_factor: float = 0.9
 
@@ -27,8 +30,12 @@
     successes: float = 0.0
     failures: float = 0.0
     ejected_until: float = float("-inf")
+    # When it may get what no other upstream can do.
+    retry_at: float = float("-inf")
     ejections: int = 0
+    # Something was sent since the ejection, and nothing is known of it yet.
     is_probing: bool = False
+    probed_at: float = float("-inf")
 
     @property
     def failure_ratio(self) -> float:
@@ -49,13 +56,26 @@
         health = self._by_id.get(upstream)
         if health is None or health.ejections == 0:
             return False
-        return now < health.ejected_until or health.is_probing
+        return now < health.ejected_until or self._is_in_probe(health, now)
+
+    def may_retry(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream may get what no other upstream can do.
+
+        It waits for the first ejection time after each ejection, however many there
+        were: nothing else shows whether it is sound again.
+        """
+        health = self._by_id.get(upstream)
+        if health is None or health.ejections == 0:
+            return True
+        return now >= health.retry_at and not self._is_in_probe(health, now)
 
     def record_sent(self, upstream: str, now: float) -> None:
-        """Record a request, which is the probe if it is the first after an ejection."""
+        """Record a request, which is a probe until one has succeeded after ejection."""
         health = self._by_id.get(upstream)
-        if health is not None and health.ejections and now >= health.ejected_until:
-            health.is_probing = True
+        if health is None or not health.ejections or now < health.retry_at:
+            return
+        if not self._is_in_probe(health, now):
+            health.is_probing, health.probed_at = True, now
 
     def record_inconclusive(self, upstream: str) -> None:
         """Record a request that ended without evidence of the upstream's health."""
@@ -89,6 +109,12 @@
             return False
         return self._eject(health, now)
 
+    def _is_in_probe(self, health: _UpstreamHealth, now: float) -> bool:
+        return (
+            health.is_probing
+            and now < health.probed_at + self._policy.max_probe_seconds
+        )
+
     def _apply_decay(self, health: _UpstreamHealth) -> None:
         health.successes *= self._policy.decay_factor
         health.failures *= self._policy.decay_factor
@@ -128,6 +154,7 @@
         seconds = self._policy.first_ejection_seconds * 2**health.ejections
         health.ejections += 1
         health.ejected_until = now + min(seconds, self._policy.max_ejection_seconds)
+        health.retry_at = now + self._policy.first_ejection_seconds
         health.successes = 0.0
         health.failures = 0.0
         return True
--- a/packages/baobablane/baobablane/scheduling/_advice.py
+++ b/packages/baobablane/baobablane/scheduling/_advice.py
@@ -64,6 +64,10 @@
             )
         return valid
 
+    def is_rejected(self, step: AdvisedStep, upstream_id: str) -> bool:
+        """Return whether the advisor is known not to allow an upstream for a step."""
+        return upstream_id in self._rejected.get(step, ())
+
     def known_allowed(
         self, step: AdvisedStep, candidates: list[Upstream]
     ) -> list[Upstream]:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from ._job_run import JobRun
+from ._last_resort import find_last_resort
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
 from ._pressure import is_pressed, measure_pressure
@@ -105,7 +106,7 @@
             and _is_under_cap(state, step_run)
         ):
             room.note_unplaced(pool, step_run.step, len(others))
-        return orders
+        return _plan_last_resort(state, step_run, others, pool, room, now)
     if not _is_under_cap(state, step_run):
         return orders
     usable, healthy = room.usable.get(pool, []), room.healthy.get(pool, [])
@@ -131,6 +132,8 @@
         candidates = state.advised(step_run, usable, now)
         orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
+    orders += _plan_last_resort(state, step_run, others, pool, room, now)
+    others = others & step_run.waiting
     is_stuck = is_stuck and bool(others) and _is_under_cap(state, step_run)
     if is_stuck and pool not in room.lasting_pools:
         room.lasting_pools.add(pool)
@@ -138,6 +141,24 @@
     return orders
 
 
+def _plan_last_resort(
+    state: SchedulerState,
+    step_run: StepRun,
+    others: set[int],
+    pool: str,
+    room: RoundRoom,
+    now: float,
+) -> list[StartOrder]:
+    """Return the starts of tasks that only ejected upstreams can run."""
+    if not others or not room.has_ejected(pool) or not _is_under_cap(state, step_run):
+        return []
+    found = find_last_resort(state, pool, step_run, room.usable.get(pool, []), now)
+    if not found:
+        return []
+    candidates = state.advised(step_run, found, now)
+    return _plan_step(state, step_run, others, candidates, room, now)
+
+
 def _is_under_cap(state: SchedulerState, step_run: StepRun) -> bool:
     """Return whether the account's cap allows a task, or the whole gang.
 
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -37,6 +37,10 @@
     # Unsettled runs on each upstream of the unstable pools.
     young_runs: dict[str, int] = field(default_factory=dict)
 
+    def has_ejected(self, pool: str) -> bool:
+        """Return whether some upstreams of a pool take tasks but are ejected."""
+        return len(self.usable.get(pool, ())) > len(self.healthy.get(pool, ()))
+
     def for_trials(self, pool: str) -> list[Upstream]:
         """Return the upstreams that are left for trials."""
         others = self.healthy.get(pool) or self.usable.get(pool, [])
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from ..deployment import Resources
+from ._last_resort import find_last_resort
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
 from ._round_room import RoundRoom
@@ -171,6 +172,11 @@
             return []
         may_use_busy = self._at_risk == 0
         upstreams = self._room.for_trials(self._pool)
+        if self._room.has_ejected(self._pool):
+            usable = self._room.usable.get(self._pool, [])
+            upstreams = upstreams + find_last_resort(
+                self._state, self._pool, candidate.step_run, usable, self._now
+            )
         quiet = [
             upstream
             for upstream in upstreams
