Take an upstream with an odd entry off the list, whatever is odd

Seen (by the users, and by operators of other systems): an upstream's own entry that turned into a deeply nested one was skipped without taking the upstream off the list, and 16 of 24 tasks of the next job were started there. No process ended.

Cause: msgspec raises RecursionError for deep nesting, which is no DecodeError; the entry was left to the last guard of the topic's reader.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_invalid_entry.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_invalid_entry.py
@@ -45,7 +45,13 @@
 
     @pytest.mark.parametrize(
         "changes",
-        [{"capacity": None}, {"capacity": {"cpu": 10**15}}, {"state": "resting"}],
+        [
+            {"capacity": None},
+            {"capacity": {"cpu": 10**15}},
+            {"state": "resting"},
+            {"born": 2**63},
+            {"address": "10.0.0.1:99999"},
+        ],
     )
     async def test_upstream_takes_no_task_until_its_next_valid_entry(
         self, owner, changes
@@ -53,3 +59,11 @@
         assert self.read(owner)
         assert not self.read(owner, **changes)
         assert self.read(owner)
+
+    @pytest.mark.parametrize("depth", [30_000, 60_000])
+    async def test_deeply_nested_entry_is_no_valid_one(self, owner, depth):
+        assert self.read(owner)
+        nested = b'{"a":' * depth + b"1" + b"}" * depth
+        owner._on_upstream(KeyedRecord("u", nested))
+        assert not owner._scheduler.state.upstreams["u"].is_listed
+        assert self.read(owner)
