Count neither a stop nor a deadline of one life for the next one

Cause: an upstream's new life under the same id took over the runs of the earlier one as they were. A stop that only the earlier life had confirmed counted as proof that a start of unknown outcome arrives no more, so its task started again although the new life could still carry it out. And a start with a deadline of the earlier life's clock, carried out by the new one, gets the longest lease, while the owner expected it to end after 4 s.

Change: a run that was never seen is stopped once more at the new life. While a run is left whose start was meant for an earlier life, the longest lease of the platform counts.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -82,6 +82,7 @@
             replace(
                 make_policy(ownership.last_renewal_age(boot_seconds())),
                 divides_by_account=settings.divides_by_account,
+                max_lease_seconds=settings.limits.max_lease_seconds,
             )
         )
         self._writer = ProgressWriter(
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -3,6 +3,7 @@
 from ..deployment import NO_RESOURCES, UpstreamEntry
 from ..jobs import RunLoss, Task, TaskId
 from ._crash_evidence import confirm_crash, withdraw_losses
+from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Run, Upstream
@@ -37,6 +38,8 @@
         is_trial=bool(task.losses),
         is_restored=True,
     )
+    if not is_same_incarnation:
+        _expect_earlier_lease(state, upstream, run, now)
     state.add_run(run, upstream, now)
 
 
@@ -77,10 +80,26 @@
     for task in list(previous.runs):
         run = previous.remove(task)
         if run is not None:
+            if not run.was_seen:
+                # Only the earlier incarnation confirmed that it rejects a late start.
+                run.confirmed_at, run.needs_stop = None, True
+            _expect_earlier_lease(state, replacement, run, now)
             replacement.add(run)
     state.upstreams[entry.id] = replacement
 
 
+def _expect_earlier_lease(
+    state: SchedulerState, upstream: Upstream, run: Run, now: float
+) -> None:
+    """Allow for a start that was carried out by the deadline of another clock.
+
+    The clock of a new incarnation begins anew, so only the limit of all leases counts.
+    """
+    run.is_of_earlier_life = True
+    lease_seconds = state.policy.max_lease_seconds / SLOWEST_CLOCK_RATE + KILL_SECONDS
+    upstream.earlier_lease_until = now + lease_seconds
+
+
 def _add_unlisted(state: SchedulerState, task: Task, now: float) -> Upstream:
     # Its entry may have expired during an outage of the store while it kept running.
     entry = UpstreamEntry(
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -35,6 +35,8 @@
     # confirmation by the store, of which 1.5 s had passed; then a lease of 3.8 s on a
     # slow clock has to expire.
     unknown_lease_seconds: float = 7.5
+    # The longest lease that an upstream grants, on its own clock.
+    max_lease_seconds: float = 10.0
     # How long a new owner keeps an upstream that is recorded as running tasks but has
     # no entry. It may be silent to the store only, and run on under leases of the
     # previous owner. Entries are back 2 s after an outage of the store.
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -57,6 +57,8 @@
     is_trial: bool = False
     # An earlier owner started it, at an unknown time.
     is_restored: bool = False
+    # Its start was meant for an earlier incarnation, with a deadline of that clock.
+    is_of_earlier_life: bool = False
 
 
 @dataclass(slots=True)
@@ -68,6 +70,8 @@
     runs: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     lease: LeaseTracker | None = None
+    # Until when it may hold a lease that was granted by the clock of an earlier life.
+    earlier_lease_until: float = float("-inf")
     # Number of the last end that was applied, and of the last one that is recorded.
     applied_end: int = 0
     recorded_end: int = 0
@@ -171,8 +175,10 @@
     def latest_lease_expiry(self, unknown_lease_seconds: float) -> float:
         """Return when an upstream that stays unreachable certainly runs nothing."""
         if self.lease is None:
-            return self.added_at + unknown_lease_seconds
-        return self.lease.latest_expiry()
+            expiry = self.added_at + unknown_lease_seconds
+        else:
+            expiry = self.lease.latest_expiry()
+        return max(expiry, self.earlier_lease_until)
 
 
 def _counted_resources(run: Run) -> Resources:
--- a/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
@@ -56,6 +56,53 @@
         fleet.renew_all()
         assert [again.run for again in fleet.plan_starts()] == [2]
 
+    def test_stop_confirmed_by_one_incarnation_does_not_hold_for_the_next(self, fleet):
+        # A late start could begin a run there, beside the run of the requeued task.
+        add(fleet, make_job())
+        (order,) = fleet.plan_starts()
+        fleet.scheduler.start_answered(order, StartResult.UNKNOWN, fleet.now)
+        fleet.renew_all()
+        assert [stop.run for stop in fleet.send_stops()] == [1]
+        fleet.upstreams[order.upstream].restart()
+        fleet.renew_all()
+        assert fleet.plan_starts() == []
+        fleet.now += 1.0
+        assert [stop.run for stop in fleet.send_stops()] == [1]
+        late = fleet.upstreams[order.upstream].start(order, 1, fleet.now + 4, fleet.now)
+        assert late is StartResult.OLD_RUN
+        fleet.renew_all()
+        assert [again.run for again in fleet.plan_starts()] == [2]
+
+    def test_lease_by_the_clock_of_an_earlier_incarnation_is_the_longest(self, fleet):
+        # The new incarnation has a clock of its own, so it grants as long as it may.
+        add(fleet, make_job())
+        (order,) = fleet.plan_starts()
+        model = fleet.upstreams[order.upstream]
+        model.restart()
+        model.start(order, 1, fleet.now + 10, fleet.now)
+        fleet.scheduler.start_answered(order, StartResult.STARTED, fleet.now)
+        fleet.renew_all()
+        for _ in range(20):
+            fleet.now += 0.5
+            fleet.renew("u1" if order.upstream == "u0" else "u0")
+            fleet.scheduler.renewal_failed(order.upstream, fleet.now)
+            assert fleet.plan_starts() == []
+        fleet.now += 1.0
+        fleet.renew("u1" if order.upstream == "u0" else "u0")
+        fleet.scheduler.renewal_failed(order.upstream, fleet.now)
+        assert [again.run for again in fleet.plan_starts()] == [2]
+
+    def test_runs_of_the_new_incarnation_alone_wait_no_longer(self, fleet):
+        add(fleet, make_job())
+        (order,) = fleet.place()
+        fleet.upstreams[order.upstream].restart()
+        fleet.renew_all()
+        fleet.scheduler.upstream_listed(
+            fleet.upstreams[order.upstream].entry, fleet.now
+        )
+        upstream = fleet.scheduler.state.upstreams[order.upstream]
+        assert upstream.latest_lease_expiry(7.5) < fleet.now + 5.5
+
     def test_old_record_acknowledges_no_end_of_a_new_incarnation(self, fleet):
         add(fleet, make_job(make_step(2)))
         (first, _) = fleet.place()
