Conclude nothing from rows and states that can't be read

Cause: a malformed row of a running task left its run in neither list, so it counted as lost. An instance in an unknown state counted as down, so the tasks of an upstream that was only unreachable started again at once.

Change: a row that still names its task keeps its run. An unknown state is a state of its own, from which nothing follows.

--- a/packages/baobablane/baobablane/crashes/_host_table.py
+++ b/packages/baobablane/baobablane/crashes/_host_table.py
@@ -56,7 +56,7 @@
                 self._set(instance.id, host)
             if instance.state is InstanceState.UP and instance.upstream:
                 self._apply_up(instance, host, ordered_ms, unix_ms, changes)
-            elif host is None:
+            elif host is None or instance.state is InstanceState.UNKNOWN:
                 continue
             elif instance.state is InstanceState.DOWN:
                 if not host.is_draining and not _is_ordered(
--- a/packages/baobablane/baobablane/deployment/_instance.py
+++ b/packages/baobablane/baobablane/deployment/_instance.py
@@ -13,6 +13,8 @@
     MOVING = "moving"
     MAINTENANCE = "upkeep"
     DOWN = "down"
+    # The platform tells none of these states; nothing is concluded from that.
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -30,7 +30,7 @@
                 _apply_end(state, upstream, ended, now)
             except Exception as error:
                 state.set_apart(ended.task.job, error)
-    listed = {row.task for row in report.running}
+    listed = {row.task for row in report.running} | report.unreadable_tasks
     upstream.orphan_runs = {}
     for row in report.running:
         try:
--- a/packages/baobablane/baobablane/scheduling/_report.py
+++ b/packages/baobablane/baobablane/scheduling/_report.py
@@ -54,6 +54,8 @@
     ended: tuple[EndedRun, ...]
     # Rows that could not be decoded, each with the error.
     malformed_rows: tuple[str, ...] = ()
+    # Tasks of the malformed rows in `running`, as far as these can be told.
+    unreadable_tasks: frozenset[TaskId] = frozenset()
     # Whether every unacknowledged end is in the list, which the upstream may have cut
     # off. Only then a run in neither list has ended without an end to come.
     has_all_ends: bool = True
--- a/packages/baobablane/baobablane/scheduling/tests/test_truncated_reports.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_truncated_reports.py
@@ -4,6 +4,8 @@
 a report lists. The other runs were taken for lost, so tasks that had ended ran again.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from baobablane.jobs import JobState, TaskId
@@ -121,3 +123,15 @@
         assert [stop.task for stop in fleet.send_stops()] == [order.task]
         fleet.renew_all()
         assert [(again.task, again.run) for again in fleet.place()] == [(order.task, 2)]
+
+    def test_run_in_an_unreadable_row_is_not_lost(self, fleet):
+        name, model = next(iter(fleet.upstreams.items()))
+        task = next(iter(model.running))
+        report = model.report(0)
+        report = replace(
+            report,
+            running=tuple(row for row in report.running if row.task != task),
+            unreadable_tasks=frozenset({task}),
+        )
+        fleet.scheduler.report_received(name, report, fleet.now + 1, fleet.now + 1)
+        assert fleet.plan_starts() == []
--- a/packages/baobablane/baobablane/sizing/_plan.py
+++ b/packages/baobablane/baobablane/sizing/_plan.py
@@ -50,6 +50,8 @@
     standby_instances: list[Instance] = []
     evacuated_instances: list[Instance] = []
     for instance in instances:
+        if instance.state is InstanceState.UNKNOWN:
+            continue
         if instance.state is InstanceState.DOWN and instance.pool not in unstable_pools:
             continue
         if instance.upstream and instance.upstream in cordoned_upstreams:
