Start all members of a gang from the same checkpoint

All members ended alone every 3 s, without end.

Cause: each order carried the checkpoint that its own task had last reported. The upstream that ended its members `broken` told a newer one than the latest report of the crashed upstream.

Evidence: of the four orders two carry one value and two the other, under the same run number, and all four runs start and end `alone` 3 s later.

Change: a step keeps the latest checkpoint of any member, which is valid for the whole gang, and a gang starts with that. After a takeover it is one of the recorded ones, the same for all members.

--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -86,8 +86,8 @@
     withdraw_copy(state, run)
     job_run = state.jobs.get(row.task.job)
     found = job_run.find_task(row.task) if job_run else None
-    if found is not None and row.checkpoint:
-        found[1].checkpoint = row.checkpoint
+    if found is not None:
+        found[0].note_checkpoint(found[1], row.checkpoint)
 
 
 def _apply_end(
@@ -114,8 +114,7 @@
         return
     if ended.reason in (EndReason.DONE, EndReason.FAILED):
         clear_suspect(state, ended.task, task)
-    if ended.checkpoint:
-        task.checkpoint = ended.checkpoint
+    step_run.note_checkpoint(task, ended.checkpoint)
     state.dirty_jobs.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
         _finish_task(step_run, ended.task, task)
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -42,6 +42,9 @@
     if step_run.step.is_gang and runs:
         # All tasks of a gang have the same run number.
         runs = dict.fromkeys(runs, max(runs.values()))
+        # They wait for each other unless all resume from the same point.
+        for index in runs:
+            step_run.task(index).checkpoint = step_run.gang_checkpoint
     return [
         _commit_start(
             state, step_run, index, runs[index], upstream, 0 if number else predicted_ms
--- a/packages/baobablane/baobablane/scheduling/_step_run.py
+++ b/packages/baobablane/baobablane/scheduling/_step_run.py
@@ -15,6 +15,8 @@
         self.tasks: dict[int, Task] = {}
         self.waiting: set[int] = set(range(self.step.count))
         self.done = 0
+        # The latest checkpoint of any member, from which all of a gang resume.
+        self.gang_checkpoint = ""
 
     def key(self) -> tuple[str, int, int]:
         """Return the job's id, the occurrence and the number of the step."""
@@ -27,11 +29,17 @@
                 f"task index {index} is out of range for task count {self.step.count}"
             )
         self.tasks[index] = task
+        self.gang_checkpoint = task.checkpoint or self.gang_checkpoint
         if task.state is not TaskState.WAITING:
             self.waiting.discard(index)
         if task.state is TaskState.DONE:
             self.done += 1
 
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep the checkpoint that a run of a task has reported, if there is one."""
+        if checkpoint:
+            task.checkpoint = self.gang_checkpoint = checkpoint
+
     def is_done(self) -> bool:
         """Return whether every task is done."""
         return self.done >= self.step.count
