Look for ejected upstreams once a round, not once a job

A burst has hundreds of waiting jobs, and each looked through all upstreams of its pool for ejected ones. The round collects them now with the healthy ones.

--- a/packages/baobablane/baobablane/scheduling/_last_resort.py
+++ b/packages/baobablane/baobablane/scheduling/_last_resort.py
@@ -17,15 +17,14 @@
     state: SchedulerState,
     pool: str,
     step_run: StepRun,
-    usable: Collection[Upstream],
+    ejected: Collection[Upstream],
     now: float,
 ) -> list[Upstream]:
     """Return the ejected upstreams that may get a step's tasks, if no healthy one can.
 
-    `usable` are the upstreams of the pool that take tasks in this round. A healthy one
-    that is full or rejects starts for a moment will take some again.
+    `ejected` are the ejected upstreams of the pool that would take tasks now. A healthy
+    one that is full or rejects starts for a moment will take some again.
     """
-    ejected = [u for u in usable if state.ejections.is_ejected(u.id, now)]
     if not ejected:
         return []
     placed = step_run.placed_by_upstream()
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -150,9 +150,10 @@
     now: float,
 ) -> list[StartOrder]:
     """Return the starts of tasks that only ejected upstreams can run."""
-    if not others or not room.has_ejected(pool) or not _is_under_cap(state, step_run):
+    ejected = room.ejected.get(pool)
+    if not others or not ejected or not _is_under_cap(state, step_run):
         return []
-    found = find_last_resort(state, pool, step_run, room.usable.get(pool, []), now)
+    found = find_last_resort(state, pool, step_run, ejected, now)
     if not found:
         return []
     candidates = state.advised(step_run, found, now)
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -19,6 +19,7 @@
     usable: dict[str, list[Upstream]] = field(default_factory=dict)
     # Without those that are ejected.
     healthy: dict[str, list[Upstream]] = field(default_factory=dict)
+    ejected: dict[str, list[Upstream]] = field(default_factory=dict)
     # Kept free of other starts for trials.
     reserved: dict[str, list[Upstream]] = field(default_factory=dict)
     full: FullPools = field(default_factory=FullPools)
@@ -37,10 +38,6 @@
     # Unsettled runs on each upstream of the unstable pools.
     young_runs: dict[str, int] = field(default_factory=dict)
 
-    def has_ejected(self, pool: str) -> bool:
-        """Return whether some upstreams of a pool take tasks but are ejected."""
-        return len(self.usable.get(pool, ())) > len(self.healthy.get(pool, ()))
-
     def for_trials(self, pool: str) -> list[Upstream]:
         """Return the upstreams that are left for trials."""
         others = self.healthy.get(pool) or self.usable.get(pool, [])
@@ -93,7 +90,12 @@
 
     def take(self, pool: str, upstream: Upstream) -> None:
         """Remove an upstream, so that nothing else is placed there in this round."""
-        for upstreams_by_pool in (self.usable, self.healthy, self.reserved):
+        for upstreams_by_pool in (
+            self.usable,
+            self.healthy,
+            self.ejected,
+            self.reserved,
+        ):
             upstreams = upstreams_by_pool.get(pool, [])
             if upstream in upstreams:
                 upstreams.remove(upstream)
@@ -122,6 +124,7 @@
         room.usable.setdefault(pool, []).append(upstream)
         if pool in unstable:
             room.young_runs[upstream.id] = upstream.unsettled_count()
-        if not state.ejections.is_ejected(upstream.id, now):
-            room.healthy.setdefault(pool, []).append(upstream)
+        is_ejected = state.ejections.is_ejected(upstream.id, now)
+        group = room.ejected if is_ejected else room.healthy
+        group.setdefault(pool, []).append(upstream)
     return room
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -172,11 +172,13 @@
             return []
         may_use_busy = self._at_risk == 0
         upstreams = self._room.for_trials(self._pool)
-        if self._room.has_ejected(self._pool):
-            usable = self._room.usable.get(self._pool, [])
-            upstreams = upstreams + find_last_resort(
-                self._state, self._pool, candidate.step_run, usable, self._now
-            )
+        upstreams += find_last_resort(
+            self._state,
+            self._pool,
+            candidate.step_run,
+            self._room.ejected.get(self._pool, ()),
+            self._now,
+        )
         quiet = [
             upstream
             for upstream in upstreams
