--- a/packages/baobablane/baobablane/deployment/_instance.py
+++ b/packages/baobablane/baobablane/deployment/_instance.py
@@ -13,7 +13,7 @@
     MOVING = "moving"
     MAINTENANCE = "upkeep"
     DOWN = "down"
-    # The platform tells none of these states; nothing is concluded from that.
+    # A state that is none of these, or can not be read; nothing is concluded from it.
     UNKNOWN = "unknown"
 
 
