Keep a start that the next incarnation of an upstream carried out

Found on reading: every run that had not been seen was stopped at a new incarnation, also one whose start was on its way and was carried out there. It was stopped and started again for nothing.

Change: only a run that the earlier incarnation alone had confirmed is stopped once more; for the others the first report decides, as before.

--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -80,7 +80,7 @@
     for task in list(previous.runs):
         run = previous.remove(task)
         if run is not None:
-            if not run.was_seen:
+            if run.confirmed_at is not None and not run.was_seen:
                 # Only the earlier incarnation confirmed that it rejects a late start.
                 run.confirmed_at, run.needs_stop = None, True
             _expect_earlier_lease(state, replacement, run, now)
@@ -95,7 +95,7 @@
 
     The clock of a new incarnation begins anew, so only the limit of all leases counts.
     """
-    run.is_of_earlier_life = True
+    run.is_of_earlier_incarnation = True
     lease_seconds = state.policy.max_lease_seconds / SLOWEST_CLOCK_RATE + KILL_SECONDS
     upstream.earlier_lease_until = now + lease_seconds
 
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -42,7 +42,7 @@
     elif not upstream.has_hidden_ends:
         state.log_truncated_report(upstream, len(report.ended))
     upstream.has_hidden_ends = not report.has_all_ends
-    if not any(run.is_of_earlier_life for run in upstream.runs.values()):
+    if not any(run.is_of_earlier_incarnation for run in upstream.runs.values()):
         upstream.earlier_lease_until = float("-inf")
 
 
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -58,7 +58,7 @@
     # An earlier owner started it, at an unknown time.
     is_restored: bool = False
     # Its start was meant for an earlier incarnation, with a deadline of that clock.
-    is_of_earlier_life: bool = False
+    is_of_earlier_incarnation: bool = False
 
 
 @dataclass(slots=True)
@@ -70,7 +70,7 @@
     runs: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     lease: LeaseTracker | None = None
-    # Until when it may hold a lease that was granted by the clock of an earlier life.
+    # Until when it may hold a lease of which the deadline is by an earlier clock.
     earlier_lease_until: float = float("-inf")
     # Number of the last end that was applied, and of the last one that is recorded.
     applied_end: int = 0
--- a/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
@@ -73,6 +73,21 @@
         fleet.renew_all()
         assert [again.run for again in fleet.plan_starts()] == [2]
 
+    def test_start_that_the_next_incarnation_carried_out_is_kept(self, fleet):
+        # Its response was not there yet when the new incarnation reported it.
+        add(fleet, make_job())
+        (order,) = fleet.plan_starts()
+        model = fleet.upstreams[order.upstream]
+        model.restart()
+        model.start(order, 1, fleet.now + 4, fleet.now)
+        fleet.renew_all()
+        assert fleet.send_stops() == []
+        fleet.scheduler.start_answered(order, StartResult.STARTED, fleet.now)
+        fleet.renew_all()
+        assert fleet.send_stops() == []
+        assert fleet.plan_starts() == []
+        assert fleet.runs_of(FIRST) == 1
+
     def test_lease_by_the_clock_of_an_earlier_incarnation_is_the_longest(self, fleet):
         # The new incarnation has a clock of its own, so it grants as long as it may.
         add(fleet, make_job())
