Count what maintenance ends in any zone against a step's allowance

Cause: the plan of an evacuation counts tasks on upstreams that maintenance ends in the same round as missing, but looked for them only among those of evacuated zones.

Change: such tasks count in whatever zone they run.

--- a/packages/baobablane/baobablane/evacuation/_plan.py
+++ b/packages/baobablane/baobablane/evacuation/_plan.py
@@ -26,12 +26,11 @@
     if not runs:
         return []
     missing_by_step = fleet.missing_by_step()
-    remaining = []
-    for run in runs:
+    # Maintenance may end tasks of the same step in zones that are not evacuated.
+    for run in fleet.movable_runs(fleet.zones()):
         if run.order.upstream in ending_upstreams:
             missing_by_step[run.step] = missing_by_step.get(run.step, 0) + 1
-        else:
-            remaining.append(run)
+    remaining = [run for run in runs if run.order.upstream not in ending_upstreams]
     # A wave waits for the tasks on its cordoned upstreams.
     remaining.sort(key=lambda run: not run.is_cordoned)
     room = fleet.relocation_room(now)
--- a/packages/baobablane/baobablane/evacuation/tests/test_plan.py
+++ b/packages/baobablane/baobablane/evacuation/tests/test_plan.py
@@ -113,6 +113,20 @@
         # The other zone has two cores left.
         assert (plan(fleet), plan(fleet)) == ([0], [])
 
+    @pytest.mark.parametrize(("ending", "moves"), [({"u1"}, 0), (set(), 1)])
+    def test_maintenance_in_another_zone_uses_the_allowance_too(
+        self, fleet, ending, moves
+    ):
+        # Two tasks of a step were ended at once, where one may be away.
+        add(fleet, make_job(make_step(4, is_lasting=True, may_miss=1)))
+        fleet.place()
+        for model in fleet.upstreams.values():
+            assert model.running
+            model.percent.update(dict.fromkeys(model.running, 100))
+        fleet.renew_all()
+        evacuate(fleet, "a")
+        assert len(plan(fleet, ending)) == moves
+
     def test_moves_and_maintenance_share_the_allowance(self, fleet):
         """Guard against more missing tasks than the step allows."""
         run_in_zone_a(fleet, count=3, may_miss=1)
