--- a/packages/baobablane/baobablane/scheduling/tests/crash_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/crash_model.py
@@ -10,6 +10,11 @@
 
 DOWN_SECONDS = 3.3
 LIST_INTERVAL_SECONDS = 0.25
+# How long the owner waits for the response of an upstream without power: to a poll of
+# one with runs, to a poll of an idle one, and to a start.
+POLL_TIMEOUT_SECONDS = 1.4
+IDLE_POLL_TIMEOUT_SECONDS = 2.5
+START_TIMEOUT_SECONDS = 1.0
 
 
 class CrashFleet(ModelFleet):
@@ -26,6 +31,9 @@
         self.ordered_ms = {}
         self.hosts = HostTable({})
         self._down = {}
+        # When the owner gives up waiting for a silent upstream, and for a start there.
+        self._silent_until = {}
+        self._unanswered = []
         self._stale_entries = []
         self._entries = {name: model.entry for name, model in self.upstreams.items()}
         self._lives = dict.fromkeys(self.upstreams, 0)
@@ -52,13 +60,26 @@
 
     def crash(self, name):
         """Crash an upstream; it starts again after DOWN_SECONDS."""
+        self._end(name)
+        self.scheduler.renewal_failed(name, self.now)
+
+    def cut_power(self, name):
+        """Crash an upstream that closes no connection; the owner waits for it."""
+        is_idle = not self.scheduler.state.upstreams[name].runs
+        timeout = IDLE_POLL_TIMEOUT_SECONDS if is_idle else POLL_TIMEOUT_SECONDS
+        self._silent_until[name] = self.now + timeout
+        self._end(name)
+
+    def _end(self, name):
         # Its entry expires later than it starts again.
         self._stale_entries.append(self.upstreams.pop(name).entry)
         self._down[name.partition("-")[0]] = self.now + DOWN_SECONDS
-        self.scheduler.renewal_failed(name, self.now)
 
     def send(self, order):
         """Send a start; it can't be sent to an upstream that has crashed."""
+        if order.upstream in self._silent_until:
+            self._unanswered.append((self.now + START_TIMEOUT_SECONDS, order))
+            return StartResult.UNKNOWN
         if order.upstream not in self.upstreams:
             self.scheduler.start_answered(order, StartResult.NOT_SENT, self.now)
             return StartResult.NOT_SENT
@@ -91,6 +112,7 @@
         while self.now < end:
             self.now += LIST_INTERVAL_SECONDS
             self._return_crashed()
+            self._time_out()
             self.list_instances()
             self.scheduler.expire_unreachable(self.now)
             for name in list(self.upstreams):
@@ -123,6 +145,16 @@
         """Return the state of a job."""
         return self.scheduler.state.jobs[job].state
 
+    def _time_out(self):
+        for name, until in list(self._silent_until.items()):
+            if self.now >= until:
+                del self._silent_until[name]
+                self.scheduler.renewal_failed(name, self.now)
+        overdue = [order for until, order in self._unanswered if self.now >= until]
+        self._unanswered = [row for row in self._unanswered if self.now < row[0]]
+        for order in overdue:
+            self.scheduler.start_answered(order, StartResult.UNKNOWN, self.now)
+
     def _return_crashed(self):
         for name, back_at in list(self._down.items()):
             if self.now >= back_at:
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_dark_racks.py
@@ -0,0 +1,40 @@
+"""Test that no task is given up because of upstreams that lose power together.
+
+A suspect was tried on an upstream of the same rack that was silent but not yet found
+out. The two losses passed for two crashes under the task, and its job was failed.
+"""
+
+import pytest
+
+from baobablane.jobs import TaskId
+
+from .crash_model import DOWN_SECONDS, CrashFleet
+from .fleet_model import add, make_job, make_step
+
+JOB = "a" * 16
+OTHER_JOB = "b" * 16
+VERDICT_SECONDS = 20.0
+
+
+class TestTrialBesideADarkRack:
+    """Test suspects of a rack's power loss whose trial may hit the same rack."""
+
+    @pytest.mark.parametrize("may_run_twice", [False, True])
+    @pytest.mark.parametrize("is_lasting", [False, True])
+    def test_job_is_not_given_up(self, is_lasting, may_run_twice):
+        fleet = CrashFleet(3)
+        # The only upstream with power is the fuller one, so a trial prefers the other.
+        add(fleet, make_job(make_step(is_lasting=True), name=OTHER_JOB))
+        (other,) = fleet.place()
+        fleet.advance(1.0)
+        fleet.scheduler.fleet.cordon({other.upstream})
+        step = make_step(is_lasting=is_lasting, may_run_twice=may_run_twice)
+        add(fleet, make_job(step, name=JOB))
+        fleet.place()
+        fleet.scheduler.fleet.cordon(set())
+        for name in list(fleet.upstreams):
+            if name != other.upstream:
+                fleet.cut_power(name)
+        fleet.advance(DOWN_SECONDS + VERDICT_SECONDS)
+        assert not fleet.state_of(JOB).is_final()
+        assert fleet.runs_of(TaskId(JOB, 0, 0, 0)) == 1
