Start a trial only on an upstream that has just responded

Cause: upstreams that lose power together are found to be gone one by one, up to 2.5 s later. The task of the first one was tried on another of them, and that loss counted as a second crash, on another instance and with one suspect, which is the proof that a task crashes upstreams.

Change: the upstream chosen for a trial is kept free and asked, and the trial begins once it has responded after that, however late. The owner asks it in the round that chose it.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -213,14 +213,14 @@
             self._start_task(self._order_sender.send_stop(stop))
         for pace in self._scheduler.pop_pace_orders():
             self._start_task(self._order_sender.send_pace(pace))
-        for upstream_id in self._scheduler.upstreams_to_check(now):
-            if upstream_id in self._pollers:
-                self._start_task(self._pollers[upstream_id].check())
         # No zone has an empty name, so that only the age of the view counts here.
         self._scheduler.set_evacuation(
             self._views.evacuated_zones, self._start_window("") > 0.0
         )
         starts = self._scheduler.plan_starts(now, unix_ms())
+        for upstream_id in self._scheduler.upstreams_to_check(now):
+            if upstream_id in self._pollers:
+                self._start_task(self._pollers[upstream_id].check())
         for request in self._scheduler.pop_advice_requests():
             self._start_task(self._order_sender.request_advice(request))
         changed_progress = self._scheduler.pop_dirty_progress()
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -110,6 +110,8 @@
     for upstream in state.upstreams.values():
         was_reserved, upstream.is_reserved = upstream.is_reserved, False
         upstream.is_limited = False
+        if not was_reserved:
+            upstream.trial_wanted_at = None
         if not upstream.accepts(now) or state.is_evacuated(upstream):
             continue
         pool = upstream.entry.pool
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -185,8 +185,8 @@
     def upstreams_to_check(self, now: float) -> list[str]:
         """Return the upstreams to ask now whether they outlived the latest starts.
 
-        Each is returned once in a settling time. Only where starts wait for the answer
-        is it worth a call.
+        Those on which a trial waits for a response are asked too. Each is returned once
+        in a settling time. Only where starts wait for the answer is it worth a call.
         """
         due: list[str] = []
         for upstream in self.state.upstreams.values():
@@ -194,11 +194,14 @@
                 upstream.is_reserved or upstream.is_limited or upstream.has_trial()
             ):
                 continue
-            if now - upstream.checked_at >= SETTLING_SECONDS and any(
-                run.confirmed_at is not None
-                and not upstream.is_settled(run)
-                and now - run.confirmed_at >= SETTLING_SECONDS
-                for run in upstream.runs.values()
+            if now - upstream.checked_at >= SETTLING_SECONDS and (
+                upstream.awaits_contact(now)
+                or any(
+                    run.confirmed_at is not None
+                    and not upstream.is_settled(run)
+                    and now - run.confirmed_at >= SETTLING_SECONDS
+                    for run in upstream.runs.values()
+                )
             ):
                 upstream.checked_at = now
                 due.append(upstream.id)
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -14,6 +14,9 @@
 # an upstream by its start does so within milliseconds.
 SETTLING_SECONDS = 0.25
 
+# An upstream that responded within this time is taken to be up.
+MAX_CONTACT_AGE_SECONDS = 0.1
+
 
 @dataclass(slots=True)
 class Run:
@@ -94,6 +97,8 @@
     has_order: bool = False
     # It gets no starts but a trial, as soon as its runs have settled.
     is_reserved: bool = False
+    # When it was chosen for a trial, which begins once it has responded after that.
+    trial_wanted_at: float | None = None
     # It gets more starts as soon as its runs have settled.
     is_limited: bool = False
     # The largest number of cores with which this incarnation was listed.
@@ -136,6 +141,17 @@
             and self.last_seen_at - run.confirmed_at >= SETTLING_SECONDS
         )
 
+    def responds(self, now: float) -> bool:
+        """Return whether it has responded just now, or since a trial was wanted."""
+        return now - self.last_seen_at <= MAX_CONTACT_AGE_SECONDS or (
+            self.trial_wanted_at is not None
+            and self.last_seen_at > self.trial_wanted_at
+        )
+
+    def awaits_contact(self, now: float) -> bool:
+        """Return whether a trial waits for its response."""
+        return self.trial_wanted_at is not None and not self.responds(now)
+
     def has_trial(self) -> bool:
         """Return whether a suspect that runs on the upstream has not settled yet."""
         return any(
--- a/packages/baobablane/baobablane/scheduling/tests/test_dark_racks.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_dark_racks.py
@@ -38,3 +38,19 @@
         fleet.advance(DOWN_SECONDS + VERDICT_SECONDS)
         assert not fleet.state_of(JOB).is_final()
         assert fleet.runs_of(TaskId(JOB, 0, 0, 0)) == 1
+
+    def test_upstream_is_asked_before_a_trial_and_gets_it_however_late(self):
+        fleet = CrashFleet(2)
+        add(fleet, make_job(name=JOB))
+        (order,) = fleet.place()
+        fleet.crash(order.upstream)
+        (left,) = fleet.upstreams
+        fleet.now += 0.5
+        fleet.list_instances()
+        for _ in range(3):
+            assert fleet.plan_starts() == []
+            assert fleet.scheduler.upstreams_to_check(fleet.now) == [left]
+            fleet.now += 1.0
+        fleet.renew(left)
+        fleet.now += 0.4
+        assert [trial.upstream for trial in fleet.plan_starts()] == [left]
--- a/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_round_cost.py
@@ -69,6 +69,7 @@
         fleet.scheduler.renewal_failed(first, fleet.now)
         fleet.scheduler.expire_unreachable(fleet.now)
         fleet.now += 0.5
+        fleet.renew(second)
         fleet.scheduler.expire_unreachable(fleet.now)
         (copy,) = fleet.place()
         assert copy.upstream == second
