Start nothing on an upstream of which the instance is listed as down

Cause: the list counted only for upstreams already found unreachable.

Change: an upstream whose instance was listed as down after it last responded takes no starts and is asked at once; when it responds, it takes starts again. Nothing else follows from the list alone, as it may be old.

Measured: the three new tests fail before and pass; 135 tests of sizing, maintenance, evacuation, takeovers and crashes pass.

--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -156,6 +156,8 @@
         state.instance_by_upstream = dict(instance_by_upstream)
         state.listed_up, state.listed_at = frozenset(changes.up), requested_at
         for upstream_id in changes.down:
+            if upstream_id in state.upstreams:
+                state.upstreams[upstream_id].listed_down_at = requested_at
             mark_down(state, upstream_id, now)
             self._requeue_of_down(upstream_id, now)
         for upstream_id, instance in changes.crashed.items():
@@ -183,25 +185,17 @@
             upstream.has_order = is_ordered
 
     def upstreams_to_check(self, now: float) -> list[str]:
-        """Return the upstreams to ask now whether they outlived the latest starts.
+        """Return the upstreams to ask now whether they are up, or outlived a start.
 
-        Those on which a trial waits for a response are asked too. Each is returned once
-        in a settling time. Only where starts wait for the answer is it worth a call.
+        Each is returned once in a settling time. Only where something waits for the
+        answer is it worth a call.
         """
         due: list[str] = []
         for upstream in self.state.upstreams.values():
-            if not upstream.is_reachable or not (
-                upstream.is_reserved or upstream.is_limited or upstream.has_trial()
-            ):
-                continue
-            if now - upstream.checked_at >= SETTLING_SECONDS and (
-                upstream.awaits_contact(now)
-                or any(
-                    run.confirmed_at is not None
-                    and not upstream.is_settled(run)
-                    and now - run.confirmed_at >= SETTLING_SECONDS
-                    for run in upstream.runs.values()
-                )
+            if (
+                upstream.is_reachable
+                and now - upstream.checked_at >= SETTLING_SECONDS
+                and (upstream.awaits_contact(now) or upstream.awaits_settling(now))
             ):
                 upstream.checked_at = now
                 due.append(upstream.id)
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -93,6 +93,8 @@
     last_seen_at: float = float("-inf")
     # When it was last asked only to see whether its runs have settled.
     checked_at: float = float("-inf")
+    # When the latest list was requested that shows its instance as down.
+    listed_down_at: float = float("-inf")
     # An order for its instance was sent, which ends it.
     has_order: bool = False
     # It gets no starts but a trial, as soon as its runs have settled.
@@ -121,10 +123,15 @@
         return (
             self.is_listed
             and self.is_reachable
+            and not self.is_probably_down()
             and not self.entry.is_draining
             and not self.is_cordoned
         )
 
+    def is_probably_down(self) -> bool:
+        """Return whether its instance is listed as down since it last responded."""
+        return self.listed_down_at > self.last_seen_at
+
     def accepts(self, now: float) -> bool:
         """Return whether new work may be placed on the upstream now."""
         return (
@@ -149,8 +156,19 @@
         )
 
     def awaits_contact(self, now: float) -> bool:
-        """Return whether a trial waits for its response."""
-        return self.trial_wanted_at is not None and not self.responds(now)
+        """Return whether it is unknown if it is up, and something waits for that."""
+        return self.is_probably_down() or (
+            self.trial_wanted_at is not None and not self.responds(now)
+        )
+
+    def awaits_settling(self, now: float) -> bool:
+        """Return whether starts wait until its runs have settled, and they should."""
+        return (self.is_reserved or self.is_limited or self.has_trial()) and any(
+            run.confirmed_at is not None
+            and not self.is_settled(run)
+            and now - run.confirmed_at >= SETTLING_SECONDS
+            for run in self.runs.values()
+        )
 
     def has_trial(self) -> bool:
         """Return whether a suspect that runs on the upstream has not settled yet."""
--- a/packages/baobablane/baobablane/scheduling/tests/test_dark_racks.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_dark_racks.py
@@ -1,7 +1,8 @@
-"""Test that no task is given up because of upstreams that lose power together.
+"""Test upstreams that lose power together and are found to be gone one by one.
 
 A suspect was tried on an upstream of the same rack that was silent but not yet found
 out. The two losses passed for two crashes under the task, and its job was failed.
+Other tasks were started on such upstreams for up to 2.5 s.
 """
 
 import pytest
@@ -54,3 +55,29 @@
         fleet.renew(left)
         fleet.now += 0.4
         assert [trial.upstream for trial in fleet.plan_starts()] == [left]
+
+
+class TestListedDown:
+    """Test an upstream that is silent while its instance is listed as down."""
+
+    @pytest.fixture
+    def fleet(self):
+        """Return an upstream that has lost power, and another one."""
+        fleet = CrashFleet(2)
+        fleet.cut_power("u0")
+        fleet.now += 0.2
+        fleet.list_instances()
+        return fleet
+
+    def test_nothing_starts_there(self, fleet):
+        add(fleet, make_job(make_step(8), name=JOB))
+        assert {order.upstream for order in fleet.plan_starts()} == {"u1"}
+
+    def test_it_is_asked_at_once(self, fleet):
+        assert fleet.scheduler.upstreams_to_check(fleet.now) == ["u0"]
+
+    def test_it_takes_starts_again_once_it_responds(self, fleet):
+        upstream = fleet.scheduler.state.upstreams["u0"]
+        assert not upstream.is_usable()
+        upstream.last_seen_at = fleet.now + 0.01
+        assert upstream.is_usable()
