Let no old response begin a trial, and record no waiting trial

Found by review: a trial could begin on a response that was seconds old, of one member of a gang or of before starts were suspended, and so on an upstream that had lost power since (jobs failed). A suspect that waited for a response was recorded anew in every round.

Cause: a response after the choice counted for ever; the room of a trial was tried with runs, and each run marked its job as changed.

Change: a response counts for 2 s, then the upstream is asked again. A job is marked where its start is committed or a run restored.

--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -41,6 +41,7 @@
     if not is_same_incarnation:
         _expect_earlier_lease(state, upstream, run, now)
     state.add_run(run, upstream, now)
+    state.dirty_jobs.add(task_id.job)
 
 
 def restore_losses(state: SchedulerState, step_run: StepRun, now: float) -> None:
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -79,6 +79,7 @@
     task.upstream = upstream.id
     task.incarnation = upstream.entry.incarnation
     step_run.waiting.discard(index)
+    state.dirty_jobs.add(step_run.job.id)
     task_id = step_run.task_id(index)
     run = upstream.runs[task_id]
     run.number = number
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -157,7 +157,7 @@
         return job_run.latest_due_ms() + objective_ms
 
     def add_run(self, run: Run, upstream: Upstream, now: float) -> None:
-        """Add a run whose start is about to be recorded, and count its resources."""
+        """Add a run, and count its resources."""
         upstream.add(run)
         if run.needs_stop:
             upstream.may_need_stops = True
@@ -165,7 +165,6 @@
         self.usage.add(run.account, run.needs)
         self.standings.add_run(run, upstream.entry.pool)
         self.ejections.record_sent(upstream.id, now)
-        self.dirty_jobs.add(run.task.job)
 
     def remove_run(self, upstream: Upstream, task: TaskId) -> Run | None:
         """Remove a run that has ended, and free its resources."""
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -14,8 +14,10 @@
 # an upstream by its start does so within milliseconds.
 SETTLING_SECONDS = 0.25
 
-# An upstream that responded within this time is taken to be up.
+# An upstream that responded within this time is taken to be up. If it was asked for the
+# sake of a trial, the owner's round may take longer than that to use the response.
 MAX_CONTACT_AGE_SECONDS = 0.1
+MAX_ANSWER_AGE_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -150,9 +152,11 @@
 
     def responds(self, now: float) -> bool:
         """Return whether it has responded just now, or since a trial was wanted."""
-        return now - self.last_seen_at <= MAX_CONTACT_AGE_SECONDS or (
+        age_seconds = now - self.last_seen_at
+        return age_seconds <= MAX_CONTACT_AGE_SECONDS or (
             self.trial_wanted_at is not None
             and self.last_seen_at > self.trial_wanted_at
+            and age_seconds <= MAX_ANSWER_AGE_SECONDS
         )
 
     def awaits_contact(self, now: float) -> bool:
