Count no crash under a task whose start was never sent

Found by review: a job was failed whose second start was still being recorded when its upstream lost power.

Cause: a run counts from its record, before it is sent. Found to be gone meanwhile, it was noted as lost, and the later answer that it was not sent was ignored, as the run was no longer there.

Change: a result that proves that a run was never started withdraws its loss, whether or not the run is still there.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -139,6 +139,15 @@
             _drop_losses(state, task_id, found, upstream_id, reason)
 
 
+def withdraw_loss_of_run(
+    state: SchedulerState, task_id: TaskId, run: int, upstream_id: str
+) -> None:
+    """Drop the loss of a run that was never started on an upstream, if it is noted."""
+    found = _find(state, task_id)
+    if found is not None and any(loss.run == run for loss in found.losses):
+        _drop_losses(state, task_id, found, upstream_id, "its run was never started")
+
+
 def withdraw_losses_of_listed(state: SchedulerState) -> None:
     """Drop the losses with upstreams that are still listed as up."""
     for upstream_id in state.suspects.upstreams():
--- a/packages/baobablane/baobablane/scheduling/_start_results.py
+++ b/packages/baobablane/baobablane/scheduling/_start_results.py
@@ -1,5 +1,6 @@
 """Apply the results of starts."""
 
+from ._crash_evidence import withdraw_loss_of_run
 from ._orders import StartOrder, StartResult
 from ._state import SchedulerState
 from ._upstream import Upstream
@@ -21,6 +22,9 @@
     state: SchedulerState, order: StartOrder, result: StartResult, now: float
 ) -> None:
     """Apply the result of a start, unless its run is no longer the one it started."""
+    if result not in (StartResult.STARTED, StartResult.UNKNOWN):
+        # The upstream may have been found to be gone before the start was sent.
+        withdraw_loss_of_run(state, order.task, order.run, order.upstream)
     upstream = state.upstreams.get(order.upstream)
     run = upstream.runs.get(order.task) if upstream else None
     if upstream is None or run is None or run.number != order.run:
