Ask for crashes without a place in common before a job is given up

Found by review: a rack that loses power twice, the second time while a suspect is tried, failed an innocent job in four ways: with a new owner in between, with young runs on each upstream, with an unread list of instances, and with an idle upstream that is found out after 2.5 s.

Cause: a crash on a second instance counted as independent proof, and the one thing that told otherwise, an upstream that went down at the same time without suspects, is often not known.

Change: a loss is recorded with the labels of its upstream that not all upstreams have, such as that of its rack. Two crashes prove something if their instances share none of them; otherwise three are asked for, as for one instance before. A test that expected a trial on the restarted upstream now closes the other one.

--- a/packages/baobablane/baobablane/crashes/_verdict.py
+++ b/packages/baobablane/baobablane/crashes/_verdict.py
@@ -6,19 +6,21 @@
 """
 
 from collections.abc import Iterable
+from itertools import combinations
 
 from ..jobs import RunLoss
 
-MIN_INSTANCES = 2
-# If one instance is all that a pool has, this many crashes of it are enough.
-MIN_CRASHES_OF_ONE_INSTANCE = 3
+# This many crashes are enough wherever they were, as a pool may have only one instance
+# or one rack.
+MIN_CRASHES = 3
 
 
 def is_deadly(losses: Iterable[RunLoss]) -> bool:
     """Return whether the lost runs show that their task crashes upstreams.
 
-    Several upstreams must have crashed under it, at least once while no other run there
-    could have been the cause. Beside other suspects, it must have been seen to start.
+    Several upstreams must have crashed under it, two of them without a place in common,
+    and at least one while no other run there could have been the cause. Beside other
+    suspects, it must have been seen to start.
     """
     crashes = [
         loss
@@ -27,7 +29,12 @@
     ]
     if not any(loss.suspects == 1 for loss in crashes):
         return False
-    instances = {loss.instance or loss.upstream for loss in crashes}
-    return (
-        len(instances) >= MIN_INSTANCES or len(crashes) >= MIN_CRASHES_OF_ONE_INSTANCE
+    return len(crashes) >= MIN_CRASHES or any(
+        _are_apart(first, second) for first, second in combinations(crashes, 2)
     )
+
+
+def _are_apart(first: RunLoss, second: RunLoss) -> bool:
+    """Return whether two crashes were on instances that share no label."""
+    instances = {loss.instance or loss.upstream for loss in (first, second)}
+    return len(instances) > 1 and not set(first.labels) & set(second.labels)
--- a/packages/baobablane/baobablane/jobs/_run_loss.py
+++ b/packages/baobablane/baobablane/jobs/_run_loss.py
@@ -17,3 +17,5 @@
     is_started: bool = False
     # The upstream is known to have crashed; until then it may only be unreachable.
     is_crash: bool = False
+    # Labels that may name a common cause, such as the rack.
+    labels: tuple[str, ...] = ()
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -18,6 +18,8 @@
 LISTING_LAG_SECONDS = 1.0
 # At most this many lost runs of a task are kept.
 MAX_LOSSES = 8
+# At most this many labels are kept with each.
+MAX_PLACE_LABELS = 8
 # At most this many of the runs on a lost upstream are named in the log.
 MAX_NAMED_RUNS = 20
 
@@ -75,6 +77,7 @@
         state.instance_by_upstream.get(upstream.id, ""),
         _count_suspects(step_run, run.task, lost),
         is_started=run.was_seen,
+        labels=place_labels(state, upstream),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
     state.suspects.add(run.task, upstream.id, lost.lost_at, len(task.losses))
@@ -90,6 +93,16 @@
     )
 
 
+def place_labels(state: SchedulerState, upstream: Upstream) -> tuple[str, ...]:
+    """Return the labels of an upstream that may tell where it is.
+
+    Those that all upstreams have tell nothing, unless it has no others.
+    """
+    labels = upstream.entry.labels
+    common = labels.intersection(*(u.entry.labels for u in state.upstreams.values()))
+    return tuple(sorted(labels - common or labels)[:MAX_PLACE_LABELS])
+
+
 def confirm_crash(state: SchedulerState, upstream_id: str, now: float) -> None:
     """Apply the news that an upstream has crashed."""
     upstream = state.upstreams.get(upstream_id)
--- a/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_takeover.py
@@ -133,6 +133,8 @@
         fleet.scheduler.upstream_listed(
             fleet.upstreams[first.upstream].entry, fleet.now
         )
+        others = fleet.upstreams.keys() - {first.upstream}
+        fleet.scheduler.fleet.cordon(others)
         fleet.place()
         (again, *_) = fleet.upstreams[first.upstream].running
         fleet.finish(again)
