Return pages of records from the stand-in store

Cause: the stand-in returned all newest records at once and ignored maxKb, so that no test and no measurement met the pages of 500 records or 1 MB that the platform's store returns.

Change: newest records come in pages of at most 500 or 1 MB, and a read returns at most maxKb, but one record at least.

--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -4,6 +4,7 @@
 import base64
 import time
 from collections.abc import AsyncIterator, Callable
+from typing import TypeVar
 
 import msgspec
 from starlette.applications import Starlette
@@ -19,6 +20,11 @@
 OFFSET_BYTES = 8
 # Interval at which a response of limited bandwidth is continued.
 CHUNK_INTERVAL_SECONDS = 0.02
+DEFAULT_PAGE_KB = 1024
+MAX_NEWEST_ITEMS = 500
+MAX_NEWEST_BYTES = 1_000_000
+
+T = TypeVar("T")
 
 
 class PlatformServer:
@@ -110,19 +116,30 @@
             return Response(status_code=503)
         header = partition.end_offset.to_bytes(OFFSET_BYTES, "big")
         header += partition.first_offset.to_bytes(OFFSET_BYTES, "big")
+        max_bytes = int(request.query_params.get("maxKb", DEFAULT_PAGE_KB)) * 1024
         records = partition.records[start - partition.first_offset :]
-        frames = [len(r).to_bytes(LENGTH_BYTES, "big") + r for r in records]
+        page = _take_page(records, max_bytes, len)
+        frames = [len(r).to_bytes(LENGTH_BYTES, "big") + r for r in page]
         return self._send_page(header + b"".join(frames))
 
     async def _read_newest(self, request: Request) -> Response:
         if not self._is_readable(request):
             return Response(status_code=503)
         partition = self._partition(request)
+        after = request.query_params.get("after", "")
+        unread = sorted(item for item in partition.newest.items() if item[0] > after)
+        taken = _take_page(
+            unread[:MAX_NEWEST_ITEMS], MAX_NEWEST_BYTES, lambda item: len(item[1][1])
+        )
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            for key, (offset, value) in sorted(partition.newest.items())
+            for key, (offset, value) in taken
         ]
-        page = {"items": items, "hasMore": False, "end": partition.end_offset}
+        page = {
+            "items": items,
+            "hasMore": len(taken) < len(unread),
+            "end": partition.end_offset,
+        }
         return self._send_page(msgspec.json.encode(page))
 
     def _is_readable(self, request: Request) -> bool:
@@ -217,6 +234,16 @@
     return JSONResponse(response, status)
 
 
+def _take_page(items: list[T], max_bytes: int, size: Callable[[T], int]) -> list[T]:
+    """Return the first items that fit into a page, at least one if there are any."""
+    size_bytes = 0
+    for count, item in enumerate(items):
+        size_bytes += size(item)
+        if count and size_bytes > max_bytes:
+            return items[:count]
+    return items
+
+
 def _split_records(body: bytes) -> list[bytes]:
     records: list[bytes] = []
     position = 0
