Show that a view is never confirmed in a storm of large records

Cause: only a read that reaches the end confirms a view. While records arrive faster than one of them is read, each read ends behind, the newest records are read instead, and the next read is behind again.

Change: a test in which each call takes as long as three appends.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 import json
+import math
 
 import pytest
 from baobablane_platform import (
@@ -14,7 +15,7 @@
 )
 
 from baobablane_daemon.decision_log import DecisionLog
-from baobablane_daemon.jobs import TopicTail
+from baobablane_daemon.jobs import TopicTail, boot_seconds
 
 # Far longer than any step here takes, so only a hang reaches it.
 HANG_TIMEOUT_SECONDS = 60.0
@@ -130,6 +131,77 @@
         assert await read_backlog(2, True) == ([0, 1], [0, 0, 1])
 
 
+class BusyTopicStore:
+    """Return one record with each call, and append three during each call.
+
+    A narrow link takes longer for one record than operators take for the next ones.
+    """
+
+    # Far more calls than a view takes that is ever confirmed.
+    MAX_CALLS = 50
+
+    def __init__(self):
+        """Store one record."""
+        self.record_count = 1
+        self.call_count = 0
+
+    def _append_during_call(self):
+        self.call_count += 1
+        assert self.call_count < self.MAX_CALLS, "the view was not confirmed"
+        self.record_count += 3
+
+    async def read_newest(self, topic, partition, after):
+        """Return the newest record."""
+        page = NewestPage(self.record_count, [KeyedRecord("config", b"1")], None)
+        self._append_during_call()
+        return page
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return the next record."""
+        page = RecordPage(self.record_count, 0, [b"\x06config1"])
+        self._append_during_call()
+        return page
+
+
+class TestBusyTopic:
+    """Test a topic in which records are appended faster than they are read.
+
+    An instance that started while operators changed a large configuration every 0.35 s
+    was never ready, and rejected all queries.
+    """
+
+    async def test_newest_records_confirm_the_view(self):
+        tail = TopicTail(
+            BusyTopicStore(),
+            DecisionLog("entry-1"),
+            "keyed.op",
+            lambda record: None,
+            skips_superseded=True,
+        )
+        await tail.catch_up()
+        assert tail.age() < math.inf
+
+    async def test_view_is_confirmed_as_of_the_first_page(self):
+        """Guards against missing records that were appended during later pages."""
+        store = PagedStore([])
+        requested_at = []
+        read_newest = store.read_newest
+
+        async def note_request(topic, partition, after):
+            requested_at.append(boot_seconds())
+            return await read_newest(topic, partition, after)
+
+        async def fail(*arguments):
+            raise StoreUnknownOutcomeError("no response")
+
+        store.read_newest, store.read = note_request, fail
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        with pytest.raises(StoreUnknownOutcomeError):
+            await tail.catch_up()
+        assert len(requested_at) == 3
+        assert tail.confirmed_at <= requested_at[0]
+
+
 class ForgetfulStore:
     """Return the newest records, and forget all older ones when told to."""
 
