Confirm a view by reading its newest records

Cause: an instance that reads large configurations more slowly than operators change them never reaches the end of their topic. It skips the backlog and reads the newest records, which are all that was stored when the first page was requested, but only reads that reach the end confirmed the view. So it was never ready after a start, and rejected all queries with 503 until the changes ended.

Change: the newest records confirm the view as of the request of their first page, since later pages are newer.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -55,9 +55,10 @@
         self._next_offset: int | None = None
         self._newest_lock = asyncio.Lock()
         # Progress through the newest records: the last key of the latest page, and the
-        # end offset of the first page.
+        # end offset of the first page and when that page was requested.
         self._newest_last_key: str | None = None
         self._newest_end_offset: int | None = None
+        self._newest_requested_at = float("-inf")
         # Keys that exist as far as read, and those found among the newest records.
         self._known_keys: set[str] = set()
         self._newest_keys: set[str] = set()
@@ -65,7 +66,8 @@
         self._failed_reads = 0
         # When a part of a successful response last arrived; -inf before the first.
         self._data_at = float("-inf")
-        # When the latest read that reached the end was sent; -inf before the first.
+        # When the latest read was sent that reached the end or returned the newest
+        # records; -inf before the first.
         self.confirmed_at = float("-inf")
 
     @property
@@ -147,6 +149,7 @@
                 # Pages are not one snapshot, so reads continue from the end offset of
                 # the first one.
                 self._newest_end_offset = page.end_offset
+                self._newest_requested_at = requested_at
             for key in page.malformed_keys:
                 self._log_skipped(key, "the value is not in base64")
             for record in page.records:
@@ -160,6 +163,9 @@
             self._pass_on(KeyedRecord(key, None))
         self._newest_keys = set()
         self._next_offset, self._newest_end_offset = self._newest_end_offset, None
+        # Reads from the end offset on may never reach the end, if records are appended
+        # faster than they arrive.
+        self.confirmed_at = max(self.confirmed_at, self._newest_requested_at)
 
     def _skip_superseded(self, end_offset: int) -> None:
         if not self._skips_superseded or self._next_offset is None:
