Show that the store seems silent while newest records arrive

Cause: only the data of reads counts as a sign of the store. After a start, or with a large configuration as the newest record, an instance is not ready and rejects jobs although data arrives without a break.

The stand-ins of the store in the tests take the callback that the fix passes.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_evacuated_zones.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_evacuated_zones.py
@@ -15,7 +15,7 @@
 
     keys = ("evacuate/a", "evacuate/a", "evacuate/b", "evacuate/")
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return one page with all keys."""
         return NewestPage(1, [KeyedRecord(key, b"{}") for key in self.keys], None)
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -4,6 +4,7 @@
 import io
 import json
 import math
+from types import SimpleNamespace
 
 import pytest
 from baobablane_platform import (
@@ -35,7 +36,7 @@
         self.requested_after = []
         self.read_starts = []
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return a page, or raise StoreUnknownOutcomeError."""
         self.requested_after.append(after)
         if len(self.requested_after) - 1 in self.failed_calls:
@@ -85,7 +86,7 @@
         self.record_count = record_count
         self.read_starts = []
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return the newest record, or none if nothing was appended."""
         records = []
         if self.record_count:
@@ -150,7 +151,7 @@
         assert self.call_count < self.MAX_CALLS, "the view was not confirmed"
         self.record_count += 3
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return the newest record."""
         page = NewestPage(self.record_count, [KeyedRecord("config", b"1")], None)
         self._append_during_call()
@@ -187,7 +188,7 @@
         requested_at = []
         read_newest = store.read_newest
 
-        async def note_request(topic, partition, after):
+        async def note_request(topic, partition, after, on_data=None):
             requested_at.append(boot_seconds())
             return await read_newest(topic, partition, after)
 
@@ -202,6 +203,31 @@
         assert tail.confirmed_at <= requested_at[0]
 
 
+class TestSilence:
+    """Test how long a store seems silent while the newest records arrive.
+
+    An instance that received a large configuration as the newest record was not ready
+    meanwhile, although the store sent data without a break.
+    """
+
+    async def test_data_of_the_newest_records_ends_the_silence(self):
+        arrived, finish = asyncio.Event(), asyncio.Event()
+
+        async def read_newest(topic, partition, after, on_data=lambda: None):
+            on_data()
+            arrived.set()
+            await finish.wait()
+
+        store = SimpleNamespace(read_newest=read_newest)
+        tail = TopicTail(store, DecisionLog("i"), "keyed.op", lambda record: None)
+        task = asyncio.create_task(tail.run())
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            await arrived.wait()
+        assert tail.silence() < math.inf
+        assert tail.age() == math.inf
+        task.cancel()
+
+
 class ForgetfulStore:
     """Return the newest records, and forget all older ones when told to."""
 
@@ -211,7 +237,7 @@
         self.end = 3
         self.first = 0
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return all keys on one page."""
         records = [KeyedRecord(key, value) for key, value in self.newest.items()]
         return NewestPage(self.end, records, None)
