Count the newest records' data as a sign of the store

Cause: reads report each part of a response, the calls for the newest records did not. So the store seemed silent from the start of a process until its first read, which takes 0.4 s in a quiet topic, and whenever a large configuration came as the newest record.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -143,7 +143,9 @@
         # low-bandwidth shared link, all of them may take longer than one call.
         while True:
             requested_at = boot_seconds()
-            page = await self._store.read_newest(self._topic, 0, self._newest_last_key)
+            page = await self._store.read_newest(
+                self._topic, 0, self._newest_last_key, self._note_data
+            )
             self._count_read(requested_at, page.size_bytes)
             if self._newest_end_offset is None:
                 # Pages are not one snapshot, so reads continue from the end offset of
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -213,7 +213,7 @@
     async def test_data_of_the_newest_records_ends_the_silence(self):
         arrived, finish = asyncio.Event(), asyncio.Event()
 
-        async def read_newest(topic, partition, after, on_data=lambda: None):
+        async def read_newest(topic, partition, after, on_data):
             on_data()
             arrived.set()
             await finish.wait()
