Show that final states are not answered while jobs are read

Cause: a state is shown only once the job itself was read. Jobs are the largest topic, and an instance with a narrow link reads them for seconds after its start.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -7,7 +7,7 @@
 import pytest
 from baobablane.deployment import PlatformLimits, Resources
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import Job, JobState, JobTable, Step
+from baobablane.jobs import Job, JobProgress, JobState, JobTable, Step
 from baobablane_platform import StoreError
 
 from baobablane_daemon.decision_log import DecisionLog
@@ -91,3 +91,38 @@
             async with asyncio.timeout(1.0):
                 assert await actions.state(JOB.id) is JobState.RUNNING
             assert b"state-read-skipped" in stream.getvalue()
+
+
+class TestUnreadJobs:
+    """Test queries while an instance still reads the jobs after its start.
+
+    All entry instances had lost power. With 7,000 jobs kept, those with 10 Mbit/s read
+    jobs for 10 s, and rejected queries for jobs whose final state they knew.
+    """
+
+    def make_actions(self, state, in_progress):
+        """Return the actions of an instance that knows a state but not its job."""
+
+        async def fail():
+            raise StoreError("the store returned status 503")
+
+        views = make_views(0.1, 0.1)
+        views.jobs_tail.catch_up = fail
+        if in_progress:
+            views.job_table.set_progress(JOB.id, JobProgress(state))
+        else:
+            views.job_table.set_state(JOB.id, state)
+        return make_actions(views)
+
+    @pytest.mark.parametrize("in_progress", [True, False])
+    async def test_final_state_is_shown(self, in_progress):
+        actions = self.make_actions(JobState.FAILED, in_progress)
+        assert await actions.state(JOB.id) is JobState.FAILED
+
+    @pytest.mark.parametrize("in_progress", [True, False])
+    async def test_other_states_are_not_shown(self, in_progress):
+        """Guards against a cancelled job that is shown as running."""
+        actions = self.make_actions(JobState.RUNNING, in_progress)
+        with pytest.raises(RejectedError) as raised:
+            await actions.state(JOB.id)
+        assert raised.value.code is ResultCode.VIEW_NOT_CONFIRMED
