Share the reads of a topic among all who catch up

Cause: each query for an unknown or unfinished job read the topic for itself from the same offset, and aborted its page at its deadline of 1 s. While an instance with a narrow link is behind, as after a start, a page has 256 KB: five queries a second fill the link, none of them gets its page, and the instance's own reads time out as well. Callers ask again, so this doesn't end by itself.

Change: there is one read at a time for all who want to catch up, including the instance's own while it is behind. A query that gives up leaves it to the others. A query that joins a read from before it tries again if that fails.

The daemon's tests of owner, jobs and deployment pass.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -53,6 +53,10 @@
         self._topic = topic
         self._on_record = on_record
         self._next_offset: int | None = None
+        # The end of the partition in the latest response.
+        self._end_offset = 0
+        # The read that all share who want to catch up.
+        self._shared_read: asyncio.Task[int] | None = None
         self._newest_lock = asyncio.Lock()
         # Progress through the newest records: the last key of the latest page, and the
         # end offset of the first page and when that page was requested.
@@ -92,23 +96,62 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        while True:
-            try:
-                if await self._read(READ_WAIT_MS):
-                    await asyncio.sleep(self.pause_seconds)
-            except StoreError as error:
-                self._log_failure(error)
-                await asyncio.sleep(READ_RETRY_SECONDS)
-            except Exception as error:
-                # The view gets old, and then rejects what it can't answer.
-                self._log.error("read-failed", error, topic=self._topic)
-                await asyncio.sleep(READ_RETRY_SECONDS)
+        try:
+            while True:
+                await self._follow()
+        finally:
+            if self._shared_read is not None:
+                self._shared_read.cancel()
 
     async def catch_up(self) -> None:
         """Read everything stored so far, or raise a StoreError."""
         requested_at = boot_seconds()
+        # The failure of a read from before the call says nothing about the store now.
+        ignores_failure = self._shared_read is not None
         while self.confirmed_at < requested_at:
-            await self._read(0)
+            try:
+                await self._read_shared()
+            except StoreError:
+                if not ignores_failure:
+                    raise
+            ignores_failure = False
+
+    async def _follow(self) -> None:
+        try:
+            if self._is_behind():
+                count = await self._read_shared()
+            else:
+                count = await self._read(READ_WAIT_MS)
+            if count:
+                await asyncio.sleep(self.pause_seconds)
+        except StoreError as error:
+            self._log_failure(error)
+            await asyncio.sleep(READ_RETRY_SECONDS)
+        except Exception as error:
+            # The view gets old, and then rejects what it can't answer.
+            self._log.error("read-failed", error, topic=self._topic)
+            await asyncio.sleep(READ_RETRY_SECONDS)
+
+    def _is_behind(self) -> bool:
+        return self._next_offset is None or self._next_offset < self._end_offset
+
+    async def _read_shared(self) -> int:
+        """Wait for the shared read, after starting it if there is none.
+
+        A page takes long over a narrow link, so it is read once for all queries, and
+        one that gives up leaves it to the others.
+        """
+        if self._shared_read is None:
+            task = asyncio.get_running_loop().create_task(self._read(0))
+            task.add_done_callback(self._end_shared_read)
+            self._shared_read = task
+        return await asyncio.shield(self._shared_read)
+
+    def _end_shared_read(self, task: "asyncio.Task[int]") -> None:
+        self._shared_read = None
+        if not task.cancelled():
+            # If nobody waits any more, asyncio would otherwise log the exception.
+            task.exception()
 
     async def _read(self, wait_ms: int) -> int:
         async with self._newest_lock:
@@ -127,6 +170,7 @@
             self._next_offset = None
             return 0
         self._count_read(requested_at, page.size_bytes)
+        self._end_offset = page.end_offset
         for offset, content in enumerate(page.raw_records, start):
             if self._next_offset is not None and offset >= self._next_offset:
                 self._next_offset = offset + 1
@@ -147,6 +191,7 @@
                 self._topic, 0, self._newest_last_key, self._note_data
             )
             self._count_read(requested_at, page.size_bytes)
+            self._end_offset = page.end_offset
             if self._newest_end_offset is None:
                 # Pages are not one snapshot, so reads continue from the end offset of
                 # the first one.
