--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -53,11 +53,16 @@
         self._topic = topic
         self._on_record = on_record
         self._next_offset: int | None = None
+        # The end of the partition in the latest response.
+        self._end_offset = 0
+        # The read that all share who want to catch up.
+        self._shared_read: asyncio.Task[int] | None = None
         self._newest_lock = asyncio.Lock()
         # Progress through the newest records: the last key of the latest page, and the
-        # end offset of the first page.
+        # end offset of the first page and when that page was requested.
         self._newest_last_key: str | None = None
         self._newest_end_offset: int | None = None
+        self._newest_requested_at = float("-inf")
         # Keys that exist as far as read, and those found among the newest records.
         self._known_keys: set[str] = set()
         self._newest_keys: set[str] = set()
@@ -65,7 +70,8 @@
         self._failed_reads = 0
         # When a part of a successful response last arrived; -inf before the first.
         self._data_at = float("-inf")
-        # When the latest read that reached the end was sent; -inf before the first.
+        # When the latest read was sent that reached the end or returned the newest
+        # records; -inf before the first.
         self.confirmed_at = float("-inf")
 
     @property
@@ -90,23 +96,62 @@
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
-        while True:
-            try:
-                if await self._read(READ_WAIT_MS):
-                    await asyncio.sleep(self.pause_seconds)
-            except StoreError as error:
-                self._log_failure(error)
-                await asyncio.sleep(READ_RETRY_SECONDS)
-            except Exception as error:
-                # The view gets old, and then rejects what it can't answer.
-                self._log.error("read-failed", error, topic=self._topic)
-                await asyncio.sleep(READ_RETRY_SECONDS)
+        try:
+            while True:
+                await self._follow()
+        finally:
+            if self._shared_read is not None:
+                self._shared_read.cancel()
 
     async def catch_up(self) -> None:
         """Read everything stored so far, or raise a StoreError."""
         requested_at = boot_seconds()
+        # The failure of a read from before the call says nothing about the store now.
+        ignores_failure = self._shared_read is not None
         while self.confirmed_at < requested_at:
-            await self._read(0)
+            try:
+                await self._read_shared()
+            except StoreError:
+                if not ignores_failure:
+                    raise
+            ignores_failure = False
+
+    async def _follow(self) -> None:
+        try:
+            if self._is_behind():
+                count = await self._read_shared()
+            else:
+                count = await self._read(READ_WAIT_MS)
+            if count:
+                await asyncio.sleep(self.pause_seconds)
+        except StoreError as error:
+            self._log_failure(error)
+            await asyncio.sleep(READ_RETRY_SECONDS)
+        except Exception as error:
+            # The view gets old, and then rejects what it can't answer.
+            self._log.error("read-failed", error, topic=self._topic)
+            await asyncio.sleep(READ_RETRY_SECONDS)
+
+    def _is_behind(self) -> bool:
+        return self._next_offset is None or self._next_offset < self._end_offset
+
+    async def _read_shared(self) -> int:
+        """Wait for the shared read, after starting it if there is none.
+
+        A page takes long over a narrow link, so it is read once for all queries, and
+        one that gives up leaves it to the others.
+        """
+        if self._shared_read is None:
+            task = asyncio.get_running_loop().create_task(self._read(0))
+            task.add_done_callback(self._end_shared_read)
+            self._shared_read = task
+        return await asyncio.shield(self._shared_read)
+
+    def _end_shared_read(self, task: "asyncio.Task[int]") -> None:
+        self._shared_read = None
+        if not task.cancelled():
+            # If nobody waits any more, asyncio would otherwise log the exception.
+            task.exception()
 
     async def _read(self, wait_ms: int) -> int:
         async with self._newest_lock:
@@ -125,6 +170,7 @@
             self._next_offset = None
             return 0
         self._count_read(requested_at, page.size_bytes)
+        self._end_offset = page.end_offset
         for offset, content in enumerate(page.raw_records, start):
             if self._next_offset is not None and offset >= self._next_offset:
                 self._next_offset = offset + 1
@@ -141,12 +187,16 @@
         # low-bandwidth shared link, all of them may take longer than one call.
         while True:
             requested_at = boot_seconds()
-            page = await self._store.read_newest(self._topic, 0, self._newest_last_key)
+            page = await self._store.read_newest(
+                self._topic, 0, self._newest_last_key, self._note_data
+            )
             self._count_read(requested_at, page.size_bytes)
+            self._end_offset = page.end_offset
             if self._newest_end_offset is None:
                 # Pages are not one snapshot, so reads continue from the end offset of
                 # the first one.
                 self._newest_end_offset = page.end_offset
+                self._newest_requested_at = requested_at
             for key in page.malformed_keys:
                 self._log_skipped(key, "the value is not in base64")
             for record in page.records:
@@ -160,6 +210,9 @@
             self._pass_on(KeyedRecord(key, None))
         self._newest_keys = set()
         self._next_offset, self._newest_end_offset = self._newest_end_offset, None
+        # Reads from the end offset on may never reach the end, if records are appended
+        # faster than they arrive.
+        self.confirmed_at = max(self.confirmed_at, self._newest_requested_at)
 
     def _skip_superseded(self, end_offset: int) -> None:
         if not self._skips_superseded or self._next_offset is None:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -3,6 +3,8 @@
 import asyncio
 import io
 import json
+import math
+from types import SimpleNamespace
 
 import pytest
 from baobablane_platform import (
@@ -14,7 +16,7 @@
 )
 
 from baobablane_daemon.decision_log import DecisionLog
-from baobablane_daemon.jobs import TopicTail
+from baobablane_daemon.jobs import TopicTail, boot_seconds
 
 # Far longer than any step here takes, so only a hang reaches it.
 HANG_TIMEOUT_SECONDS = 60.0
@@ -34,7 +36,7 @@
         self.requested_after = []
         self.read_starts = []
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return a page, or raise StoreUnknownOutcomeError."""
         self.requested_after.append(after)
         if len(self.requested_after) - 1 in self.failed_calls:
@@ -84,7 +86,7 @@
         self.record_count = record_count
         self.read_starts = []
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return the newest record, or none if nothing was appended."""
         records = []
         if self.record_count:
@@ -130,6 +132,102 @@
         assert await read_backlog(2, True) == ([0, 1], [0, 0, 1])
 
 
+class BusyTopicStore:
+    """Return one record with each call, and append three during each call.
+
+    A narrow link takes longer for one record than operators take for the next ones.
+    """
+
+    # Far more calls than a view takes that is ever confirmed.
+    MAX_CALLS = 50
+
+    def __init__(self):
+        """Store one record."""
+        self.record_count = 1
+        self.call_count = 0
+
+    def _append_during_call(self):
+        self.call_count += 1
+        assert self.call_count < self.MAX_CALLS, "the view was not confirmed"
+        self.record_count += 3
+
+    async def read_newest(self, topic, partition, after, on_data=None):
+        """Return the newest record."""
+        page = NewestPage(self.record_count, [KeyedRecord("config", b"1")], None)
+        self._append_during_call()
+        return page
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return the next record."""
+        page = RecordPage(self.record_count, 0, [b"\x06config1"])
+        self._append_during_call()
+        return page
+
+
+class TestBusyTopic:
+    """Test a topic in which records are appended faster than they are read.
+
+    An instance that started while operators changed a large configuration every 0.35 s
+    was never ready, and rejected all queries.
+    """
+
+    async def test_newest_records_confirm_the_view(self):
+        tail = TopicTail(
+            BusyTopicStore(),
+            DecisionLog("entry-1"),
+            "keyed.op",
+            lambda record: None,
+            skips_superseded=True,
+        )
+        await tail.catch_up()
+        assert tail.age() < math.inf
+
+    async def test_view_is_confirmed_as_of_the_first_page(self):
+        """Guards against missing records that were appended during later pages."""
+        store = PagedStore([])
+        requested_at = []
+        read_newest = store.read_newest
+
+        async def note_request(topic, partition, after, on_data=None):
+            requested_at.append(boot_seconds())
+            return await read_newest(topic, partition, after)
+
+        async def fail(*arguments):
+            raise StoreUnknownOutcomeError("no response")
+
+        store.read_newest, store.read = note_request, fail
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        with pytest.raises(StoreUnknownOutcomeError):
+            await tail.catch_up()
+        assert len(requested_at) == 3
+        assert tail.confirmed_at <= requested_at[0]
+
+
+class TestSilence:
+    """Test how long a store seems silent while the newest records arrive.
+
+    An instance that received a large configuration as the newest record was not ready
+    meanwhile, although the store sent data without a break.
+    """
+
+    async def test_data_of_the_newest_records_ends_the_silence(self):
+        arrived, finish = asyncio.Event(), asyncio.Event()
+
+        async def read_newest(topic, partition, after, on_data):
+            on_data()
+            arrived.set()
+            await finish.wait()
+
+        store = SimpleNamespace(read_newest=read_newest)
+        tail = TopicTail(store, DecisionLog("i"), "keyed.op", lambda record: None)
+        task = asyncio.create_task(tail.run())
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            await arrived.wait()
+        assert tail.silence() < math.inf
+        assert tail.age() == math.inf
+        task.cancel()
+
+
 class ForgetfulStore:
     """Return the newest records, and forget all older ones when told to."""
 
@@ -139,7 +237,7 @@
         self.end = 3
         self.first = 0
 
-    async def read_newest(self, topic, partition, after):
+    async def read_newest(self, topic, partition, after, on_data=None):
         """Return all keys on one page."""
         records = [KeyedRecord(key, value) for key, value in self.newest.items()]
         return NewestPage(self.end, records, None)
@@ -206,3 +304,94 @@
         assert (regained["event"], regained["failed_reads"]) == ("store-regained", 2)
         failures = log.metrics.store_read_failures.labels("keyed.jobs")
         assert failures._value.get() == 2
+
+
+class GatedStore:
+    """Return pages without records, and only once a gate is open."""
+
+    def __init__(self):
+        """Close the gate; the partition is empty."""
+        self.requested, self.gate = asyncio.Event(), asyncio.Event()
+        self.newest_count = self.read_count = 0
+
+    async def read_newest(self, topic, partition, after, on_data):
+        """Return the only page."""
+        self.newest_count += 1
+        self.requested.set()
+        await self.gate.wait()
+        return NewestPage(0, [], None)
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return no records."""
+        self.read_count += 1
+        await self.gate.wait()
+        await asyncio.sleep(0)
+        return RecordPage(start, 0, [])
+
+
+class TestConcurrentQueries:
+    """Test queries that read a topic at the same time.
+
+    Each of them read the same pages for itself. Over a narrow link, a page that takes
+    0.2 s alone took 3 s, so all queries and all other reads failed until they ceased.
+    """
+
+    QUERY_COUNT = 20
+
+    async def start_queries(self, tail, count):
+        """Start queries that catch up with the topic, and let them begin."""
+        tasks = [asyncio.create_task(tail.catch_up()) for _ in range(count)]
+        for _ in range(count):
+            await asyncio.sleep(0)
+        return tasks
+
+    async def test_queries_share_their_reads(self):
+        store = GatedStore()
+        store.gate.set()
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        await tail.catch_up()
+        store.gate.clear()
+        store.read_count = 0
+        queries = await self.start_queries(tail, self.QUERY_COUNT)
+        store.gate.set()
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            await asyncio.gather(*queries)
+        # The first read began before some of the queries came.
+        assert store.read_count <= 2
+
+    async def test_query_that_gives_up_leaves_its_read_to_the_others(self):
+        store = GatedStore()
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        first, second = await self.start_queries(tail, 2)
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            await store.requested.wait()
+            first.cancel()
+            await asyncio.gather(first, return_exceptions=True)
+            store.gate.set()
+            await second
+        assert store.newest_count == 1
+
+    async def test_query_reads_again_after_an_earlier_read_failed(self):
+        """Guards against a query that is rejected for a failure from before it."""
+        store = GatedStore()
+        store.gate.set()
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        await tail.catch_up()
+        requested, fail = asyncio.Event(), asyncio.Event()
+        read = store.read
+
+        async def fail_once(*arguments):
+            store.read = read
+            requested.set()
+            await fail.wait()
+            raise StoreUnknownOutcomeError("no response")
+
+        store.read = fail_once
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            (early,) = await self.start_queries(tail, 1)
+            await requested.wait()
+            (late,) = await self.start_queries(tail, 1)
+            fail.set()
+            await late
+            with pytest.raises(StoreUnknownOutcomeError):
+                await early
