Hold a long-running suspect for 5 s only if the news of a crash stays out

Seen by callers: a long-running task "doesn't run, with room for it".

Cause: a task with two losses, of which one isn't known to be a crash, is held for 10 s, doubling, for the news. An instance that never returns gives none, and the task waits beside idle upstreams.

Change: long-running tasks are held for half as long. Short tasks wait as before: in the model, a third start costs a third crash where instances return after 6 s or later.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -77,7 +77,9 @@
         is_started=run.was_seen,
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
-    state.suspects.add(run.task, upstream.id, lost.lost_at, len(task.losses))
+    state.suspects.add(
+        run.task, upstream.id, lost.lost_at, len(task.losses), run.is_lasting
+    )
     state.dirty_jobs.add(run.task.job)
     state.log_decision(
         "run-lost",
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -48,7 +48,11 @@
     for index, task in step_run.tasks.items():
         for loss in task.losses:
             state.suspects.add(
-                step_run.task_id(index), loss.upstream, now, len(task.losses)
+                step_run.task_id(index),
+                loss.upstream,
+                now,
+                len(task.losses),
+                step_run.step.is_lasting,
             )
 
 
--- a/packages/baobablane/baobablane/scheduling/_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/_suspects.py
@@ -6,6 +6,9 @@
 # those upstreams crashed. The time doubles with each further loss, up to the maximum.
 HOLD_SECONDS = 10.0
 MAX_HOLD_SECONDS = 60.0
+# The same for a long-running task, which is wanted all the time. Some instances never
+# return, so the news may never come.
+LASTING_HOLD_SECONDS = 5.0
 
 
 class SuspectTable:
@@ -20,9 +23,17 @@
         """Return whether a task has lost runs."""
         return task in self.held_until
 
-    def add(self, task: TaskId, upstream: str, lost_at: float, losses: int) -> None:
+    def add(
+        self,
+        task: TaskId,
+        upstream: str,
+        lost_at: float,
+        losses: int,
+        is_lasting: bool,
+    ) -> None:
         """Add a run lost at a monotonic time, of a task with `losses` lost runs."""
-        seconds = min(HOLD_SECONDS * 2 ** max(0, losses - 2), MAX_HOLD_SECONDS)
+        first_seconds = LASTING_HOLD_SECONDS if is_lasting else HOLD_SECONDS
+        seconds = min(first_seconds * 2 ** max(0, losses - 2), MAX_HOLD_SECONDS)
         self.held_until[task] = max(self.held_until.get(task, 0.0), lost_at + seconds)
         self._tasks_by_upstream.setdefault(upstream, set()).add(task)
 
