Count an upstream that is down after a trial as a risk, but as no trial

Seen by callers: a long-running task "doesn't run, with room for it".

Cause: as many upstreams are risked as there are unexplained crashes, and one that went down in a trial counted among them until it was back, or for 10 s. The only unexplained crash was then its own, so nothing in the pool was tried for 10 s, its own task included.

Change: as many trials go on at once as there are unexplained crashes; what is down or unreachable only counts against the part of the pool that may be at risk. Both limits move to a file of their own.

--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -4,7 +4,7 @@
 
 from ._job_run import JobRun
 from ._state import SchedulerState
-from ._trials import wanted_trials
+from ._trial_limits import wanted_trials
 from ._urgency import USELESS_MULTIPLE, objective_seconds
 
 # More cores do not speed up work that is due within less than this.
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -135,12 +135,13 @@
         """Return whether nothing may start on an upstream because of its zone."""
         return upstream.entry.zone in self.evacuated_zones
 
-    def count_down_after_trial(self, pool: str, now: float) -> int:
-        """Return how many upstreams of a pool went down in a trial and are not back."""
-        return sum(
-            lost.pool == pool and lost.is_down_after_trial(now)
+    def down_after_trial(self, pool: str, now: float) -> set[str]:
+        """Return the upstreams of a pool that went down in a trial and are not back."""
+        return {
+            lost.upstream
             for lost in self.lost_upstreams.values()
-        )
+            if lost.pool == pool and lost.is_down_after_trial(now)
+        }
 
     def pool_of(self, job_run: JobRun) -> str:
         """Return the pool of a job's queue in the configuration in force."""
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -4,8 +4,7 @@
 been started. One of them may be the cause; all others should finish soon. A trial
 settles in a fraction of a second. Suspects that are probably not the cause come first
 and share a trial, so that most of them go on at once; a task that lost several runs, or
-shared its loss with few others, is tried alone, which leaves no doubt. While a pool is
-full, one upstream at a time is risked; idle ones may be risked besides.
+shared its loss with few others, is tried alone, which leaves no doubt.
 
 Upstreams that lose power together are found to be gone one by one, so one that is still
 held for reachable may be gone as well. A trial there would be lost for the same cause
@@ -13,7 +12,6 @@
 was chosen.
 """
 
-from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -25,14 +23,9 @@
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
 from ._step_run import StepRun
+from ._trial_limits import limit_trials
 from ._upstream import Upstream
 
-# Maximum part of a pool's upstreams that are on trial or down after one: while other
-# tasks wait for room, and otherwise. One always may be.
-FULL_FRACTION = 0.25
-IDLE_FRACTION = 0.9
-# Maximum number of upstreams of a pool on which suspects are tried at once.
-MAX_TRIALS = 24
 # Maximum expected number of causes among the runs of a trial, unless it has one run.
 MAX_EXPECTED_CAUSES = 0.25
 
@@ -92,20 +85,6 @@
     return orders
 
 
-def wanted_trials(state: SchedulerState) -> dict[str, int]:
-    """Return on how many upstreams of each pool suspects should be tried at once.
-
-    Each unexplained crash probably has one cause, which crashes one more upstream. All
-    other suspects settle immediately.
-    """
-    crashes = Counter(
-        state.pool_of(state.jobs[tasks[0].job])
-        for tasks in map(state.suspects.tasks_lost_with, state.suspects.upstreams())
-        if tasks[0].job in state.jobs
-    )
-    return {pool: min(count, MAX_TRIALS) for pool, count in crashes.items()}
-
-
 def room_without_short_runs(upstream: Upstream) -> Resources:
     """Return the room that an upstream has once its short tasks have ended."""
     room = upstream.entry.capacity
@@ -130,17 +109,7 @@
         self._room = room
         self._now = now
         self._trials: list[_Trial] = []
-        upstreams = [u for u in state.upstreams.values() if u.entry.pool == pool]
-        on_trial = sum(upstream.has_trial() for upstream in upstreams)
-        down = state.count_down_after_trial(pool, now)
-        total = down + sum(
-            (u.is_usable() and not state.is_evacuated(u)) or u.has_trial()
-            for u in upstreams
-        )
-        self._at_risk = on_trial + down
-        fraction = FULL_FRACTION if pool in room.full_pools else IDLE_FRACTION
-        wanted = wanted_trials(state).get(pool, 0)
-        self._max_at_risk = max(1, min(wanted, int(total * fraction)))
+        self._limits = limit_trials(state, pool, pool in room.full_pools, now)
 
     def plan(self, candidate: Candidate) -> list[StartOrder]:
         """Return the starts of a candidate, or reserve an upstream for it."""
@@ -173,9 +142,9 @@
         return []
 
     def _begin(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
-        if self._at_risk >= self._max_at_risk:
+        if not self._limits.allow_another():
             return []
-        may_use_busy = self._at_risk == 0
+        may_use_busy = self._limits.at_risk == 0
         upstreams = self._room.for_trials(self._pool)
         upstreams += find_last_resort(
             self._state,
@@ -193,7 +162,7 @@
         responding = [upstream for upstream in advised if upstream.responds(self._now)]
         chosen = self._place(candidate, responding)
         if chosen:
-            self._at_risk += 1
+            self._limits.count_another()
             for upstream in {u.id: u for _, u in chosen}.values():
                 self._room.take(self._pool, upstream)
                 trial = _Trial(upstream, candidate.expected_causes)
@@ -270,7 +239,7 @@
 
     def _keep_free(self, upstream: Upstream) -> None:
         upstream.is_reserved = True
-        self._at_risk += 1
+        self._limits.count_another()
         self._room.take(self._pool, upstream)
 
     def _reserve(self, candidate: Candidate, upstreams: list[Upstream]) -> None:
