Suspect no task again for a run that a later one has replaced

Seen in a play: suspect-cleared at 18.24 s, and run-lost of the run before at 18.32 s, though the later run had settled.

Cause: the loss of a task that may run twice is noted as its copy starts, and dropped as the copy settles. When the lease of the first run was over, the loss was noted again: a running task was suspected until its upstream's next report, and for longer if that one was then lost.

Change: a run that a later one of its task has replaced adds no loss.

Measured: test_cleared_suspect fails before (run-lost twice) and passes now.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -64,6 +64,8 @@
     if (
         run.task not in lost.suspects
         or task.state is TaskState.DONE
+        # Its loss was noted before a later run began, which may have cleared the task.
+        or task.run > run.number
         or any(loss.run == run.number for loss in task.losses)
         or _is_known_to_be_up(state, lost)
     ):
