--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -66,6 +66,8 @@
     if (
         run.task not in lost.suspects
         or task.state is TaskState.DONE
+        # Its loss was noted before a later run began, which may have cleared the task.
+        or task.run > run.number
         or any(loss.run == run.number for loss in task.losses)
         or _is_known_to_be_up(state, lost)
     ):
@@ -80,7 +82,9 @@
         labels=place_labels(state, upstream),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
-    state.suspects.add(run.task, upstream.id, lost.lost_at, len(task.losses))
+    state.suspects.add(
+        run.task, upstream.id, lost.lost_at, len(task.losses), run.is_lasting
+    )
     state.dirty_jobs.add(run.task.job)
     state.log_decision(
         "run-lost",
