--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -160,7 +160,7 @@
     state: SchedulerState, task_id: TaskId, run: int, upstream_id: str
 ) -> None:
     """Drop the loss of a run that was never started on an upstream, if it is noted."""
-    found = _find(state, task_id)
+    found = _find(state, task_id) if task_id in state.suspects else None
     if found is not None and any(loss.run == run for loss in found.losses):
         _drop_losses(state, task_id, found, upstream_id, "its run was never started")
 
