Reserve no upstream for a long-running task that may not use it

Cause: a long-running task without room keeps one upstream of the pool free. Whether it may run there was checked by room and label only, so a task beyond most_per_upstream, or one that the advisor rejects, kept one free in each round without end, and no other long-running task of the pool got one.

Change: the limit per upstream and the advisor's rejections count too, and the next task reserves if the first one finds nothing. In a file of its own.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -4,20 +4,16 @@
 
 from ._job_run import JobRun
 from ._last_resort import find_last_resort
+from ._lasting_room import reserve_upstream
 from ._orders import StartOrder
-from ._placement import choose_upstream, may_run
+from ._placement import choose_upstream
 from ._pressure import is_pressed, measure_pressure
 from ._round_room import RoundRoom, collect_room
 from ._size_classes import LARGEST
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
 from ._step_run import StepRun
-from ._trials import (
-    Candidate,
-    find_candidates,
-    plan_trials,
-    room_without_short_runs,
-)
+from ._trials import Candidate, find_candidates, plan_trials
 from ._upstream import Upstream
 from ._urgency import (
     FIRST_RANK,
@@ -135,9 +131,12 @@
     orders += _plan_last_resort(state, step_run, others, pool, room, now)
     others = others & step_run.waiting
     is_stuck = is_stuck and bool(others) and _is_under_cap(state, step_run)
-    if is_stuck and pool not in room.lasting_pools:
+    if (
+        is_stuck
+        and pool not in room.lasting_pools
+        and reserve_upstream(state, step_run, healthy, usable)
+    ):
         room.lasting_pools.add(pool)
-        _reserve_upstream(step_run, healthy, usable)
     return orders
 
 
@@ -171,25 +170,6 @@
     return not account or state.usage.allows(account, step.needs.times(count))
 
 
-def _reserve_upstream(
-    step_run: StepRun, healthy: list[Upstream], usable: list[Upstream]
-) -> None:
-    # Small tasks would use up room as soon as it is freed, and a larger long-running
-    # task would never start. Reserve an upstream where it fits once the short tasks
-    # end.
-    fitting = [
-        upstream
-        for upstream in usable
-        if may_run(step_run.step, upstream, room_without_short_runs(upstream))
-    ]
-    if not fitting:
-        return
-    chosen = max(fitting, key=lambda upstream: upstream.room().cpu_millis)
-    usable.remove(chosen)
-    if chosen in healthy:
-        healthy.remove(chosen)
-
-
 def _count_job(
     state: SchedulerState, job_run: JobRun, key: UrgencyKey, is_started: bool
 ) -> None:
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -15,8 +15,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..deployment import Resources
 from ._last_resort import find_last_resort
+from ._lasting_room import room_without_short_runs
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
 from ._round_room import RoundRoom
@@ -85,15 +85,6 @@
     return orders
 
 
-def room_without_short_runs(upstream: Upstream) -> Resources:
-    """Return the room that an upstream has once its short tasks have ended."""
-    room = upstream.entry.capacity
-    for run in upstream.runs.values():
-        if run.is_lasting and not run.is_filler:
-            room = room - run.needs
-    return room
-
-
 class _TrialPlanner:
     """Place the trials of one pool in one round."""
 
