Ask the advisor for more upstreams when none with a ticket fits the task

Cause: advice was asked for while no upstream with a ticket had any core free. One with a ticket and a single free core ended the search for a task of two cores until the ticket expired.

Change: an upstream counts if one more task of the step fits there, by all its resources, its label and the limit per upstream.

--- a/packages/baobablane/baobablane/scheduling/_advice.py
+++ b/packages/baobablane/baobablane/scheduling/_advice.py
@@ -7,6 +7,7 @@
 allowed for a step does not change.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ._upstream import Upstream
@@ -50,14 +51,20 @@
         self._pending.clear()
 
     def eligible(
-        self, step: AdvisedStep, candidates: list[Upstream], now: float
+        self,
+        step: AdvisedStep,
+        candidates: list[Upstream],
+        has_room: Callable[[Upstream], bool],
+        now: float,
     ) -> list[Upstream]:
-        """Return candidates with a valid ticket; queue a request if none has room."""
+        """Return candidates with a valid ticket; queue a request if none has room.
+
+        `has_room` returns whether one more task of the step fits on an upstream.
+        """
         valid = [u for u in candidates if self._is_valid(step, u, now)]
         rejected = self._rejected.get(step, set())
         unknown = [u for u in candidates if u not in valid and u.id not in rejected]
-        has_room = any(u.room().cpu_millis > 0 for u in valid)
-        if unknown and not has_room and step not in self._in_flight:
+        if unknown and not any(map(has_room, valid)) and step not in self._in_flight:
             unknown.sort(key=lambda u: -u.room().cpu_millis)
             self._pending[step] = tuple(
                 u.id for u in unknown[:MAX_UPSTREAMS_PER_REQUEST]
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -8,7 +8,7 @@
 others are full; data racks go before that, because a remote task takes twice as long.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from ..deployment import Resources
 from ..jobs import Step
@@ -65,6 +65,16 @@
     return needs.fits_in(room)
 
 
+def has_room(
+    step: Step, upstream: Upstream, placed_by_upstream: Mapping[str, int]
+) -> bool:
+    """Return whether an upstream can take one more task of a step now."""
+    placed = placed_by_upstream.get(upstream.id, 0)
+    if 0 < step.most_per_upstream <= placed:
+        return False
+    return may_run(step, upstream, upstream.room())
+
+
 def _placement_score(
     step_run: StepRun,
     upstream: Upstream,
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -11,6 +11,7 @@
 from ._event import CRASH_EVENT, SchedulingEvent
 from ._job_run import JobRun
 from ._lost_upstream import LostUpstream
+from ._placement import has_room
 from ._policy import SchedulingPolicy
 from ._run_times import RunTimes
 from ._size_classes import SizeClasses
@@ -129,7 +130,13 @@
         queue = self.configuration.queues_by_name.get(step_run.job.queue)
         if queue is None or not queue.needs_advice:
             return upstreams
-        return self.advice.eligible(step_run.key(), upstreams, now)
+        placed = step_run.placed_by_upstream()
+        return self.advice.eligible(
+            step_run.key(),
+            upstreams,
+            lambda upstream: has_room(step_run.step, upstream, placed),
+            now,
+        )
 
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Return whether nothing may start on an upstream because of its zone."""
