Show two more waits of long-running suspects that the search found

Cause: trials of a pool wait 10 s for the return of an upstream that went down in one; suspects are not tried on ejected upstreams, though other long-running tasks start there while the healthy ones are full.

In the model, the time in which a start of unknown outcome may still be carried out is no calm.

--- a/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
@@ -60,6 +60,36 @@
         assert len(self.task(fleet).losses) <= 1
         assert fleet.runs_of(TASK) == 1
 
+    def test_upstream_that_does_not_return_after_a_trial_is_not_waited_for(self):
+        fleet = WaitingFleet(4)
+        # Something runs on each upstream, so only one of them may be risked.
+        for name in "3456":
+            add(
+                fleet,
+                make_job(make_step(cpu=3 * CORE, is_lasting=True), name=name * 16),
+            )
+        fleet.advance(1.0)
+        fleet.remove(self.start_and_lose(fleet, fleet.remove))
+        fleet.calm(MAX_WAIT_SECONDS)
+        assert fleet.runs_of(TASK) == 1
+
+    def test_suspect_is_tried_on_an_ejected_upstream_if_the_others_are_full(self):
+        fleet = WaitingFleet(5)
+        for name in "345":
+            add(
+                fleet,
+                make_job(make_step(cpu=4 * CORE, is_lasting=True), name=name * 16),
+            )
+        fleet.advance(1.0)
+        ejections = fleet.scheduler.state.ejections
+        while not ejections.is_ejected("u4", fleet.now + 2 * MAX_WAIT_SECONDS):
+            ejections.record_failure("u4", list(fleet.upstreams), fleet.now)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        (order,) = fleet.place()
+        fleet.remove(order.upstream)
+        fleet.calm(MAX_WAIT_SECONDS)
+        assert fleet.runs_of(TASK) == 1
+
     def test_cleared_suspect_is_not_suspected_for_its_earlier_run(self):
         fleet = WaitingFleet()
         # The list of instances can't be read.
--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -4,6 +4,7 @@
 
 from baobablane.jobs import TaskId
 from baobablane.scheduling import StartResult, StopOrder
+from baobablane.scheduling._stalls import may_still_arrive
 
 from .crash_model import (
     LIST_INTERVAL_SECONDS,
@@ -123,6 +124,18 @@
             any(self._is_silent(name) for name in self.silent)
             or any(back_at < math.inf for back_at in self._down.values())
             or bool(self._silent_until)
+            or self._may_start_late()
+        )
+
+    def _may_start_late(self):
+        # A start without a response may be carried out by the next life of an upstream
+        # that is gone, so its task has to wait for that.
+        state = self.scheduler.state
+        return any(
+            may_still_arrive(state, run, self.now)
+            for name, known in state.upstreams.items()
+            if name not in self.upstreams
+            for run in known.runs.values()
         )
 
     def missing(self):
