Never join a finished read of a topic

Cause: a query that came between the end of the shared read and the callback that removed it waited for a finished task. Such a wait doesn't yield, so the callback never ran, and the process was stuck in a tight loop.

Change: a finished read is replaced, and no callback removes it.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -107,7 +107,7 @@
         """Read everything stored so far, or raise a StoreError."""
         requested_at = boot_seconds()
         # The failure of a read from before the call says nothing about the store now.
-        ignores_failure = self._shared_read is not None
+        ignores_failure = self._shared_read is not None and not self._shared_read.done()
         while self.confirmed_at < requested_at:
             try:
                 await self._read_shared()
@@ -141,18 +141,13 @@
         A page takes long over a narrow link, so it is read once for all queries, and
         one that gives up leaves it to the others.
         """
-        if self._shared_read is None:
+        if self._shared_read is None or self._shared_read.done():
+            # Waiting for a finished task would not yield.
             task = asyncio.get_running_loop().create_task(self._read(0))
-            task.add_done_callback(self._end_shared_read)
+            task.add_done_callback(_retrieve_exception)
             self._shared_read = task
         return await asyncio.shield(self._shared_read)
 
-    def _end_shared_read(self, task: "asyncio.Task[int]") -> None:
-        self._shared_read = None
-        if not task.cancelled():
-            # If nobody waits any more, asyncio would otherwise log the exception.
-            task.exception()
-
     async def _read(self, wait_ms: int) -> int:
         async with self._newest_lock:
             if self._next_offset is None:
@@ -280,3 +275,9 @@
             size_bytes=size_bytes,
         )
         self._failed_reads = 0
+
+
+def _retrieve_exception(task: "asyncio.Task[int]") -> None:
+    if not task.cancelled():
+        # If nobody waits any more, asyncio would otherwise log the exception.
+        task.exception()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -395,3 +395,32 @@
             await late
             with pytest.raises(StoreUnknownOutcomeError):
                 await early
+
+    async def test_query_at_the_end_of_a_read_starts_another(self, monkeypatch):
+        """Guards against a query that waits for a finished read in a tight loop."""
+        store = GatedStore()
+        store.gate.set()
+        tail = TopicTail(store, DecisionLog("i"), "keyed.jobs", lambda record: None)
+        await tail.catch_up()
+        gate, waits = asyncio.Event(), []
+        shield = asyncio.shield
+
+        async def read(topic, partition, start, wait_ms, on_data):
+            await gate.wait()
+            return RecordPage(start, 0, [])
+
+        def count_waits(read_task):
+            waits.append(read_task)
+            assert len(waits) < 10, "the query does not yield"
+            return shield(read_task)
+
+        monkeypatch.setattr(asyncio, "shield", count_waits)
+        store.read = read
+        (early,) = await self.start_queries(tail, 1)
+        await asyncio.sleep(0)
+        # The read ends in the step before that of the late query.
+        gate.set()
+        late = asyncio.create_task(tail.catch_up())
+        async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+            await asyncio.gather(early, late)
+        assert len(set(waits)) == 2
