Wait 5 s instead of 10 s for an upstream that went down in a trial

Seen by callers: a long-running task "doesn't run, with room for it".

Cause: while an upstream is down after a trial, only idle ones are risked besides. Where something runs on each, nothing was tried for 10 s, and callers expect a long-running task to run again after 6 s.

Change: the limit is 5 s.

--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -11,8 +11,8 @@
 # one after the other, as they started tasks.
 MIN_CRASHES_OF_UNSTABLE_POOL = 2
 UNSTABLE_SECONDS = 10.0
-# An upstream that is down for longer than this is not expected back.
-MAX_DOWN_SECONDS = 10.0
+# Other trials of a pool wait at most this long for the return of an upstream.
+MAX_DOWN_SECONDS = 5.0
 # Maximum time for which a lost upstream is kept without news of it.
 RETENTION_SECONDS = 60.0
 
