Let a loss explain only crashes that may have come at the same time

Change: two losses may be simultaneous only if the times between last response and discovery overlap as well, give or take 0.5 s for a response on its way.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -44,6 +44,7 @@
         bool(trials),
         upstream.entry.pool,
         was_seen=math.isfinite(upstream.last_seen_at),
+        seen_at=upstream.last_seen_at,
     )
     state.lost_upstreams[upstream.id] = lost
     return lost
--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -7,6 +7,8 @@
 
 # A silent upstream is found to be lost up to 1.4 s late, when a renewal times out.
 SIMULTANEOUS_SECONDS = 1.5
+# A response may be received this long after it was sent.
+RESPONSE_SECONDS = 0.5
 # A pool is unstable while at least this many of its upstreams went down in this time,
 # one after the other, as they started tasks.
 MIN_CRASHES_OF_UNSTABLE_POOL = 2
@@ -37,6 +39,8 @@
     is_down: bool = False
     # It had responded to this owner, so that it is known when it was lost.
     was_seen: bool = False
+    # When it last responded, so that it was lost after that.
+    seen_at: float = float("-inf")
     # It is known that it crashed, as its instance runs another upstream.
     is_back: bool = False
 
@@ -79,6 +83,15 @@
         other.is_down
         and other.was_seen
         and not other.suspects
-        and abs(other.lost_at - lost.lost_at) <= SIMULTANEOUS_SECONDS
+        and _may_be_simultaneous(lost, other)
         for other in others
     )
+
+
+def _may_be_simultaneous(one: LostUpstream, other: LostUpstream) -> bool:
+    # Each was lost between its last response and its discovery.
+    return (
+        abs(other.lost_at - one.lost_at) <= SIMULTANEOUS_SECONDS
+        and one.seen_at - RESPONSE_SECONDS <= other.lost_at
+        and other.seen_at - RESPONSE_SECONDS <= one.lost_at
+    )
