Try a long-running suspect on an ejected upstream if the others are full

Seen by callers: a long-running task "doesn't run, with room for it".

Cause: a long-running task may start on an ejected upstream, as its failures aren't limited. A suspect was tried only on healthy ones, as long as there was any, however full, so it waited for the end of an ejection: 5 to 60 s.

Change: its trial may use one too, if it fits on no healthy one.

Measured: test_suspect_is_tried_on_an_ejected_upstream fails before and passes now.

--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -136,14 +136,7 @@
         if not self._limits.allow_another():
             return []
         may_use_busy = self._limits.at_risk == 0
-        upstreams = self._room.for_trials(self._pool)
-        upstreams += find_last_resort(
-            self._state,
-            self._pool,
-            candidate.step_run,
-            self._room.ejected.get(self._pool, ()),
-            self._now,
-        )
+        upstreams = self._upstreams_for(candidate.step_run)
         quiet = [
             upstream
             for upstream in upstreams
@@ -162,6 +155,17 @@
             self._reserve(candidate, self._advised(candidate, upstreams))
         return chosen
 
+    def _upstreams_for(self, step_run: StepRun) -> list[Upstream]:
+        upstreams = self._room.for_trials(self._pool)
+        ejected = self._room.ejected.get(self._pool, ())
+        step = step_run.step
+        if step.is_lasting and not any(may_run(step, u, u.room()) for u in upstreams):
+            # As in other starts of long-running tasks, an ejected one may be used.
+            return list({u.id: u for u in [*upstreams, *ejected]}.values())
+        return upstreams + find_last_resort(
+            self._state, self._pool, step_run, ejected, self._now
+        )
+
     def _advised(
         self, candidate: Candidate, upstreams: list[Upstream]
     ) -> list[Upstream]:
