Log why a long-running task doesn't run, and for how long

Seen by callers: a long-running task "doesn't run, with room for it"; no line told for which of some fifteen reasons.

Change: task-waits, with the reason, the latest run, its upstream and the seconds, after 2 s, every 5 s, and when the reason changes; at most 50 lines a second. A line names the upstream's condition that is closest to a start.

--- a/packages/baobablane/baobablane/scheduling/_event.py
+++ b/packages/baobablane/baobablane/scheduling/_event.py
@@ -18,8 +18,8 @@
     account: str = ""
     upstream: str = ""
     reason: str = ""
-    # Seconds since the run started or, for a stalled run, since its progress changed; 0
-    # for all other events.
+    # Seconds since the run started, since the progress of a stalled run changed, or
+    # since a task began to wait; 0 for all other events.
     age_seconds: float = 0.0
     # Of the upstream; 0 if the event does not concern one of its lives.
     incarnation: int = 0
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -89,6 +89,10 @@
             if step_run.waiting and self._are_predecessors_done(step_run):
                 yield step_run
 
+    def open_steps(self) -> Iterator[StepRun]:
+        """Yield the steps whose predecessors are done."""
+        return filter(self._are_predecessors_done, self.steps.values())
+
     def has_started(self) -> bool:
         """Return whether any task was started."""
         return self._first_open > 0 or any(
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -23,6 +23,7 @@
     UrgencyKey,
     urgency_key,
 )
+from ._waits import log_waits
 
 # Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
 MAX_YOUNG_RUNS = 4
@@ -60,6 +61,7 @@
         orders += started
     for pool, candidates in candidates_by_pool.items():
         orders += plan_trials(state, pool, candidates, room, now)
+    log_waits(state, now)
     return orders
 
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -20,6 +20,7 @@
 from ._upstream import Run, Upstream
 from ._upstream_speeds import UpstreamSpeeds
 from ._urgency import objective_seconds
+from ._wait_table import WaitTable
 
 # Tasks rarely fail on a healthy upstream, so two failures are enough to eject one.
 EJECTION_POLICY = EjectionPolicy(
@@ -76,6 +77,8 @@
         self.run_count_by_job: Counter[str] = Counter()
         # Tasks with lost runs; the runs themselves are part of their progress.
         self.suspects = SuspectTable()
+        # Long-running tasks that don't run, to tell in the log why.
+        self.waits = WaitTable()
         self.lost_upstreams: dict[str, LostUpstream] = {}
         # As the list of instances last showed it, and when that was requested.
         self.instance_by_upstream: dict[str, str] = {}
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -63,6 +63,14 @@
     ]
 
 
+def is_held(state: SchedulerState, step_run: StepRun, index: int, now: float) -> bool:
+    """Return whether a task waits for the news whether its upstreams crashed."""
+    losses = step_run.task(index).losses
+    if len(losses) < 2 or all(loss.is_crash for loss in losses):
+        return False
+    return now < state.suspects.held_until.get(step_run.task_id(index), now)
+
+
 def plan_trials(
     state: SchedulerState,
     pool: str,
@@ -105,7 +113,7 @@
     def plan(self, candidate: Candidate) -> list[StartOrder]:
         """Return the starts of a candidate, or reserve an upstream for it."""
         step_run, indexes = candidate.step_run, candidate.indexes
-        if any(self._is_held(step_run, index) for index in indexes):
+        if any(is_held(self._state, step_run, i, self._now) for i in indexes):
             return []
         needed = step_run.step.needs.times(len(indexes))
         if not self._state.usage.allows(step_run.job.account, needed):
@@ -113,14 +121,6 @@
         chosen = self._join(candidate) or self._begin(candidate)
         return commit_starts(self._state, step_run, chosen)
 
-    def _is_held(self, step_run: StepRun, index: int) -> bool:
-        """Return whether a task waits for the news whether its upstreams crashed."""
-        losses = step_run.task(index).losses
-        if len(losses) < 2 or all(loss.is_crash for loss in losses):
-            return False
-        held_until = self._state.suspects.held_until
-        return self._now < held_until.get(step_run.task_id(index), self._now)
-
     def _join(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
         """Add a suspect to a trial that begins in this round."""
         for trial in self._trials:
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_wait_table.py
@@ -0,0 +1,22 @@
+"""Hold since when long-running tasks wait."""
+
+from dataclasses import dataclass, field
+
+from ..jobs import TaskId
+
+
+@dataclass(slots=True)
+class Wait:
+    """Hold since when a task waits, and what was last logged of that."""
+
+    since: float
+    reason: str = ""
+    logged_at: float = float("-inf")
+
+
+@dataclass(slots=True)
+class WaitTable:
+    """Hold the long-running tasks that don't run, as of the latest check."""
+
+    wait_by_task: dict[TaskId, Wait] = field(default_factory=dict)
+    checked_at: float = float("-inf")
