--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -63,6 +63,14 @@
     ]
 
 
+def is_held(state: SchedulerState, step_run: StepRun, index: int, now: float) -> bool:
+    """Return whether a task waits for the news whether its upstreams crashed."""
+    losses = step_run.task(index).losses
+    if len(losses) < 2 or all(loss.is_crash for loss in losses):
+        return False
+    return now < state.suspects.held_until.get(step_run.task_id(index), now)
+
+
 def plan_trials(
     state: SchedulerState,
     pool: str,
@@ -105,7 +113,7 @@
     def plan(self, candidate: Candidate) -> list[StartOrder]:
         """Return the starts of a candidate, or reserve an upstream for it."""
         step_run, indexes = candidate.step_run, candidate.indexes
-        if any(self._is_held(step_run, index) for index in indexes):
+        if any(is_held(self._state, step_run, i, self._now) for i in indexes):
             return []
         needed = step_run.step.needs.times(len(indexes))
         if not self._state.usage.allows(step_run.job.account, needed):
@@ -113,14 +121,6 @@
         chosen = self._join(candidate) or self._begin(candidate)
         return commit_starts(self._state, step_run, chosen)
 
-    def _is_held(self, step_run: StepRun, index: int) -> bool:
-        """Return whether a task waits for the news whether its upstreams crashed."""
-        losses = step_run.task(index).losses
-        if len(losses) < 2 or all(loss.is_crash for loss in losses):
-            return False
-        held_until = self._state.suspects.held_until
-        return self._now < held_until.get(step_run.task_id(index), self._now)
-
     def _join(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
         """Add a suspect to a trial that begins in this round."""
         for trial in self._trials:
@@ -136,14 +136,7 @@
         if not self._limits.allow_another():
             return []
         may_use_busy = self._limits.at_risk == 0
-        upstreams = self._room.for_trials(self._pool)
-        upstreams += find_last_resort(
-            self._state,
-            self._pool,
-            candidate.step_run,
-            self._room.ejected.get(self._pool, ()),
-            self._now,
-        )
+        upstreams = self._upstreams_for(candidate.step_run)
         quiet = [
             upstream
             for upstream in upstreams
@@ -162,6 +155,17 @@
             self._reserve(candidate, self._advised(candidate, upstreams))
         return chosen
 
+    def _upstreams_for(self, step_run: StepRun) -> list[Upstream]:
+        upstreams = self._room.for_trials(self._pool)
+        ejected = self._room.ejected.get(self._pool, ())
+        step = step_run.step
+        if step.is_lasting and not any(may_run(step, u, u.room()) for u in upstreams):
+            # As in other starts of long-running tasks, an ejected one may be used.
+            return list({u.id: u for u in [*upstreams, *ejected]}.values())
+        return upstreams + find_last_resort(
+            self._state, self._pool, step_run, ejected, self._now
+        )
+
     def _advised(
         self, candidate: Candidate, upstreams: list[Upstream]
     ) -> list[Upstream]:
