--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -31,6 +31,8 @@
         self.late = []
         self.losses = []
         self.gone_at = {}
+        # Decisions of earlier owners.
+        self.past_events = []
         super().__init__(count, deadly, **options)
 
     def silence(self, name, seconds):
@@ -58,6 +60,11 @@
             if run.is_lasting:
                 self.scheduler.fleet.evict(StopOrder(run.task, run.number, name))
 
+    def replace_owner(self):
+        """Let another owner take over, and keep the decisions of this one."""
+        self.past_events += self.scheduler.pop_events()
+        super().replace_owner()
+
     def add_short_jobs(self, count, tasks):
         """Add jobs of short tasks."""
         for _ in range(count):
