Run the real processes under seeded faults and check what must hold

Callers, upstreams and the platform report events to checks of 13 promises while it runs.

The stand-in now reports starts, ends, acknowledgements and crashes; carries out maintenance; starts again under the same id if asked; ends runs by the order of their ends and their lease; and judges a start by its own deadline, where a fresh lease let a late order pass before. Its store can be slow, busy, forget its history and write late.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup run test bench capacity soak
+.PHONY: setup run test bench capacity soak soak-faults
 
 setup: .venv/installed
 
@@ -24,3 +24,6 @@
 
 soak: setup
 	BAOBAB_HYPOTHESIS=soak $(BIN)/pytest packages
+
+soak-faults: setup
+	$(BIN)/python -m soak $(SOAK)
--- a/packages/baobablane-standin/baobablane_standin/platform/__init__.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/__init__.py
@@ -1,12 +1,22 @@
 """Re-export the parts of the stand-in platform."""
 
-from ._deployment import PlatformStandin, StandinSettings
+from ._deployment import (
+    API_KEY,
+    PATH_PREFIX,
+    QUEUE_HOST,
+    PlatformStandin,
+    StandinSettings,
+    extra_path_prefix,
+)
 from ._partition import Partition
 from ._server import PlatformServer
 from ._store import PlatformStore, StoreSwitches
 from ._upstream import StandinUpstream
 
 __all__ = [
+    "API_KEY",
+    "PATH_PREFIX",
+    "QUEUE_HOST",
     "Partition",
     "PlatformServer",
     "PlatformStandin",
@@ -14,4 +24,5 @@
     "StandinSettings",
     "StandinUpstream",
     "StoreSwitches",
+    "extra_path_prefix",
 ]
--- a/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_deployment.py
@@ -69,6 +69,13 @@
         """Return how many responses of the store were not read to the end."""
         return self._platform_server.aborted_read_count if self._platform_server else 0
 
+    def set_maintenance_listener(
+        self, listener: Callable[[str, int, str], None]
+    ) -> None:
+        """Call `listener` with instance, wave and holder as maintenance begins."""
+        if self._platform_server:
+            self._platform_server.on_maintenance = listener
+
     def set_instance_state(self, state: str) -> None:
         """Set the state that the instance list shows for all instances."""
         if self._platform_server:
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -4,6 +4,8 @@
 import base64
 import time
 from collections.abc import AsyncIterator, Callable
+from contextlib import suppress
+from functools import partial
 
 import msgspec
 from starlette.applications import Starlette
@@ -29,6 +31,12 @@
         self.store = store
         self._pool = pool
         self.upstreams: dict[str, StandinUpstream] = {}
+        # The highest fencing token of an order for an instance.
+        self._highest_fencing_token = 0
+        # Instance and wave of the maintenance orders that were carried out.
+        self._maintained: set[tuple[str, int]] = set()
+        # Called with the instance, the wave and the holder before maintenance begins.
+        self.on_maintenance: Callable[[str, int, str], None] = lambda *order: None
         # State of all instances in the list.
         self.instance_state = "up"
         # Append requests received, including those that failed.
@@ -43,6 +51,7 @@
                 Route("/baobablane/log-join", self._join, methods=["POST"]),
                 Route("/baobablane/log-leave", self._leave, methods=["POST"]),
                 Route("/baobablane/machines", self._list_instances, methods=["GET"]),
+                Route("/baobablane/machine-upkeep", self._maintain, methods=["POST"]),
             ]
         )
 
@@ -75,9 +84,14 @@
         query = request.query_params
         body = await request.body()
         self.append_count += 1
-        if self.store.switches.is_down:
+        switches = self.store.switches
+        await asyncio.sleep(switches.delay_seconds)
+        is_rejected = (
+            switches.rejects_every and not self.append_count % switches.rejects_every
+        )
+        if switches.is_down or is_rejected:
             return Response(status_code=503)
-        if self.store.switches.loses_writes:
+        if switches.loses_writes:
             return Response(status_code=504)
         producer = None
         if "producer" in query:
@@ -87,17 +101,27 @@
                 int(query["sequence"]),
             )
         expected_end_offset = int(query["at"]) if "at" in query else None
-        try:
-            response = self._partition(request).append(
-                _split_records(body), producer, expected_end_offset
+        append = partial(
+            self._partition(request).append,
+            _split_records(body),
+            producer,
+            expected_end_offset,
+        )
+        if switches.late_write_seconds:
+            asyncio.get_running_loop().call_later(
+                switches.late_write_seconds, _append_late, append
             )
+            return Response(status_code=504)
+        try:
+            response = append()
         except AppendRejectedError as error:
             return JSONResponse(error.response, error.status)
-        if self.store.switches.loses_responses:
+        if switches.loses_responses:
             return Response(status_code=504)
         return JSONResponse(response)
 
     async def _read(self, request: Request) -> Response:
+        await asyncio.sleep(self.store.switches.delay_seconds)
         if not self._is_readable(request):
             return Response(status_code=503)
         partition = self._partition(request)
@@ -176,7 +200,9 @@
             {
                 "machine": upstream.instance,
                 "pool": upstream.pool,
-                "state": "down" if upstream.is_down else self.instance_state,
+                "state": (
+                    upstream.down_state if upstream.is_down else self.instance_state
+                ),
                 "zone": upstream.zone,
                 "labels": ["a"],
                 "capacity": {"cpu": upstream.cores * 1000, "memMb": 65536, "gpu": 0},
@@ -186,6 +212,25 @@
         ]
         return JSONResponse({"machines": machines, "nextToken": None})
 
+    async def _maintain(self, request: Request) -> Response:
+        order = msgspec.json.decode(await request.body())
+        token = int(request.headers["Baobablane-Fencing-Token"])
+        if token < self._highest_fencing_token:
+            return JSONResponse({"reason": "fence"}, 409)
+        self._highest_fencing_token = token
+        key = (order["machine"], order["wave"])
+        if key in self._maintained:
+            return JSONResponse({})
+        upstreams = self.upstreams.values()
+        upstream = next((u for u in upstreams if u.instance == key[0]), None)
+        if upstream is None or upstream.is_down:
+            return JSONResponse({"reason": "busy"}, 409)
+        self._maintained.add(key)
+        upstream.end_due_runs()
+        self.on_maintenance(*key, request.headers["Baobablane-Lease-Holder"])
+        upstream.crash(state="upkeep")
+        return JSONResponse({})
+
     def _partition(self, request: Request) -> Partition:
         query = request.query_params
         return self.store.partition(query["topic"], int(query["part"]))
@@ -212,6 +257,11 @@
     return 0 if expected_id == upstream.id else 421
 
 
+def _append_late(append: Callable[[], object]) -> None:
+    with suppress(AppendRejectedError):
+        append()
+
+
 def _make_response(result: tuple[int, dict[str, object]]) -> Response:
     status, response = result
     return JSONResponse(response, status)
--- a/packages/baobablane-standin/baobablane_standin/platform/_store.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_store.py
@@ -18,6 +18,12 @@
     loses_writes: bool = False
     # Appends take effect, but their responses are lost (simulated by status 504).
     loses_responses: bool = False
+    # Appends take effect after this time, and have no response (status 504).
+    late_write_seconds: float = 0.0
+    # Each append of this ordinal number is rejected with status 503; 0 for none.
+    rejects_every: int = 0
+    # Time by which all requests are delayed.
+    delay_seconds: float = 0.0
     # Bandwidth of each read's response, in bytes per second; None for no limit.
     read_bandwidth: float | None = None
 
@@ -52,6 +58,11 @@
         record = len(name).to_bytes(1, "big") + name + value
         self.partition(topic, 0).append([record], None)
 
+    def forget_history(self) -> None:
+        """Drop all records but the newest of each key."""
+        for partition in self._partitions.values():
+            partition.drop_before(partition.end_offset)
+
     def join(
         self, group: str, member: str, topic: str, ttl_seconds: float, now: float
     ) -> dict[str, object]:
--- a/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_upstream.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 POLL_SECONDS = 0.005
+EventListener = Callable[[str, Mapping[str, object]], None]
+
+
+def _ignore_event(name: str, fields: Mapping[str, object]) -> None:
+    """Listen to nothing."""
 
 
 @dataclass(slots=True)
@@ -13,11 +18,13 @@
     number: int
     started_at: float
     ends_at: float
-    # How it ends: an empty string for success, "fail" or "crash".
+    # How it ends: an empty string or "serve" for success, "fail" or "crash".
     outcome: str
 
     def percent_done(self, now: float) -> int:
-        """Return the progress of the run in percent."""
+        """Return the progress of the run in percent; one that serves is ready."""
+        if self.outcome == "serve":
+            return 100
         duration = max(self.ends_at - self.started_at, 1e-3)
         return min(100, round(100 * (now - self.started_at) / duration))
 
@@ -27,7 +34,7 @@
     """Simulate one upstream and its runs.
 
     A task's `spec` is its duration in milliseconds, followed by " fail" if it is to
-    fail, or by " crash" if it is to crash the upstream.
+    fail, by " crash" if it is to crash the upstream, or by " serve" if it serves.
     """
 
     id: str
@@ -45,6 +52,12 @@
     is_down: bool = False
     # Called with the id that it had before it started again.
     on_return: Callable[[str], None] = lambda previous_id: None
+    # The state of its instance in the list while it is down.
+    down_state: str = "down"
+    # Whether it starts again under the same id after a crash.
+    keeps_id: bool = False
+    # Called for starts, ends, acknowledgements of ends and crashes as they occur.
+    on_event: EventListener = _ignore_event
     # Rows added to the running tasks of each report, for example malformed ones.
     extra_rows: list[object] = field(default_factory=list)
     _running: dict[str, _Run] = field(default_factory=dict)
@@ -88,10 +101,11 @@
     def start(self, order: dict[str, object]) -> tuple[int, dict[str, object]]:
         """Start a run and return the HTTP status and the response.
 
-        The order is rejected if its fencing token is outdated (reason `fence`), if
-        the lease has expired (`late`), or if this run or a later one of the task has
+        The order is rejected if its fencing token is outdated (reason `fence`), if its
+        own deadline has passed (`late`), or if this run or a later one of the task has
         ended or been stopped (`old`). A repeated order for a running run succeeds.
         """
+        self.end_due_runs()
         task, number = str(order["task"]), int(str(order["run"]))
         if self.rejects_orders:
             return 503, {}
@@ -99,7 +113,9 @@
             return 409, self._with_clock({"reason": "fence"})
         self._highest_fencing_token = int(str(order["fencingToken"]))
         self._extend_lease(order)
-        if self._lease_deadline_ms <= self._clock_ms():
+        if int(str(order.get("deadlineMs", self._lease_deadline_ms))) <= (
+            self._clock_ms()
+        ):
             return 409, self._with_clock({"reason": "late"})
         running = self._running.get(task)
         if running is not None and running.number == number:
@@ -111,6 +127,7 @@
         ends_at = now + float(milliseconds or 0) / 1000
         self._running[task] = _Run(number, now, ends_at, outcome)
         self.starts.append((task, number))
+        self._report("start", task=task, run=number, token=self._highest_fencing_token)
         if outcome == "crash":
             loop = asyncio.get_running_loop()
             loop.call_later(ends_at - now, self._crash_under, task, number)
@@ -119,6 +136,7 @@
     def stop(self, order: dict[str, object]) -> tuple[int, dict[str, object]]:
         """Stop a run, or prevent its later start, and return status and response."""
         task, number = str(order["task"]), int(str(order["run"]))
+        self.end_due_runs()
         self._closed_run_by_task[task] = max(
             number, self._closed_run_by_task.get(task, 0)
         )
@@ -139,18 +157,20 @@
         if int(str(order["fencingToken"])) < self._highest_fencing_token:
             return 409, self._with_clock({"reason": "fence"})
         self._highest_fencing_token = int(str(order["fencingToken"]))
+        self.end_due_runs()
         self._extend_lease(order)
         acknowledged = int(str(order["ackCursor"]))
+        self._report("acknowledged", number=acknowledged)
         self._unacknowledged_ends = [
             row for row in self._unacknowledged_ends if int(str(row[0])) > acknowledged
         ]
         wait_until = time.monotonic() + int(str(order.get("waitMs", 0))) / 1000
-        self._end_due_runs()
+        incarnation = self.incarnation
         while not self._unacknowledged_ends and time.monotonic() < wait_until:
             await asyncio.sleep(POLL_SECONDS)
-            if self.is_down:
+            if self.is_down or self.incarnation != incarnation:
                 return 500, {}
-            self._end_due_runs()
+            self.end_due_runs()
         now = time.monotonic()
         running: list[object] = [
             [task, run.number, "", run.percent_done(now), 0]
@@ -161,20 +181,29 @@
             {"running": running, "ended": list(self._unacknowledged_ends)}
         )
 
-    def crash(self) -> None:
-        """Lose everything, and start again under another id after `crash_seconds`."""
+    def crash(self, task: str = "", state: str = "down") -> None:
+        """Lose everything, and start again after `crash_seconds`.
+
+        `task` is the task that caused it, if any, and `state` the state that the
+        instance has meanwhile.
+        """
+        if self.is_down:
+            return
+        self._report("crash", task=task, state=state, running=list(self._running))
         self.is_down = True
+        self.down_state = state
         self._running = {}
         asyncio.get_running_loop().call_later(self.crash_seconds, self._return)
 
     def _crash_under(self, task: str, number: int) -> None:
         running = self._running.get(task)
         if not self.is_down and running is not None and running.number == number:
-            self.crash()
+            self.crash(task)
 
     def _return(self) -> None:
         previous_id, self._crash_count = self.id, self._crash_count + 1
-        self.id = f"{self._name}-{self._crash_count}"
+        if not self.keeps_id:
+            self.id = f"{self._name}-{self._crash_count}"
         self.restart()
         self.is_down = False
         self.on_return(previous_id)
@@ -191,13 +220,14 @@
         if deadline is not None:
             self._lease_deadline_ms = max(self._lease_deadline_ms, int(str(deadline)))
 
-    def _end_due_runs(self) -> None:
+    def end_due_runs(self) -> None:
+        """End the runs that are done, have failed or have lost their lease by now."""
         now = time.monotonic()
-        lapsed = self._clock_ms() > self._lease_deadline_ms
+        lapses_at = self._started_at + self._lease_deadline_ms / 1000
         for task, run in list(self._running.items()):
-            if now >= run.ends_at and run.outcome != "crash":
+            if run.outcome != "crash" and run.ends_at <= min(now, lapses_at):
                 self._end_run(task, "failed" if run.outcome == "fail" else "done")
-            elif lapsed:
+            elif now > lapses_at:
                 self._end_run(task, "lapsed")
 
     def _end_run(self, task: str, reason: str) -> None:
@@ -209,6 +239,12 @@
         self._unacknowledged_ends.append(
             [self._end_count, task, run.number, reason, ""]
         )
+        self._report(
+            "end", task=task, run=run.number, how=reason, number=self._end_count
+        )
+
+    def _report(self, name: str, **fields: object) -> None:
+        self.on_event(name, {"incarnation": self.incarnation, **fields})
 
     def _clock_ms(self) -> int:
         return round((time.monotonic() - self._started_at) * 1000)
--- a/scripts/check.py
+++ b/scripts/check.py
@@ -13,7 +13,9 @@
     "packages/baobablane-daemon/baobablane_daemon",
     "packages/baobablane-client/baobablane_client",
     "packages/baobablane-standin/baobablane_standin",
+    "soak",
 )
+TESTED_FOLDERS = ("packages", "platform", "bench", "docs", "soak")
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,7 @@
         Check("format", ("ruff", "format", "--check", ".")),
         Check("lint", ("ruff", "check", ".")),
         Check("types", ("mypy", *TYPED_PACKAGES)),
-        Check("tests", ("pytest", "packages", "platform", "bench", "docs", *deselect)),
+        Check("tests", ("pytest", *TESTED_FOLDERS, *deselect)),
         Check("scenarios", ("behave", "--format=progress", "--tags=not @known-red")),
     ]
 
--- /dev/null
+++ b/soak/_outcome.py
@@ -0,0 +1,24 @@
+"""Describe the outcome of a soak."""
+
+from dataclasses import dataclass
+
+from ._breach import Breach
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Hold what a soak did and which promises were broken."""
+
+    seed: int
+    seconds: float
+    accepted_jobs: int
+    starts: int
+    faults_by_kind: dict[str, int]
+    breaches: list[Breach]
+
+    def __str__(self) -> str:
+        return (
+            f"seed {self.seed}: {sum(self.faults_by_kind.values())} faults,"
+            f" {self.accepted_jobs} jobs accepted, {self.starts} starts in"
+            f" {self.seconds:.0f} s, {len(self.breaches)} promises broken"
+        )
--- /dev/null
+++ b/soak/_plan.py
@@ -0,0 +1,136 @@
+"""Draw the faults and jobs of a soak from its seed."""
+
+from dataclasses import dataclass
+from random import Random
+
+from ._fault import Fault
+from ._planned_job import PlannedJob
+
+ENTRIES = ("entry-0", "entry-1", "entry-2")
+UPSTREAMS = ("u0", "u1", "u2", "u3", "u4", "u5")
+FIRST_FAULT_SECONDS = 2.0
+FAULTS_PER_SECOND = 1.3
+JOBS_PER_SECOND = 5.0
+MAX_FAULT_SECONDS = 5.0
+# Far longer than any soak.
+SERVING_MS = 10_000_000
+
+PROCESS_KINDS = ("kill", "terminate", "pause")
+LINK_KINDS = ("delay", "reset", "cut-requests", "cut-responses", "silence", "trickle")
+UPSTREAM_KINDS = ("crash-reset", "crash-silent", "restart-same-id", "unhealthy")
+RACK_KINDS = ("rack-reset", "rack-silent")
+STORE_KINDS = (
+    "store-busy",
+    "store-slow",
+    "store-down",
+    "store-loses-writes",
+    "store-loses-answers",
+    "store-late-writes",
+    "store-forgets",
+)
+OPERATOR_KINDS = ("new-queue", "withdraw-key", "wave")
+KIND_GROUPS = (
+    (PROCESS_KINDS, 5),
+    (LINK_KINDS, 6),
+    (UPSTREAM_KINDS, 3),
+    (RACK_KINDS, 1),
+    (STORE_KINDS, 3),
+    (OPERATOR_KINDS, 2),
+)
+JOB_KINDS = {
+    "plain": 40,
+    "steps": 15,
+    "long": 12,
+    "serving": 4,
+    "failing": 5,
+    "deadly": 1,
+    "copies": 8,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Hold the faults and jobs of a soak, in the order of their times."""
+
+    seed: int
+    seconds: float
+    faults: tuple[Fault, ...]
+    jobs: tuple[PlannedJob, ...]
+
+    def __str__(self) -> str:
+        kinds = [job.kind for job in self.jobs]
+        counts = ", ".join(f"{kinds.count(kind)} {kind}" for kind in JOB_KINDS)
+        head = f"seed {self.seed}, {self.seconds} s, jobs: {counts}"
+        return "\n".join([head, *map(str, self.faults)])
+
+
+def link_names() -> list[str]:
+    """Return the names of all links, each with a proxy."""
+    links = [f"{side}/{name}" for name in ENTRIES for side in ("store", "list")]
+    links += [f"callers/{name}" for name in ENTRIES]
+    return links + [f"upstream/{name}" for name in UPSTREAMS]
+
+
+def make_plan(seed: int, seconds: float) -> Plan:
+    """Return the plan of a seed."""
+    random = Random(f"{seed} {seconds}")
+    faults: list[Fault] = []
+    at = FIRST_FAULT_SECONDS
+    while at < seconds:
+        faults.append(_draw_fault(random, at, seconds))
+        at += random.expovariate(FAULTS_PER_SECOND)
+    jobs: list[PlannedJob] = []
+    at = 0.0
+    while at < seconds:
+        jobs.append(_draw_job(random, at, len(jobs)))
+        at += random.expovariate(JOBS_PER_SECOND)
+    return Plan(seed, seconds, tuple(faults), tuple(jobs))
+
+
+def _draw_fault(random: Random, at: float, end: float) -> Fault:
+    groups, weights = zip(*KIND_GROUPS, strict=True)
+    kinds = random.choices(groups, weights)[0]
+    kind = random.choice(kinds)
+    duration = round(min(random.uniform(0.2, MAX_FAULT_SECONDS), end - at), 2)
+    targets: list[str] = []
+    if kinds is PROCESS_KINDS:
+        targets = random.sample(ENTRIES, random.choices((1, 2, 3), (6, 2, 1))[0])
+    elif kinds is LINK_KINDS:
+        targets = random.sample(link_names(), random.choices((1, 2, 4), (6, 2, 1))[0])
+    elif kinds is UPSTREAM_KINDS:
+        targets = [random.choice(UPSTREAMS)]
+    elif kinds is RACK_KINDS or kind == "wave":
+        targets = random.sample(UPSTREAMS, random.choice((2, 3)))
+    return Fault(round(at, 2), kind, tuple(targets), duration)
+
+
+def _draw_job(random: Random, at: float, number: int) -> PlannedJob:
+    kind = random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
+    spec, counts, options = f"{random.randint(20, 800)}", [random.randint(1, 4)], {}
+    if kind == "steps":
+        counts.append(random.randint(1, 3))
+    elif kind == "long":
+        spec, counts = f"{random.randint(2_000, 8_000)}", [random.randint(1, 2)]
+    elif kind == "serving":
+        spec, counts = f"{SERVING_MS} serve", [3]
+        options = {"longRunning": True, "lossy": 1}
+    elif kind == "failing":
+        spec, counts = f"{random.randint(20, 500)} fail", [1]
+    elif kind == "deadly":
+        spec, counts = "20 crash", [1]
+    elif kind == "copies":
+        options = {"speculative": True}
+    steps = [
+        {"count": count, "cpu": 1000, "after": list(range(position)), **options}
+        for position, count in enumerate(counts)
+    ]
+    is_cancelled = kind == "long" and random.random() < 0.4
+    return PlannedJob(
+        round(at, 3),
+        f"{random.getrandbits(48):012x}{number:04x}",
+        kind,
+        {"spec": spec, "steps": steps},
+        random.randrange(len(ENTRIES)),
+        round(random.uniform(0.2, 3.0), 2) if is_cancelled else None,
+        tuple(counts),
+    )
--- /dev/null
+++ b/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the parts of the soak."""
