Draw faults in series and bursts of jobs, and fail on errors of the soak

Change: three in ten faults follow the one before within 0.15 s, jobs come in bursts now and then, and some are periodic. An error of a callback or a caller ends the soak with an error.

--- a/soak/_link_proxy.py
+++ b/soak/_link_proxy.py
@@ -108,7 +108,9 @@
     def _abort(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
         connection = writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+        # It is closed already if the other side ended it while the link was dark.
+        with suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
         writer.transport.abort()
 
     async def _forward(
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -9,11 +9,18 @@
 ENTRIES = ("entry-0", "entry-1", "entry-2")
 UPSTREAMS = ("u0", "u1", "u2", "u3", "u4", "u5")
 FIRST_FAULT_SECONDS = 2.0
-FAULTS_PER_SECOND = 1.3
-JOBS_PER_SECOND = 5.0
+FAULTS_PER_SECOND = 1.0
+# So many faults follow the one before within a tenth of a second or so.
+SERIES_SHARE = 0.3
+SERIES_GAP_SECONDS = 0.15
+JOBS_PER_SECOND = 4.0
+BURST_SHARE = 0.02
+BURST_JOBS = 12
 MAX_FAULT_SECONDS = 5.0
 # Far longer than any soak.
 SERVING_MS = 10_000_000
+INTERVAL_MS = 400
+OCCURRENCES = 3
 
 PROCESS_KINDS = ("kill", "terminate", "pause")
 LINK_KINDS = ("delay", "reset", "cut-requests", "cut-responses", "silence", "trickle")
@@ -35,7 +42,7 @@
     (UPSTREAM_KINDS, 3),
     (RACK_KINDS, 1),
     (STORE_KINDS, 3),
-    (OPERATOR_KINDS, 2),
+    (OPERATOR_KINDS, 3),
 )
 JOB_KINDS = {
     "plain": 40,
@@ -45,6 +52,7 @@
     "failing": 5,
     "deadly": 1,
     "copies": 8,
+    "periodic": 6,
 }
 
 
@@ -78,11 +86,15 @@
     at = FIRST_FAULT_SECONDS
     while at < seconds:
         faults.append(_draw_fault(random, at, seconds))
-        at += random.expovariate(FAULTS_PER_SECOND)
+        if random.random() < SERIES_SHARE:
+            at += random.uniform(0.0, SERIES_GAP_SECONDS)
+        else:
+            at += random.expovariate(FAULTS_PER_SECOND)
     jobs: list[PlannedJob] = []
     at = 0.0
     while at < seconds:
-        jobs.append(_draw_job(random, at, len(jobs)))
+        for _ in range(BURST_JOBS if random.random() < BURST_SHARE else 1):
+            jobs.append(_draw_job(random, at, len(jobs)))
         at += random.expovariate(JOBS_PER_SECOND)
     return Plan(seed, seconds, tuple(faults), tuple(jobs))
 
@@ -120,6 +132,9 @@
         spec, counts = "20 crash", [1]
     elif kind == "copies":
         options = {"speculative": True}
+    repetition = {}
+    if kind == "periodic":
+        repetition = {"intervalMs": INTERVAL_MS, "repeatCount": OCCURRENCES}
     steps = [
         {"count": count, "cpu": 1000, "after": list(range(position)), **options}
         for position, count in enumerate(counts)
@@ -129,8 +144,9 @@
         round(at, 3),
         f"{random.getrandbits(48):012x}{number:04x}",
         kind,
-        {"spec": spec, "steps": steps},
+        {"spec": spec, "steps": steps, **repetition},
         random.randrange(len(ENTRIES)),
         round(random.uniform(0.2, 3.0), 2) if is_cancelled else None,
         tuple(counts),
+        OCCURRENCES if repetition else 1,
     )
--- a/soak/_planned_job.py
+++ b/soak/_planned_job.py
@@ -1,6 +1,6 @@
 """Describe one job that a caller submits."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,12 +16,13 @@
     # Time from the acceptance to the cancellation; None for no cancellation.
     cancel_seconds: float | None = None
     # Number of tasks of each step.
-    counts: tuple[int, ...] = field(default=(1,))
+    counts: tuple[int, ...] = (1,)
+    occurrences: int = 1
 
     @property
     def task_count(self) -> int:
-        """Return the number of all tasks."""
-        return sum(self.counts)
+        """Return the number of the tasks of all occurrences."""
+        return sum(self.counts) * self.occurrences
 
     @property
     def allowance(self) -> int:
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -42,10 +42,15 @@
             [self._runs, self._answers, AllowanceCheck(jobs_by_id), BorderCheck()],
         )
         self._background: list[asyncio.Task[None]] = []
+        # Errors of the soak itself, by which its verdict is worth nothing.
+        self._errors: list[str] = []
 
     async def run(self) -> Outcome:
         """Play the plan and return the outcome."""
         began_at = time.monotonic()
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: self._errors.append(str(context))
+        )
         async with AsyncExitStack() as stack:
             stack.callback(self.history.close)
             site = await stack.enter_async_context(Site(self._folder, self.history))
@@ -61,6 +66,7 @@
             self._play(callers, faults)
             await asyncio.gather(*self._background[: len(self._plan.faults)])
             await self._recover(callers, faults, site)
+            self._raise_errors()
         return Outcome(
             self._plan.seed,
             time.monotonic() - began_at,
@@ -137,6 +143,13 @@
 
         return is_stopped
 
+    def _raise_errors(self) -> None:
+        for task in self._background:
+            if task.done():
+                task.result()
+        if self._errors:
+            raise RuntimeError("\n".join(self._errors))
+
     async def _stop_background(self) -> None:
         for task in self._background:
             task.cancel()
--- a/soak/tests/test_link_proxy.py
+++ b/soak/tests/test_link_proxy.py
@@ -96,3 +96,14 @@
             assert await new_reader.readline() == HELLO
             assert lines == [HELLO, HELLO]
             new_writer.close()
+
+    async def test_connection_that_was_closed_in_the_dark_is_no_error(self):
+        async with open_link() as (proxy, reader, writer, _):
+            writer.write(HELLO)
+            assert await reader.readline() == HELLO
+            proxy.go_dark()
+            inner = next(iter(proxy._writers))
+            inner.transport.abort()
+            while inner.get_extra_info("socket").fileno() >= 0:
+                await asyncio.sleep(0)
+            proxy.return_from_dark()
