Let faults last up to 7 s, so that an instance may be cut off for longer than a key's bound

Cause: with faults of 5 s at most, no instance could have accepted a key 5 s after its withdrawal, so the check of keys could hardly fail.

--- a/soak/_border_check.py
+++ b/soak/_border_check.py
@@ -9,8 +9,8 @@
 KEY_SECONDS = 5.0
 CONFIGURATION_SECONDS = 2.0
 # An owner acts for 1 s after the store's confirmation, and an order takes 1 s; what a
-# link holds arrives up to 5 s later.
-TOKEN_SECONDS = 7.0
+# link holds arrives up to 7 s later.
+TOKEN_SECONDS = 9.0
 
 
 class BorderCheck:
--- a/soak/tests/test_border_check.py
+++ b/soak/tests/test_border_check.py
@@ -28,7 +28,7 @@
     def test_lower_token_elsewhere_is_broken_in_the_end(self):
         events = [start(1.0, token=2), start(2.0, "u1", token=1)]
         assert broken(BorderCheck(), events) == []
-        events[1] = start(8.1, "u1", token=1)
+        events[1] = start(10.1, "u1", token=1)
         assert broken(BorderCheck(), events) == ["tokens-never-fall"]
 
 
