Disturb the link between one entry instance and one upstream

Cause: all entry instances shared the proxy of an upstream, so none could be cut off from it while another one reached it, as before and after a takeover.

Change: the proxy finds the process that connects by its port, and a fault may apply to its connections alone.

--- a/soak/_entry_process.py
+++ b/soak/_entry_process.py
@@ -34,6 +34,13 @@
         self._process: asyncio.subprocess.Process | None = None
         self._is_ending = False
 
+    @property
+    def pid(self) -> int | None:
+        """Return the id of the process, or None while there is none."""
+        if self._process is None or self._process.returncode is not None:
+            return None
+        return self._process.pid
+
     def write_settings(self, store: str, instance_list: str) -> None:
         """Write the settings file with the addresses of the proxies."""
         settings = {
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,7 @@
 
 from ._fault import Fault
 from ._history import History
-from ._plan import LINK_KINDS, OPERATOR_KINDS, PROCESS_KINDS, STORE_KINDS
+from ._plan import LINK_KINDS, OPERATOR_KINDS, PROCESS_KINDS, STORE_KINDS, split_link
 from ._site import Site
 
 STORE_DELAY_SECONDS = 0.4
@@ -79,7 +79,7 @@
             return lambda name: self._signal(name, SIGNALS[kind]), self._continue
         if kind in LINK_KINDS:
             return lambda name: self._begin_link(name, kind), (
-                lambda name: self._site.links[name].end(kind)
+                lambda name: self._end_link(name, kind)
             )
         if kind in STORE_KINDS:
             return lambda _: self._set_store(kind, 1), lambda _: self._set_store(
@@ -99,11 +99,16 @@
         self._site.processes[name].signal(signal.SIGCONT)
 
     def _begin_link(self, name: str, kind: str) -> None:
-        link = self._site.links[name]
-        if not self._active[kind, name] > 1:
-            link.begin(kind)
+        link_name, client = split_link(name)
+        link = self._site.links[link_name]
+        if self._active[kind, name] <= 1:
+            link.begin(kind, client)
         if kind == "reset":
-            link.reset()
+            link.reset(client)
+
+    def _end_link(self, name: str, kind: str) -> None:
+        name, client = split_link(name)
+        self._site.links[name].end(kind, client)
 
     def _set_store(self, kind: str, position: int) -> None:
         store = self._site.platform.store
--- a/soak/_link_proxy.py
+++ b/soak/_link_proxy.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 from collections import Counter
+from collections.abc import Callable
 from contextlib import suppress
 
 HOST = "127.0.0.1"
@@ -25,19 +26,28 @@
 
     What is cut is held and delivered late, as by a network that retransmits. While the
     link is dark, connections are accepted and nothing that arrives is ever delivered.
+    A fault may apply to the connections of one client alone.
     """
 
-    def __init__(self, target: str) -> None:
-        """Forward to the address `target`; `start` must be called next."""
+    def __init__(
+        self, target: str, find_client: Callable[[int], str] = lambda port: ""
+    ) -> None:
+        """Forward to the address `target`; `start` must be called next.
+
+        `find_client` names the client that connects from a port.
+        """
         self.target = target
+        self._find_client = find_client
         self.address = ""
-        # How many faults of each kind are in force.
-        self._active: Counter[str] = Counter()
+        # How many faults of each kind are in force, by client; "" is all of them.
+        self._active: Counter[tuple[str, str]] = Counter()
         self._change = asyncio.Event()
         self._is_dark = False
         self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._writers: set[asyncio.StreamWriter] = set()
+        # The client of each task that forwards.
+        self._tasks: dict[asyncio.Task[None], str] = {}
+        # The client of each open connection, for both of its sides.
+        self._client_by_writer: dict[asyncio.StreamWriter, str] = {}
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -51,22 +61,24 @@
         self.reset()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def begin(self, kind: str) -> None:
-        """Begin a fault of a kind."""
-        self._active[kind] += 1
+    def begin(self, kind: str, client: str = "") -> None:
+        """Begin a fault of a kind, for all clients or one."""
+        self._active[kind, client] += 1
         self._notify()
 
-    def end(self, kind: str) -> None:
-        """End a fault of a kind."""
-        self._active[kind] -= 1
+    def end(self, kind: str, client: str = "") -> None:
+        """End a fault of a kind, for all clients or one."""
+        self._active[kind, client] -= 1
         self._notify()
 
-    def reset(self) -> None:
-        """Reset all connections; what is on its way is lost."""
-        for writer in list(self._writers):
-            self._abort(writer)
-        for task in self._tasks:
-            task.cancel()
+    def reset(self, client: str = "") -> None:
+        """Reset the connections of all clients or one; what is on its way is lost."""
+        for writer, name in list(self._client_by_writer.items()):
+            if client in ("", name):
+                self._abort(writer)
+        for task, name in self._tasks.items():
+            if client in ("", name):
+                task.cancel()
 
     def go_dark(self) -> None:
         """Leave all connections open, and deliver nothing any more."""
@@ -80,6 +92,9 @@
             self._is_dark = False
             self.reset()
 
+    def _has(self, kind: str, client: str) -> bool:
+        return bool(self._active[kind, ""] or (client and self._active[kind, client]))
+
     def _notify(self) -> None:
         self._change.set()
         self._change = asyncio.Event()
@@ -87,7 +102,8 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
+        _, client_port = writer.get_extra_info("peername") or ("", 0)
+        client = self._client_by_writer[writer] = self._find_client(client_port)
         if self._is_dark:
             return
         host, _, port = self.target.partition(":")
@@ -96,17 +112,17 @@
         except OSError:
             self._abort(writer)
             return
-        self._writers.add(back_writer)
+        self._client_by_writer[back_writer] = client
         for direction, source, sink in (
             (REQUESTS, reader, back_writer),
             (RESPONSES, back_reader, writer),
         ):
-            task = asyncio.ensure_future(self._forward(direction, source, sink))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task = asyncio.ensure_future(self._forward(direction, source, sink, client))
+            self._tasks[task] = client
+            task.add_done_callback(self._tasks.pop)
 
     def _abort(self, writer: asyncio.StreamWriter) -> None:
-        self._writers.discard(writer)
+        self._client_by_writer.pop(writer, None)
         connection = writer.get_extra_info("socket")
         # It is closed already if the other side ended it while the link was dark.
         with suppress(OSError):
@@ -118,18 +134,19 @@
         direction: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        client: str,
     ) -> None:
         with suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
-                if self._active["delay"]:
+                if self._has("delay", client):
                     await asyncio.sleep(DELAY_SECONDS)
-                while any(self._active[kind] for kind in HOLDING_KINDS[direction]):
+                while any(self._has(kind, client) for kind in HOLDING_KINDS[direction]):
                     await self._change.wait()
-                while self._active["trickle"] and len(data) > TRICKLE_BYTES:
+                while self._has("trickle", client) and len(data) > TRICKLE_BYTES:
                     writer.write(data[:TRICKLE_BYTES])
                     data = data[TRICKLE_BYTES:]
                     await asyncio.sleep(TRICKLE_INTERVAL_SECONDS)
                 writer.write(data)
                 await writer.drain()
-        self._writers.discard(writer)
+        self._client_by_writer.pop(writer, None)
         writer.close()
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -38,7 +38,7 @@
 OPERATOR_KINDS = ("new-queue", "withdraw-key", "wave")
 KIND_GROUPS = (
     (PROCESS_KINDS, 5),
-    (LINK_KINDS, 6),
+    (LINK_KINDS, 8),
     (UPSTREAM_KINDS, 3),
     (RACK_KINDS, 1),
     (STORE_KINDS, 3),
@@ -73,10 +73,21 @@
 
 
 def link_names() -> list[str]:
-    """Return the names of all links, each with a proxy."""
+    """Return the names of all links.
+
+    Each upstream has one from all entry instances, and one from each of them.
+    """
     links = [f"{side}/{name}" for name in ENTRIES for side in ("store", "list")]
     links += [f"callers/{name}" for name in ENTRIES]
-    return links + [f"upstream/{name}" for name in UPSTREAMS]
+    links += [f"upstream/{name}" for name in UPSTREAMS]
+    pairs = [(upstream, entry) for upstream in UPSTREAMS for entry in ENTRIES]
+    return links + [f"upstream/{upstream}/{entry}" for upstream, entry in pairs]
+
+
+def split_link(name: str) -> tuple[str, str]:
+    """Return the name of the proxy of a link, and that of its only client or ""."""
+    side, target, *client = name.split("/")
+    return f"{side}/{target}", client[0] if client else ""
 
 
 def make_plan(seed: int, seconds: float) -> Plan:
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -13,6 +13,7 @@
     StandinUpstream,
 )
 
+from ._client_finder import make_client_finder
 from ._entry_process import EntryProcess
 from ._history import History
 from ._link_proxy import LinkProxy
@@ -58,10 +59,13 @@
 
     async def _start(self) -> None:
         await self._stack.enter_async_context(self.platform)
+        find_client = make_client_finder(self._pids)
         self.platform.set_maintenance_listener(self._record_maintenance)
         for name, upstream in zip(UPSTREAMS, self.platform.upstreams, strict=True):
             self.upstreams[name] = upstream
-            link = await self._add_link(f"upstream/{name}", upstream.address)
+            link = await self._add_link(
+                f"upstream/{name}", upstream.address, find_client
+            )
             upstream.address = link.address
             upstream.on_event = self._make_listener(name)
             upstream.on_return = self._make_return(name, upstream.on_return)
@@ -75,8 +79,17 @@
             task = asyncio.ensure_future(process.run())
             self._stack.push_async_callback(_cancel, task)
 
-    async def _add_link(self, name: str, target: str) -> LinkProxy:
-        link = self.links[name] = LinkProxy(target)
+    def _pids(self) -> dict[str, int]:
+        return {
+            name: process.pid
+            for name, process in self.processes.items()
+            if process.pid is not None
+        }
+
+    async def _add_link(
+        self, name: str, target: str, find_client: Callable[[int], str] | None = None
+    ) -> LinkProxy:
+        link = self.links[name] = LinkProxy(target, find_client or (lambda port: ""))
         await link.start()
         self._stack.push_async_callback(link.close)
         return link
--- a/soak/tests/test_link_proxy.py
+++ b/soak/tests/test_link_proxy.py
@@ -1,10 +1,12 @@
 """Test the faults of links over loopback."""
 
 import asyncio
+import os
 from contextlib import asynccontextmanager
 
 import pytest
 
+from soak._client_finder import make_client_finder
 from soak._link_proxy import HOST, LinkProxy
 
 # Far longer than any step here takes, so only a hang reaches it.
@@ -13,7 +15,7 @@
 
 
 @asynccontextmanager
-async def open_link():
+async def open_link(find_client=lambda port: "client"):
     """Connect through a proxy to a server that repeats lines, and keep these."""
     lines = []
 
@@ -24,7 +26,8 @@
         writer.close()
 
     server = await asyncio.start_server(repeat, HOST, 0)
-    proxy = LinkProxy(f"{HOST}:{server.sockets[0].getsockname()[1]}")
+    address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    proxy = LinkProxy(address, find_client)
     await proxy.start()
     reader, writer = await _connect(proxy)
     try:
@@ -62,6 +65,26 @@
             proxy.end(kind)
             assert await answer == HELLO
 
+    async def test_fault_of_another_client_holds_nothing(self):
+        async with open_link() as (proxy, reader, writer, _):
+            proxy.begin("silence", "other")
+            proxy.reset("other")
+            writer.write(HELLO)
+            assert await reader.readline() == HELLO
+
+    async def test_client_is_found_by_its_port(self):
+        pids = {"nobody": 0, "tests": os.getpid()}
+        finder = make_client_finder(lambda: pids)
+        async with open_link(finder) as (proxy, reader, writer, _):
+            writer.write(HELLO)
+            assert await reader.readline() == HELLO
+            proxy.reset("nobody")
+            writer.write(HELLO)
+            assert await reader.readline() == HELLO
+            proxy.reset("tests")
+            with pytest.raises(ConnectionResetError):
+                await reader.readline()
+
     @pytest.mark.parametrize("kind", ["delay", "trickle"])
     async def test_slow_bytes_arrive_whole(self, kind):
         async with open_link() as (proxy, reader, writer, _):
@@ -102,7 +125,7 @@
             writer.write(HELLO)
             assert await reader.readline() == HELLO
             proxy.go_dark()
-            inner = next(iter(proxy._writers))
+            inner = next(iter(proxy._client_by_writer))
             inner.transport.abort()
             while inner.get_extra_info("socket").fileno() >= 0:
                 await asyncio.sleep(0)
