Find a client by both ports, and resume only what a pause had stopped

Cause: a row of the kernel's table was chosen by the client's port alone, and closed connections to other servers may have the same one. A test hung in one of four runs; that this was its cause was read from the code and not shown. The end of a kill also resumed a process that another fault had paused, and an upstream that once returned under its id always did.

Change: both ports must match, and the table is read up to three times; a kill ends without a signal; the next return is under another id again. Faults of the store read their defaults from its switches.

--- a/soak/_client_finder.py
+++ b/soak/_client_finder.py
@@ -7,20 +7,24 @@
 
 # Columns of a row of the kernel's table of connections.
 LOCAL_ADDRESS_COLUMN = 1
+REMOTE_ADDRESS_COLUMN = 2
 INODE_COLUMN = 9
+# A read is no snapshot, and may leave out a row while others come and go.
+MAX_READS = 3
 TCP_TABLE = Path("/proc/net/tcp")
 
 
 def make_client_finder(
     pids: Callable[[], Mapping[str, int]],
-) -> Callable[[int], str]:
-    """Return a function that names the process with a connection from a port.
+) -> Callable[[int, int], str]:
+    """Return a function that names the process with a connection between two ports.
 
-    `pids` returns our processes by their names. The name is empty if none has it.
+    The first port is that of the process. `pids` returns our processes by their names;
+    the name is empty if none of them has the connection.
     """
 
-    def find_client(port: int) -> str:
-        inode = _find_inode(port)
+    def find_client(port: int, server_port: int) -> str:
+        inode = _find_inode(port, server_port)
         for name, pid in pids().items():
             if inode and f"socket:[{inode}]" in _open_files(pid):
                 return name
@@ -29,16 +33,24 @@
     return find_client
 
 
-def _find_inode(port: int) -> str:
-    suffix = f":{port:04X}"
-    with suppress(OSError):
-        for line in TCP_TABLE.read_text().splitlines()[1:]:
+def _find_inode(port: int, server_port: int) -> str:
+    # Connections to different servers may have the same port at their own end.
+    ends = (f":{port:04X}", f":{server_port:04X}")
+    for _ in range(MAX_READS):
+        for line in _read_table():
             columns = line.split()
-            if columns[LOCAL_ADDRESS_COLUMN].endswith(suffix):
+            is_local = columns[LOCAL_ADDRESS_COLUMN].endswith(ends[0])
+            if is_local and columns[REMOTE_ADDRESS_COLUMN].endswith(ends[1]):
                 return columns[INODE_COLUMN]
     return ""
 
 
+def _read_table() -> list[str]:
+    with suppress(OSError):
+        return TCP_TABLE.read_text().splitlines()[1:]
+    return []
+
+
 def _open_files(pid: int) -> set[str]:
     files: set[str] = set()
     folder = Path(f"/proc/{pid}/fd")
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -5,9 +5,11 @@
 import signal
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 from baobablane_standin.platform import (
     API_KEY,
+    StoreSwitches,
     extra_path_prefix,
 )
 
@@ -22,13 +24,13 @@
 UPKEEP_SECONDS = 1.0
 WAVE_SECONDS = 20.0
 WAVE_CAP = 2
-STORE_SWITCHES: dict[str, tuple[str, object, object]] = {
-    "store-busy": ("rejects_every", BUSY_EVERY, 0),
-    "store-slow": ("delay_seconds", STORE_DELAY_SECONDS, 0.0),
-    "store-down": ("is_down", True, False),
-    "store-loses-writes": ("loses_writes", True, False),
-    "store-loses-answers": ("loses_responses", True, False),
-    "store-late-writes": ("late_write_seconds", LATE_WRITE_SECONDS, 0.0),
+STORE_SWITCHES: dict[str, tuple[str, object]] = {
+    "store-busy": ("rejects_every", BUSY_EVERY),
+    "store-slow": ("delay_seconds", STORE_DELAY_SECONDS),
+    "store-down": ("is_down", True),
+    "store-loses-writes": ("loses_writes", True),
+    "store-loses-answers": ("loses_responses", True),
+    "store-late-writes": ("late_write_seconds", LATE_WRITE_SECONDS),
 }
 SIGNALS = {
     "kill": signal.SIGKILL,
@@ -76,29 +78,24 @@
     ) -> tuple[Callable[[str], None], Callable[[str], None]]:
         kind = fault.kind
         if kind in PROCESS_KINDS:
-            return lambda name: self._signal(name, SIGNALS[kind]), self._continue
+            end = self._continue if kind == "pause" else _do_nothing
+            return partial(self._signal, SIGNALS[kind]), end
         if kind in LINK_KINDS:
-            return lambda name: self._begin_link(name, kind), (
-                lambda name: self._end_link(name, kind)
-            )
+            return partial(self._begin_link, kind), partial(self._end_link, kind)
         if kind in STORE_KINDS:
-            return lambda _: self._set_store(kind, 1), lambda _: self._set_store(
-                kind, 2
-            )
+            return partial(self._begin_store, kind), partial(self._end_store, kind)
         if kind == "unhealthy":
-            return lambda name: self._set_health(name, False), (
-                lambda name: self._set_health(name, True)
-            )
-        return lambda name: self._crash(name, kind, fault.seconds), lambda name: None
+            return partial(self._set_health, False), partial(self._set_health, True)
+        return partial(self._crash, kind, fault.seconds), _do_nothing
 
-    def _signal(self, name: str, number: signal.Signals) -> None:
+    def _signal(self, number: signal.Signals, name: str) -> None:
         is_sent = self._site.processes[name].signal(number)
         self._history.record("signal", entry=name, signal=number.name, is_sent=is_sent)
 
     def _continue(self, name: str) -> None:
         self._site.processes[name].signal(signal.SIGCONT)
 
-    def _begin_link(self, name: str, kind: str) -> None:
+    def _begin_link(self, kind: str, name: str) -> None:
         link_name, client = split_link(name)
         link = self._site.links[link_name]
         if self._active[kind, name] <= 1:
@@ -106,22 +103,28 @@
         if kind == "reset":
             link.reset(client)
 
-    def _end_link(self, name: str, kind: str) -> None:
-        name, client = split_link(name)
-        self._site.links[name].end(kind, client)
+    def _end_link(self, kind: str, name: str) -> None:
+        link_name, client = split_link(name)
+        self._site.links[link_name].end(kind, client)
 
-    def _set_store(self, kind: str, position: int) -> None:
+    def _begin_store(self, kind: str, _: str) -> None:
         store = self._site.platform.store
         if kind in STORE_SWITCHES:
-            setting = STORE_SWITCHES[kind]
-            setattr(store.switches, setting[0], setting[position])
-        elif position == 1:
+            switch, value = STORE_SWITCHES[kind]
+            setattr(store.switches, switch, value)
+        else:
             store.forget_history()
 
-    def _set_health(self, name: str, is_healthy: bool) -> None:
+    def _end_store(self, kind: str, _: str) -> None:
+        if kind in STORE_SWITCHES:
+            switch, _value = STORE_SWITCHES[kind]
+            default = getattr(StoreSwitches(), switch)
+            setattr(self._site.platform.store.switches, switch, default)
+
+    def _set_health(self, is_healthy: bool, name: str) -> None:
         self._site.upstreams[name].rejects_orders = not is_healthy
 
-    def _crash(self, name: str, kind: str, seconds: float) -> None:
+    def _crash(self, kind: str, seconds: float, name: str) -> None:
         upstream = self._site.upstreams[name]
         if upstream.is_down:
             return
@@ -159,3 +162,7 @@
         value = json.dumps(record).encode()
         self._site.platform.store.put("keyed.op", f"wave/{number}", value)
         self._history.record("wave", wave=number, targets=list(fault.targets))
+
+
+def _do_nothing(name: str) -> None:
+    """End a fault that ends by itself."""
--- a/soak/_link_proxy.py
+++ b/soak/_link_proxy.py
@@ -30,15 +30,18 @@
     """
 
     def __init__(
-        self, target: str, find_client: Callable[[int], str] = lambda port: ""
+        self,
+        target: str,
+        find_client: Callable[[int, int], str] = lambda port, server_port: "",
     ) -> None:
         """Forward to the address `target`; `start` must be called next.
 
-        `find_client` names the client that connects from a port.
+        `find_client` names the client of a connection between two ports.
         """
         self.target = target
         self._find_client = find_client
         self.address = ""
+        self._port = 0
         # How many faults of each kind are in force, by client; "" is all of them.
         self._active: Counter[tuple[str, str]] = Counter()
         self._change = asyncio.Event()
@@ -52,7 +55,8 @@
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, HOST, 0)
-        self.address = f"{HOST}:{self._server.sockets[0].getsockname()[1]}"
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"{HOST}:{self._port}"
 
     async def close(self) -> None:
         """Stop listening and end all connections."""
@@ -102,8 +106,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        # The connection may have ended before it was accepted.
         _, client_port = writer.get_extra_info("peername") or ("", 0)
-        client = self._client_by_writer[writer] = self._find_client(client_port)
+        client = self._find_client(client_port, self._port)
+        self._client_by_writer[writer] = client
         if self._is_dark:
             return
         host, _, port = self.target.partition(":")
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -87,9 +87,12 @@
         }
 
     async def _add_link(
-        self, name: str, target: str, find_client: Callable[[int], str] | None = None
+        self,
+        name: str,
+        target: str,
+        find_client: Callable[[int, int], str] = lambda port, server_port: "",
     ) -> LinkProxy:
-        link = self.links[name] = LinkProxy(target, find_client or (lambda port: ""))
+        link = self.links[name] = LinkProxy(target, find_client)
         await link.start()
         self._stack.push_async_callback(link.close)
         return link
@@ -115,6 +118,7 @@
         def return_from_crash(previous_id: str) -> None:
             self.links[f"upstream/{name}"].return_from_dark()
             upstream = self.upstreams[name]
+            upstream.keeps_id = False
             self._history.record("return", upstream=name, id=upstream.id)
             register(previous_id)
 
--- a/soak/tests/test_link_proxy.py
+++ b/soak/tests/test_link_proxy.py
@@ -15,7 +15,7 @@
 
 
 @asynccontextmanager
-async def open_link(find_client=lambda port: "client"):
+async def open_link(find_client=lambda *ports: "client"):
     """Connect through a proxy to a server that repeats lines, and keep these."""
     lines = []
 
@@ -72,7 +72,7 @@
             writer.write(HELLO)
             assert await reader.readline() == HELLO
 
-    async def test_client_is_found_by_its_port(self):
+    async def test_client_is_found_by_its_ports(self):
         pids = {"nobody": 0, "tests": os.getpid()}
         finder = make_client_finder(lambda: pids)
         async with open_link(finder) as (proxy, reader, writer, _):
