Count crashes under a task from any cause as the platform does

Cause: not of the product's rules: the platform allows to give up a task under which two upstreams have crashed, and an outside crash within the trial can't be told from one by the task. The check counted a task's own crashes only.

Change: the check counts the crashes under a task, of any cause, but not maintenance.

--- a/soak/_answer_check.py
+++ b/soak/_answer_check.py
@@ -28,7 +28,8 @@
         self.accepted_at: dict[str, float] = {}
         self.end_by_job: dict[str, str] = {}
         self._done: dict[str, set[str]] = defaultdict(set)
-        # How often each task failed, or crashed its upstream.
+        # How often each task failed, or ran on an upstream that crashed. The platform
+        # allows a job to be given up after two crashes under a task, from any cause.
         self._failures: dict[str, Counter[str]] = defaultdict(Counter)
 
     def __call__(self, event: Event) -> Iterator[Breach]:
@@ -51,8 +52,9 @@
                 self._done[event.job].add(event["task"])
             elif event["how"] == "failed":
                 self._failures[event.job][event["task"]] += 1
-        elif event.name == "crash" and event["task"]:
-            self._failures[event.job][event["task"]] += 1
+        elif event.name == "crash" and event["state"] != "upkeep":
+            for task in event["running"]:
+                self._failures[task.partition(".")[0]][task] += 1
         elif event.name in ("state", "cancel"):
             yield from self._check_answer(event)
 
