Show a cancellation that is confirmed for a job that has ended

Cause: the narrow instance reads the published states alone. Its view of them was fresh, but the owner was killed, and the store down, between the record of the end and its publication, and the next owner had not published it yet.

Change: test_platform_states shows it in one deployment, with the publication held up.

--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_states.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_states.py
@@ -1,6 +1,9 @@
 """Test entry instances with narrow links, which follow the states of jobs only."""
 
-from .platform_deployment import run_deployment
+from baobablane_standin.platform import PATH_PREFIX
+from baobablane_standin.platform._partition import AppendRejectedError
+
+from .platform_deployment import JOB, run_deployment
 
 NARROW_LINK_MBIT = 10.0
 
@@ -41,3 +44,22 @@
 
             await deployment.wait_for(is_completed)
             assert len(deployment.starts(job)) == 1
+
+
+class TestCancellation:
+    """Test a cancellation at an instance that does not know of the end yet."""
+
+    async def test_completed_job_is_not_shown_as_cancelled(self):
+        """Guards against an answer that the end, stored but not published, belies."""
+
+        def reject(*append):
+            raise AppendRejectedError(503, {})
+
+        async with run_deployment(1) as deployment:
+            (wide,) = deployment.entries
+            narrow = await deployment.start_entry("narrow", NARROW_LINK_MBIT)
+            assert await deployment.submit(wide) == 200
+            deployment.platform.store.partition("keyed.states", 0).append = reject
+            await deployment.wait_for_state(wide, "completed")
+            status, answer = await deployment.call(narrow, "DELETE", PATH_PREFIX + JOB)
+            assert (status, answer.get("state")) != (200, "cancelled")
--- a/soak/_answer_check.py
+++ b/soak/_answer_check.py
@@ -14,6 +14,8 @@
 UNKNOWN_STATUSES = (0, 500, 504)
 # Statuses that say that the key or the queue is not known; both always are.
 DENIAL_STATUSES = (401, 403, 404)
+# A job is shown as cancelled, and had another end or gets one.
+CANCELLED_END_PROMISE = "one-end-of-cancelled"
 ENDED_STATES = ("completed", "failed", "cancelled")
 
 
@@ -70,9 +72,11 @@
         if state not in ENDED_STATES:
             return
         earlier = self.end_by_job.setdefault(job, state)
+        ends = (earlier, state)
         if earlier != state:
+            promise = CANCELLED_END_PROMISE if "cancelled" in ends else "one-end"
             detail = f"{job} is shown as {state}, and was shown as {earlier}"
-            yield Breach("one-end", event.at, detail, job)
+            yield Breach(promise, event.at, detail, job)
         elif state == "failed":
             worst = max(self._failures[job].values(), default=0)
             if worst < MAX_ATTEMPTS:
