--- a/packages/baobablane-standin/baobablane_standin/platform/__init__.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/__init__.py
@@ -8,6 +8,7 @@
     StandinSettings,
     extra_path_prefix,
 )
+from ._job_body import make_job_body
 from ._partition import Partition
 from ._server import PlatformServer
 from ._store import PlatformStore, StoreSwitches
@@ -25,4 +26,5 @@
     "StandinUpstream",
     "StoreSwitches",
     "extra_path_prefix",
+    "make_job_body",
 ]
--- a/packages/baobablane/baobablane/scheduling/tests/test_lasting_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_lasting_waits.py
@@ -17,12 +17,12 @@
 LARGE_JOBS = tuple(digit * 16 for digit in "34567")
 DEADLY_JOB = "d" * 16
 DEADLY = TaskId(DEADLY_JOB, 0, 0, 0)
-# A long-running task runs again this long after the last disturbance.
+# A long-running task runs again this long after the last disruption.
 MAX_WAIT_SECONDS = 6.0
 MAX_STARTS = 5
 
 upstream_numbers = st.integers(0, 5)
-disturbances = st.one_of(
+disruptions = st.one_of(
     st.tuples(
         st.sampled_from(
             ["crash", "cut_power", "remove", "silence", "restart", "evict", "cordon"]
@@ -36,11 +36,11 @@
     st.tuples(st.sampled_from(["replace_owner", "short_jobs", "finish"]), st.just([])),
 )
 pauses = st.sampled_from([0.0, 0.0, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0])
-days = st.lists(st.tuples(disturbances, pauses), max_size=12)
+days = st.lists(st.tuples(disruptions, pauses), max_size=12)
 
 
-def disturb(fleet, kind, details):
-    """Apply a disturbance to a fleet; `details` are numbers of instances."""
+def disrupt(fleet, kind, details):
+    """Apply a disruption to a fleet; `details` are numbers of instances."""
     if kind == "lose_answers":
         fleet.lose_answers(details)
     elif kind == "replace_owner":
@@ -63,9 +63,9 @@
 
 
 def play(fleet, day):
-    """Apply disturbances, each followed by a pause."""
+    """Apply disruptions, each followed by a pause."""
     for (kind, details), pause in day:
-        disturb(fleet, kind, details)
+        disrupt(fleet, kind, details)
         fleet.place()
         if pause:
             fleet.advance(pause)
--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -1,4 +1,4 @@
-"""Simulate disturbances of a fleet with long-running tasks, and the calm after them."""
+"""Simulate disruptions of a fleet with long-running tasks, and the calm after them."""
 
 import math
 
@@ -14,7 +14,7 @@
 )
 from .fleet_model import LEASE_SECONDS, add, make_job, make_step
 
-# An entry is removed after three check-in intervals of silence.
+# An entry is removed after three heartbeat intervals of silence.
 ENTRY_SECONDS = 3.0
 # How long an order may take to reach an upstream that lost its response.
 LATE_SECONDS = 2.0
@@ -24,7 +24,7 @@
     """Simulate crashes, silence, lost answers, restarts, owners and orders."""
 
     def __init__(self, count=6, deadly=(), **options):
-        """Create the fleet; nothing is disturbed."""
+        """Create the fleet; nothing is disrupted."""
         # Until when each upstream is silent to the owner, and since when.
         self.silent = {}
         # Starts that are carried out late, with their deadlines.
@@ -122,11 +122,11 @@
         """Let everything answer and have room for some time."""
         self.losses = []
         self.scheduler.fleet.cordon(set())
-        while self._is_disturbed():
+        while self._is_disrupted():
             self.advance(LIST_INTERVAL_SECONDS, finish=True)
         self.advance(seconds, finish=True)
 
-    def _is_disturbed(self):
+    def _is_disrupted(self):
         return (
             any(self._is_silent(name) for name in self.silent)
             or any(back_at < math.inf for back_at in self._down.values())
--- a/soak/_entry_process.py
+++ b/soak/_entry_process.py
@@ -9,6 +9,8 @@
 import sys
 from pathlib import Path
 
+from baobablane_platform import SETTINGS_VARIABLE
+
 from ._link_proxy import HOST
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -72,7 +74,7 @@
 
     async def _run_once(self) -> None:
         self._is_ending = False
-        environment = {**os.environ, "BAOBABLANE_BOOT": str(self._settings_path)}
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path)}
         with self.log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from baobablane_standin.platform import make_job_body
+
 from ._fault import Fault
 from ._planned_job import PlannedJob
 
@@ -129,35 +131,35 @@
 
 def _draw_job(random: Random, at: float, number: int) -> PlannedJob:
     kind = random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
-    spec, counts, options = f"{random.randint(20, 800)}", [random.randint(1, 4)], {}
+    spec, counts = f"{random.randint(20, 800)}", [random.randint(1, 4)]
     if kind == "steps":
         counts.append(random.randint(1, 3))
     elif kind == "long":
         spec, counts = f"{random.randint(2_000, 8_000)}", [random.randint(1, 2)]
     elif kind == "serving":
         spec, counts = f"{SERVING_MS} serve", [3]
-        options = {"longRunning": True, "lossy": 1}
     elif kind == "failing":
         spec, counts = f"{random.randint(20, 500)} fail", [1]
     elif kind == "deadly":
         spec, counts = "20 crash", [1]
-    elif kind == "copies":
-        options = {"speculative": True}
-    repetition = {}
-    if kind == "periodic":
-        repetition = {"intervalMs": INTERVAL_MS, "repeatCount": OCCURRENCES}
-    steps = [
-        {"count": count, "cpu": 1000, "after": list(range(position)), **options}
-        for position, count in enumerate(counts)
-    ]
+    occurrences = OCCURRENCES if kind == "periodic" else 0
+    body = make_job_body(
+        spec,
+        counts,
+        is_lasting=kind == "serving",
+        may_run_twice=kind == "copies",
+        may_miss=1,
+        interval_ms=INTERVAL_MS,
+        occurrences=occurrences,
+    )
     is_cancelled = kind == "long" and random.random() < 0.4
     return PlannedJob(
         round(at, 3),
         f"{random.getrandbits(48):012x}{number:04x}",
         kind,
-        {"spec": spec, "steps": steps, **repetition},
+        body,
         random.randrange(len(ENTRIES)),
         round(random.uniform(0.2, 3.0), 2) if is_cancelled else None,
         tuple(counts),
-        OCCURRENCES if repetition else 1,
+        occurrences or 1,
     )
--- a/soak/tests/events.py
+++ b/soak/tests/events.py
@@ -37,7 +37,7 @@
 
 
 def submit(at, status=None):
-    """Return the event of a submission, or of its answer."""
+    """Return the event of a job that is handed in, or of the answer."""
     name = "submit-sent" if status is None else "submit"
     return Event(at, name, {"job": JOB, "sent": at, "status": status or 0})
 
