Let fleets that start at the same time take other ports

Cause: each process took the first block of free ports, which stays free until its fleet has started. Two processes that asked at the same time got 21700 both.

Change: the search begins elsewhere in each process.

--- a/packages/baobablane-standin/baobablane_standin/free_ports.py
+++ b/packages/baobablane-standin/baobablane_standin/free_ports.py
@@ -1,5 +1,6 @@
 """Find free ports for a local fleet."""
 
+import os
 import socket
 
 from .local_fleet import HOST, FleetPorts
@@ -12,8 +13,14 @@
 
 
 def find_fleet_ports() -> FleetPorts:
-    """Return the first block of ports that are all free, or raise OSError."""
-    for first_port in range(FIRST_PORT, LAST_PORT, PORTS_PER_FLEET):
+    """Return a block of ports that are all free, or raise OSError.
+
+    The search begins elsewhere in each process: a block stays free until its fleet has
+    started, so processes that search at the same time would find the same one.
+    """
+    blocks = range(FIRST_PORT, LAST_PORT, PORTS_PER_FLEET)
+    begin = os.getpid() % len(blocks)
+    for first_port in (*blocks[begin:], *blocks[:begin]):
         ports = FleetPorts(
             log=first_port,
             instances=first_port + 1,
