End callers' connections together with a response

What callers see: a request that meets the close of its idle connection gets no answer. The server closed idle connections after 60 s (5 s at the product's own interface), which some clients outlast, and at a stop it closed all at once, 2.3 s after it had asked for no more callers. While it was not ready, callers stayed with it for as long as they kept their connections open.

Change: clients close idle connections first, as the server waits for 600 s. A response ends its connection (`Connection: close`) while the instance is stopping or not ready, and above 2,000 open connections, so descriptors don't run out. Only connections without a request in the 2.3 s of a stop still close without a word.

Connections to executors, prices and decisions are unchanged.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import uvicorn
@@ -35,7 +36,6 @@
 # Time within the platform's stop grace period for the servers to finish the requests
 # that they have already read.
 FINISH_TIMEOUT_SECONDS = 2.0
-KEEP_ALIVE_SECONDS = 60
 
 
 async def run_on_platform(path: Path) -> None:
@@ -87,10 +87,15 @@
         )
     )
     addresses = {settings.callers_address, settings.ready_address}
-    servers = [_make_server(app, address) for address in sorted(addresses)]
+
+    def is_leaving() -> bool:
+        # The balancer routes new connections elsewhere, but open ones stay.
+        return not actions.is_ready()
+
+    servers = [_make_server(app, address, is_leaving) for address in sorted(addresses)]
     if settings.metrics_address:
         metrics = make_asgi_app(registry=log.metrics.registry)
-        servers.append(_make_server(metrics, settings.metrics_address))
+        servers.append(_make_server(metrics, settings.metrics_address, is_leaving))
     loop = asyncio.get_running_loop()
     ownership_task = loop.create_task(ownership.run())
     background_tasks = [
@@ -157,6 +162,8 @@
     log.info("settings-read-again", changed=changed)
 
 
-def _make_server(app: ASGIApp, address: str) -> uvicorn.Server:
+def _make_server(
+    app: ASGIApp, address: str, is_leaving: Callable[[], bool]
+) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
-    return make_server(app, host, int(port), FINISH_TIMEOUT_SECONDS, KEEP_ALIVE_SECONDS)
+    return make_server(app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving)
--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -1,22 +1,41 @@
 """Create HTTP servers and wait for a process to be stopped."""
 
 import asyncio
+from collections.abc import Callable
 
 import uvicorn
 from starlette.types import ASGIApp
 
+from ._closing_connections import close_connections
 from ._embedded_server import EmbeddedServer
 
+# A request that meets the end of its connection gets no response, so clients should be
+# the first to close one that is idle. HTTP clients and load balancers commonly do so
+# after 15 to 350 s.
+KEEP_ALIVE_SECONDS = 600
+# Half of the descriptors that an entry instance has at the least.
+MAX_CONNECTIONS = 2000
+
 
 def make_server(
-    app: ASGIApp, host: str, port: int, stop_seconds: float, keep_alive_seconds: int = 5
+    app: ASGIApp,
+    host: str,
+    port: int,
+    stop_seconds: float,
+    is_leaving: Callable[[], bool] = lambda: False,
+    max_connections: int = MAX_CONNECTIONS,
 ) -> uvicorn.Server:
     """Return an HTTP server without signal handlers or access log.
 
-    It waits up to `stop_seconds` for open requests when it stops.
+    While `is_leaving`, or with more than `max_connections`, each response ends its
+    connection. The server waits up to `stop_seconds` for open requests when it stops.
     """
+
+    def should_close() -> bool:
+        return is_leaving() or len(server.server_state.connections) > max_connections
+
     config = uvicorn.Config(
-        app,
+        close_connections(app, should_close),
         host=host,
         port=port,
         loop="asyncio",
@@ -26,10 +45,11 @@
         log_level="warning",
         access_log=False,
         proxy_headers=False,
-        timeout_keep_alive=keep_alive_seconds,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
         timeout_graceful_shutdown=int(stop_seconds),
     )
-    return EmbeddedServer(config)
+    server = EmbeddedServer(config)
+    return server
 
 
 async def wait_for_stop(stop: asyncio.Event, tasks: list["asyncio.Task[None]"]) -> None:
