Give all waits of a query one deadline

What callers saw: a query at an instance with a narrow link could take 1.3 s of the 3 s that its caller waits, and a caller with less patience was held as long as one with more.

Cause: the read of jobs (1.0 s) and the read of states (0.3 s) were bounded one by one, and both may take part in one query. The header in which callers say how long they wait was not read.

Evidence, before: with a read of jobs that takes 0.85 s and a read of states that hangs, the query took 1.15 s (test_waits_in_series_share_one_bound); with a patience of 0.6 s and a read that hangs, 0.9 s (test_shorter_patience_of_the_caller_counts). Both are in virtual time.

Change: the caller's wait is taken once, when the request arrives, and is passed on. A query ends after a third of it. A missing, malformed or longer wait counts as 3 s.

Result: 1.0 s and 0.2 s in the same tests. The queries of test_actions.py pass a wait now; their checks are unchanged.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -7,6 +7,7 @@
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobState, encode_job
 from baobablane_platform import (
+    CallerWait,
     KeyedRecord,
     ProcessSettings,
     StoreError,
@@ -35,8 +36,9 @@
 MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
-# Callers wait for 3 s, so after a rejection they have time to try another instance.
-CATCH_UP_TIMEOUT_SECONDS = 1.0
+# The share of a caller's wait after which a query ends, so that the caller has time to
+# ask another instance.
+QUERY_SHARE = 1 / 3
 # A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
 # result, the answer comes from a view that is at most 1.3 s old.
 STATE_READ_TIMEOUT_SECONDS = 0.3
@@ -194,17 +196,18 @@
             return f"the store would take {seconds:.1f} s to accept it"
         return ""
 
-    async def state(self, job_id: str) -> JobState | None:
+    async def state(self, job_id: str, wait: CallerWait) -> JobState | None:
         """Return a job's state, or None if the job certainly does not exist.
 
         Raise RejectedError if the view is too old to tell.
         """
+        deadline = wait.until(QUERY_SHARE)
         state = self._views.job_table.state(job_id)
         if state is None:
-            await self._catch_up()
+            await self._catch_up(deadline)
             state = self._views.job_table.state(job_id)
         if state is not None and not state.is_final():
-            state = await self._refresh_state(job_id, state)
+            state = await self._refresh_state(job_id, state, deadline)
         if state is not None and not state.is_final():
             age = self._views.state_view.age()
             if age > MAX_VIEW_AGE_SECONDS:
@@ -214,26 +217,29 @@
                 )
         return state
 
-    async def _refresh_state(self, job_id: str, state: JobState) -> JobState | None:
+    async def _refresh_state(
+        self, job_id: str, state: JobState, deadline: float
+    ) -> JobState | None:
         """Return a job's state as stored now, or the known one if that takes long."""
         if self._views.follows_progress:
             # This view is read without a break, so it is as new as a read of its own.
             return state
+        read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
         try:
-            async with asyncio.timeout(STATE_READ_TIMEOUT_SECONDS):
+            async with asyncio.timeout_at(min(read_until, deadline)):
                 await self._views.state_view.catch_up()
         except (StoreError, TimeoutError) as error:
             self._log.info("state-read-skipped", request=job_id, reason=repr(error))
         return self._views.job_table.state(job_id)
 
-    async def cancel(self, job_id: str) -> JobState | None:
+    async def cancel(self, job_id: str, wait: CallerWait) -> JobState | None:
         """Cancel a job; return its state, or None if it certainly does not exist.
 
         A job in a final state is left unchanged. Raise RejectedError if the state can't
         be read or the cancellation can't be stored; with the code ACCEPTANCE_UNKNOWN,
         it may be stored.
         """
-        state = await self.state(job_id)
+        state = await self.state(job_id, wait)
         if state is None or state.is_final():
             return state
         try:
@@ -257,9 +263,9 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
-    async def _catch_up(self) -> None:
+    async def _catch_up(self, deadline: float) -> None:
         try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
+            async with asyncio.timeout_at(deadline):
                 await self._views.jobs_tail.catch_up()
         except (StoreError, TimeoutError) as error:
             raise RejectedError(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -48,14 +48,14 @@
             )
         )
 
-    async def call(self, method, job_id=JOB_ID):
+    async def call(self, method, patience_ms=3000, job_id=JOB_ID):
         """Return the status, the body and the seconds that a request takes."""
         scope = {
             "type": "http",
             "method": method,
             "path": QUEUE.path_prefix + job_id,
             "query_string": b"",
-            "headers": [(b"baobablane-deadline-ms", b"3000")],
+            "headers": [(b"baobablane-deadline-ms", str(patience_ms).encode())],
         }
         messages = []
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -8,7 +8,7 @@
 from baobablane.deployment import PlatformLimits, Resources
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobProgress, JobState, JobTable, Step
-from baobablane_platform import StoreError
+from baobablane_platform import CallerWait, StoreError
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import JobActions
@@ -31,6 +31,11 @@
     )
 
 
+def make_wait():
+    """Return the wait of a caller whose request arrives now."""
+    return CallerWait(asyncio.get_running_loop().time())
+
+
 def make_actions(views, log=None):
     """Return the actions of an instance whose writer can't write."""
     settings = SimpleNamespace(limits=PlatformLimits())
@@ -75,7 +80,9 @@
             views.job_table.set_state(JOB.id, JobState.COMPLETED)
 
         views = self.make_views(read_end)
-        assert await make_actions(views).state(JOB.id) is JobState.COMPLETED
+        assert (
+            await make_actions(views).state(JOB.id, make_wait()) is JobState.COMPLETED
+        )
 
     async def test_view_answers_while_the_store_does_not(self):
         async def wait():
@@ -89,7 +96,7 @@
             log = DecisionLog("entry-0", stream)
             actions = make_actions(self.make_views(catch_up), log)
             async with asyncio.timeout(1.0):
-                assert await actions.state(JOB.id) is JobState.RUNNING
+                assert await actions.state(JOB.id, make_wait()) is JobState.RUNNING
             assert b"state-read-skipped" in stream.getvalue()
 
 
@@ -117,12 +124,12 @@
     @pytest.mark.parametrize("in_progress", [True, False])
     async def test_final_state_is_shown(self, in_progress):
         actions = self.make_actions(JobState.FAILED, in_progress)
-        assert await actions.state(JOB.id) is JobState.FAILED
+        assert await actions.state(JOB.id, make_wait()) is JobState.FAILED
 
     @pytest.mark.parametrize("in_progress", [True, False])
     async def test_other_states_are_not_shown(self, in_progress):
         """Guards against a cancelled job that is shown as running."""
         actions = self.make_actions(JobState.RUNNING, in_progress)
         with pytest.raises(RejectedError) as raised:
-            await actions.state(JOB.id)
+            await actions.state(JOB.id, make_wait())
         assert raised.value.code is ResultCode.VIEW_NOT_CONFIRMED
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -100,6 +100,41 @@
 
         run_in_virtual_time(scenario())
 
+    def test_waits_in_series_share_one_bound(self):
+        """Guards against a read of jobs and one of states that are each in time."""
+
+        async def scenario():
+            async with run_instance(follows_progress=False) as caller:
+                caller.accept_elsewhere()
+                caller.store.fault_by_topic[JOBS_TOPIC] = answer_after(0.85)
+                caller.store.fault_by_topic[STATES_TOPIC] = hang
+                status, body, seconds = await caller.call("GET")
+                assert (status, body) == (200, {"state": "pending"})
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def test_shorter_patience_of_the_caller_counts(self):
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.fault_by_topic[JOBS_TOPIC] = hang
+                status, _, seconds = await caller.call("GET", patience_ms=600)
+                assert status == 503
+                assert seconds <= 0.2 + 1e-9
+
+        run_in_virtual_time(scenario())
+
+    @pytest.mark.parametrize("patience_ms", ["", "soon", "-1", "nan", "inf", "9" * 400])
+    def test_odd_patience_counts_as_the_usual_one(self, patience_ms):
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.fault_by_topic[JOBS_TOPIC] = trickle
+                status, _, seconds = await caller.call("GET", patience_ms)
+                assert status == 503
+                assert seconds == pytest.approx(BOUND_SECONDS)
+
+        run_in_virtual_time(scenario())
+
 
 class TestKnownJob:
     """Test queries for a job that this instance knows."""
