Treat an unexpected error in a read as a failed read

What callers saw: status 500 for a query whose read of the store raised an error that is none of the store's, though a view that was 0.01 s old could have answered, and though another instance could have.

Cause: only the loop that follows a topic expected such errors. Queries that share a read expected errors of the store alone, so theirs went up to the handler of the request.

Evidence, before: 500 in place of 503 for a job that is not known (test_unknown_job_is_not_denied), and in place of the state of a known one (test_recent_view_answers).

Change: a read of a topic raises nothing but errors of the store. Others are logged with their place where they occur, for the loop and for queries alike.

Result: 503 and 200.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -8,6 +8,7 @@
     StoreClient,
     StoreError,
     StoreExpiredError,
+    StoreUnknownOutcomeError,
     decode_record,
 )
 
@@ -127,10 +128,6 @@
         except StoreError as error:
             self._log_failure(error)
             await asyncio.sleep(READ_RETRY_SECONDS)
-        except Exception as error:
-            # The view gets old, and then rejects what it can't answer.
-            self._log.error("read-failed", error, topic=self._topic)
-            await asyncio.sleep(READ_RETRY_SECONDS)
 
     def _is_behind(self) -> bool:
         return self._next_offset is None or self._next_offset < self._end_offset
@@ -149,6 +146,17 @@
         return await asyncio.shield(self._shared_read)
 
     async def _read(self, wait_ms: int) -> int:
+        """Read one page and return its number of records, or raise a StoreError."""
+        try:
+            return await self._read_page(wait_ms)
+        except StoreError:
+            raise
+        except Exception as error:
+            # The view gets old, and then rejects what it can't answer.
+            self._log.error("read-failed", error, topic=self._topic)
+            raise StoreUnknownOutcomeError(f"unexpected error: {error!r}") from error
+
+    async def _read_page(self, wait_ms: int) -> int:
         async with self._newest_lock:
             if self._next_offset is None:
                 await self._read_newest()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -19,10 +19,11 @@
 )
 
 from .caller import JOB_ID, run_instance
-from .scripted_store import answer_after, hang, trickle
+from .scripted_store import answer_after, fail_with, hang, trickle
 from .virtual_time import run_in_virtual_time
 
 BOUND_SECONDS = 1.0
+RUNNING = b"1"
 COMPLETED = b"2"
 
 
@@ -173,6 +174,34 @@
         run_in_virtual_time(scenario())
 
 
+class TestUnexpectedError:
+    """Test queries whose read fails by an error that is none of the store's."""
+
+    ERROR = RuntimeError("the session is closed")
+
+    def test_unknown_job_is_not_denied(self):
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.fault_by_topic[JOBS_TOPIC] = fail_with(self.ERROR)
+                status, _, seconds = await caller.call("GET")
+                assert status == 503
+                assert seconds <= BOUND_SECONDS
+                assert b"read-failed" in caller.output.getvalue()
+
+        run_in_virtual_time(scenario())
+
+    def test_recent_view_answers(self):
+        async def scenario():
+            async with run_instance(follows_progress=False, has_job=True) as caller:
+                caller.store.put(STATES_TOPIC, JOB_ID, RUNNING)
+                await caller.views.state_view.catch_up()
+                caller.store.fault_by_topic[STATES_TOPIC] = fail_with(self.ERROR)
+                status, body, _ = await caller.call("GET")
+                assert (status, body) == (200, {"state": "running"})
+
+        run_in_virtual_time(scenario())
+
+
 class TestFrozenProcess:
     """Test an instance that was stopped for a time and then goes on."""
 
