Log each query and cancellation that gets no state

What callers saw: no answer about two jobs, and no line of any log named them.

Cause: a query that was rejected because the jobs or the states could not be read left no line, nor did one that was answered with 410, nor a cancellation that was not stored or may be. Only a read that failed twice over, in the loop that follows a topic, showed in the log.

Change: query-rejected with the reason and the age of the view, job-unknown with the age of the view that shows it, cancel-refused and cancel-unsure with the reason and the store's silence. They are queued and bounded like all decisions.

Whether the two queries of the incident were rejected can't be told from its logs any more; the next ones can.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -207,7 +207,7 @@
         deadline = wait.until(QUERY_SHARE)
         state = self._views.job_table.state(job_id)
         if state is None:
-            await self._catch_up(deadline)
+            await self._catch_up(job_id, deadline)
             state = self._views.job_table.state(job_id)
         if state is not None and not state.is_final():
             state = await self._refresh_state(job_id, state, deadline)
@@ -215,9 +215,10 @@
             age = self._views.state_view.age()
             if age > MAX_VIEW_AGE_SECONDS:
                 detail = f"the view of jobs is {age:.1f} s old"
-                raise RejectedError(
-                    ResultCode.VIEW_NOT_CONFIRMED, detail, RETRY_AFTER_SECONDS
-                )
+                raise self._make_query_rejection(job_id, detail, detail, age)
+        if state is None:
+            age = self._views.jobs_tail.age()
+            self._log.write(Decision("job-unknown", request=job_id, seconds=age))
         return state
 
     async def _refresh_state(
@@ -248,16 +249,17 @@
         record = KeyedRecord(CANCEL_PREFIX + job_id, b"1")
         reason = self._find_store_fault()
         if reason and not self._job_writer.is_writing(record.key):
-            raise RejectedError(ResultCode.LOG_UNAVAILABLE, reason, RETRY_AFTER_SECONDS)
+            code = ResultCode.LOG_UNAVAILABLE
+            raise self._make_cancel_error(code, job_id, reason)
         try:
             async with asyncio.timeout_at(wait.until(CANCEL_SHARE)):
                 await self._job_writer.write(record)
         except StoreRejectedError as error:
-            raise RejectedError(
-                ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
-            ) from error
+            code = ResultCode.LOG_UNAVAILABLE
+            raise self._make_cancel_error(code, job_id, str(error)) from error
         except (StoreError, TimeoutError) as error:
-            raise RejectedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
+            code = ResultCode.ACCEPTANCE_UNKNOWN
+            raise self._make_cancel_error(code, job_id, repr(error)) from error
         if self._views.job_table.cancel(job_id):
             self._views.on_change(job_id)
         self._log.write(Decision("job-cancelled", request=job_id))
@@ -271,14 +273,45 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
-    async def _catch_up(self, deadline: float) -> None:
+    async def _catch_up(self, job_id: str, deadline: float) -> None:
         try:
             async with asyncio.timeout_at(deadline):
                 await self._views.jobs_tail.catch_up()
         except (StoreError, TimeoutError) as error:
-            raise RejectedError(
-                ResultCode.VIEW_NOT_CONFIRMED, "", RETRY_AFTER_SECONDS
-            ) from error
+            detail = "the jobs can't be read"
+            reason, age = f"{detail}: {error!r}", self._views.jobs_tail.age()
+            raise self._make_query_rejection(job_id, detail, reason, age) from error
+
+    def _make_query_rejection(
+        self, job_id: str, detail: str, reason: str, age: float
+    ) -> RejectedError:
+        """Log why a query is rejected; return the error with the detail for callers."""
+        code = ResultCode.VIEW_NOT_CONFIRMED
+        self._log.write(
+            Decision(
+                "query-rejected",
+                request=job_id,
+                reason=reason,
+                result=int(code),
+                seconds=age,
+            )
+        )
+        return RejectedError(code, detail, RETRY_AFTER_SECONDS)
+
+    def _make_cancel_error(
+        self, code: ResultCode, job_id: str, reason: str
+    ) -> RejectedError:
+        is_unsure = code is ResultCode.ACCEPTANCE_UNKNOWN
+        self._log.write(
+            Decision(
+                "cancel-unsure" if is_unsure else "cancel-refused",
+                request=job_id,
+                reason=reason,
+                result=int(code),
+                seconds=self._store_silence(),
+            )
+        )
+        return RejectedError(code, "", 0.0 if is_unsure else RETRY_AFTER_SECONDS)
 
     def _log_decision(self, event: str, job: Job, queue: str, reason: str = "") -> None:
         self._log.write(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -28,7 +28,7 @@
     def __init__(self, follows_progress):
         """Build the instance; `run_instance` starts it."""
         self.output = io.BytesIO()
-        log = DecisionLog("entry-0", self.output)
+        log = self.log = DecisionLog("entry-0", self.output)
         self.store = ScriptedStore()
         self.views = Views(self.store, log, follows_progress)
         self.job_writer = JobWriter(self.store)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -8,6 +8,7 @@
 import asyncio
 
 import pytest
+from baobablane_platform import StoreRejectedError
 
 from baobablane_daemon.jobs import (
     JOBS_TOPIC,
@@ -234,3 +235,56 @@
                 assert loop.time() - woken_at <= BOUND_SECONDS
 
         run_in_virtual_time(scenario())
+
+
+class TestLog:
+    """Test what the log tells of a query or cancellation without an answer.
+
+    Callers saw no answer about two jobs, and no line named them.
+    """
+
+    def read_lines(self, caller, event):
+        """Return the decisions of an event about the job."""
+        decisions = caller.log.explain(JOB_ID)
+        return [decision for decision in decisions if decision.event == event]
+
+    def test_unread_jobs_are_named(self):
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.fault_by_topic[JOBS_TOPIC] = hang
+                assert (await caller.call("GET"))[0] == 503
+                (line,) = self.read_lines(caller, "query-rejected")
+                assert line.reason.startswith("the jobs can't be read")
+                assert (line.result, line.seconds > 0.9) == (208, True)
+
+        run_in_virtual_time(scenario())
+
+    def test_old_view_is_named(self):
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                caller.store.fault_by_topic[PROGRESS_TOPIC] = hang
+                await asyncio.sleep(2.0)
+                assert (await caller.call("GET"))[0] == 503
+                (line,) = self.read_lines(caller, "query-rejected")
+                assert line.reason.startswith("the view of jobs is")
+                assert (line.result, line.seconds > 2.0) == (208, True)
+
+        run_in_virtual_time(scenario())
+
+    @pytest.mark.parametrize(
+        "fault, event, result",
+        [
+            (hang, "cancel-unsure", 306),
+            (fail_with(StoreRejectedError("status 503")), "cancel-refused", 210),
+        ],
+    )
+    def test_cancellation_is_named(self, fault, event, result):
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                caller.store.append_fault = fault
+                assert (await caller.call("DELETE"))[0] in (503, 504)
+                (line,) = self.read_lines(caller, event)
+                assert line.reason
+                assert line.result == result
+
+        run_in_virtual_time(scenario())
