Read a view that is too old before a query is rejected

What callers saw: 503 for a job that runs, from every instance at the same time, although the store answered. It happened while the store took 0.6 s for a read, and when a process had been stopped and went on.

Cause: an instance with a wide link took its view for as new as a read of its own. But the view is confirmed by reads that wait 0.4 s for a record, and counts from when such a read was sent; if the store takes 0.45 s, it gets older than 1.3 s between two of them. The query was rejected without a read.

After a stop of 20 s, 503 for a job from before and for one that was accepted meanwhile (TestFrozenProcess).

Change: a view that is too old, or would be after the short read of a narrow link, is read until the query's deadline.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -44,7 +44,7 @@
 # its repetition at another instance waits for the same partition.
 CANCEL_SHARE = 0.8
 # A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
-# result, the answer comes from a view that is at most 1.3 s old.
+# result, the answer comes from the view, unless that is too old.
 STATE_READ_TIMEOUT_SECONDS = 0.3
 # A fault of the store, or of the connection to it, lasts for seconds at least.
 RETRY_AFTER_SECONDS = 1.0
@@ -226,12 +226,16 @@
         self, job_id: str, state: JobState, deadline: float
     ) -> JobState | None:
         """Return a job's state as stored now, or the known one if that takes long."""
-        if self._views.follows_progress:
+        view = self._views.state_view
+        seconds_left = MAX_VIEW_AGE_SECONDS - view.age()
+        if self._views.follows_progress and seconds_left > 0:
             # This view is read without a break, so it is as new as a read of its own.
             return state
-        read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
+        if seconds_left > STATE_READ_TIMEOUT_SECONDS:
+            read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
+            deadline = min(read_until, deadline)
         try:
-            await _catch_up(self._views.state_view, min(read_until, deadline))
+            await _catch_up(view, deadline)
         except (StoreError, TimeoutError) as error:
             self._log.info("state-read-skipped", request=job_id, reason=repr(error))
         return self._views.job_table.state(job_id)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -208,6 +208,29 @@
 
     FROZEN_SECONDS = 20.0
 
+    def test_job_accepted_meanwhile_is_found(self):
+        async def scenario():
+            async with run_instance() as caller:
+                asyncio.get_running_loop().freeze(self.FROZEN_SECONDS)
+                caller.accept_elsewhere()
+                status, body, seconds = await caller.call("GET")
+                assert (status, body) == (200, {"state": "pending"})
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def test_state_is_read_anew(self):
+        """Guards against a rejection while the store answers."""
+
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                asyncio.get_running_loop().freeze(self.FROZEN_SECONDS)
+                status, body, seconds = await caller.call("GET")
+                assert (status, body) == (200, {"state": "pending"})
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
     @pytest.mark.parametrize("follows_progress", [True, False])
     def test_state_from_before_is_not_shown(self, follows_progress):
         async def scenario():
@@ -305,3 +328,34 @@
                     assert seconds == 0.0
 
         run_in_virtual_time(scenario())
+
+    def test_slow_store_still_answers(self):
+        """Guards against rejections while reads succeed, though late."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                for topic in (JOBS_TOPIC, PROGRESS_TOPIC):
+                    caller.store.fault_by_topic[topic] = answer_after(0.45)
+                await asyncio.sleep(10.0)
+                caller.accept_elsewhere()
+                status, body, seconds = await caller.call("GET")
+                assert (status, body) == (200, {"state": "pending"})
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def test_slow_store_hides_no_known_job(self):
+        """Guards against a view that gets too old between two slow reads."""
+
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                for topic in (JOBS_TOPIC, PROGRESS_TOPIC):
+                    caller.store.fault_by_topic[topic] = answer_after(0.6)
+                results = []
+                for _ in range(200):
+                    await asyncio.sleep(0.1)
+                    results.append(await caller.call("GET"))
+                assert {status for status, _, _ in results} == {200}
+                assert max(seconds for _, _, seconds in results) <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
