Move queries for states out of the actions of callers

The actions had grown by the deadline, the rejections and their log lines. What answers a query is in _job_queries.py now, and the limits that both use are in _view_limits.py.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -17,37 +17,29 @@
 from ..decision_log import Decision, DecisionLog
 from ._append_forecast import MAX_ACCEPT_SECONDS
 from ._clock import boot_seconds
+from ._job_queries import JobQueries
 from ._job_writer import JobWriter
 from ._load_rejection import LoadRejection
-from ._topic_tail import TopicTail
+from ._view_limits import (
+    MAX_SILENCE_SECONDS,
+    MAX_VIEW_AGE_SECONDS,
+    RETRY_AFTER_SECONDS,
+)
 from ._views import CANCEL_PREFIX, Views
 
 # Covers the time from reading the view's age to the answer, and the error of the clock.
 KEY_MARGIN_SECONDS = 0.8
 # Covers the error of the clock.
 CONFIGURATION_MARGIN_SECONDS = 0.2
-# A read takes at most 0.45 s unless its response is large, so the age of a view is at
-# most 0.9 s, or 1.2 s for states between queries. A view that is older than this may
-# lack what others have read.
-MAX_VIEW_AGE_SECONDS = 1.3
-# If nothing arrives for longer than this, the store is unreachable, and callers should
-# use other instances.
-MAX_SILENCE_SECONDS = 1.3
-# The same, once an append had no response in time: a read usually takes 0.7 s at most.
+# Replaces MAX_SILENCE_SECONDS once an append had no response in time: a read usually
+# takes 0.7 s at most.
 MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
-# The share of a caller's wait after which a query ends, so that the caller has time to
-# ask another instance.
-QUERY_SHARE = 1 / 3
-# The same for a cancellation, which has to be stored. An append is not given up early:
-# its repetition at another instance waits for the same partition.
+# The share of a caller's wait after which a cancellation ends. It is longer than that
+# of a query: an append that is given up early is repeated at another instance, and
+# waits there for the same partition.
 CANCEL_SHARE = 0.8
-# A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
-# result, the answer comes from the view, unless that is too old.
-STATE_READ_TIMEOUT_SECONDS = 0.3
-# A fault of the store, or of the connection to it, lasts for seconds at least.
-RETRY_AFTER_SECONDS = 1.0
 
 
 class JobActions:
@@ -73,6 +65,7 @@
         self._job_writer = job_writer
         self._log = log
         self._load_rejection = LoadRejection(views, job_writer, log)
+        self._queries = JobQueries(views, log)
         self.is_stopping = False
 
     def is_ready(self) -> bool:
@@ -205,40 +198,7 @@
 
         Raise RejectedError if the view is too old to tell.
         """
-        deadline = wait.until(QUERY_SHARE)
-        state = self._views.job_table.state(job_id)
-        if state is None:
-            await self._read_jobs(job_id, deadline)
-            state = self._views.job_table.state(job_id)
-        if state is not None and not state.is_final():
-            state = await self._refresh_state(job_id, state, deadline)
-        if state is not None and not state.is_final():
-            age = self._views.state_view.age()
-            if age > MAX_VIEW_AGE_SECONDS:
-                detail = f"the view of jobs is {age:.1f} s old"
-                raise self._make_query_rejection(job_id, detail, detail, age)
-        if state is None:
-            age = self._views.jobs_tail.age()
-            self._log.write(Decision("job-unknown", request=job_id, seconds=age))
-        return state
-
-    async def _refresh_state(
-        self, job_id: str, state: JobState, deadline: float
-    ) -> JobState | None:
-        """Return a job's state as stored now, or the known one if that takes long."""
-        view = self._views.state_view
-        seconds_left = MAX_VIEW_AGE_SECONDS - view.age()
-        if self._views.follows_progress and seconds_left > 0:
-            # This view is read without a break, so it is as new as a read of its own.
-            return state
-        if seconds_left > STATE_READ_TIMEOUT_SECONDS:
-            read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
-            deadline = min(read_until, deadline)
-        try:
-            await _catch_up(view, deadline)
-        except (StoreError, TimeoutError) as error:
-            self._log.info("state-read-skipped", request=job_id, reason=repr(error))
-        return self._views.job_table.state(job_id)
+        return await self._queries.state(job_id, wait)
 
     async def cancel(self, job_id: str, wait: CallerWait) -> JobState | None:
         """Cancel a job; return its state, or None if it certainly does not exist.
@@ -247,7 +207,7 @@
         be read or the cancellation can't be stored; with the code ACCEPTANCE_UNKNOWN,
         it may be stored.
         """
-        state = await self.state(job_id, wait)
+        state = await self._queries.state(job_id, wait)
         if state is None or state.is_final():
             return state
         record = KeyedRecord(CANCEL_PREFIX + job_id, b"1")
@@ -277,30 +237,6 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
-    async def _read_jobs(self, job_id: str, deadline: float) -> None:
-        try:
-            await _catch_up(self._views.jobs_tail, deadline)
-        except (StoreError, TimeoutError) as error:
-            detail = "the jobs can't be read"
-            reason, age = f"{detail}: {error!r}", self._views.jobs_tail.age()
-            raise self._make_query_rejection(job_id, detail, reason, age) from error
-
-    def _make_query_rejection(
-        self, job_id: str, detail: str, reason: str, age: float
-    ) -> RejectedError:
-        """Log why a query is rejected; return the error with the detail for callers."""
-        code = ResultCode.VIEW_NOT_CONFIRMED
-        self._log.write(
-            Decision(
-                "query-rejected",
-                request=job_id,
-                reason=reason,
-                result=int(code),
-                seconds=age,
-            )
-        )
-        return RejectedError(code, detail, RETRY_AFTER_SECONDS)
-
     def _make_cancel_error(
         self, code: ResultCode, job_id: str, reason: str
     ) -> RejectedError:
@@ -327,14 +263,3 @@
                 seconds=self._store_silence(),
             )
         )
-
-
-async def _catch_up(tail: TopicTail, deadline: float) -> None:
-    """Read a topic to its end, or raise a StoreError or TimeoutError.
-
-    Raise StoreRejectedError at once if the store is known to be unreachable.
-    """
-    if tail.is_lost(MAX_SILENCE_SECONDS):
-        raise StoreRejectedError("the store is unreachable")
-    async with asyncio.timeout_at(deadline):
-        await tail.catch_up()
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
@@ -0,0 +1,111 @@
+"""Answer queries for the states of jobs within a share of their callers' wait."""
+
+import asyncio
+
+from baobablane.errors import RejectedError, ResultCode
+from baobablane.jobs import JobState
+from baobablane_platform import CallerWait, StoreError, StoreRejectedError
+
+from ..decision_log import Decision, DecisionLog
+from ._topic_tail import TopicTail
+from ._view_limits import (
+    MAX_SILENCE_SECONDS,
+    MAX_VIEW_AGE_SECONDS,
+    RETRY_AFTER_SECONDS,
+)
+from ._views import Views
+
+# The share of a caller's wait after which a query ends, so that the caller has time to
+# ask another instance.
+QUERY_SHARE = 1 / 3
+# A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
+# result, the answer comes from the view, unless that is too old.
+STATE_READ_TIMEOUT_SECONDS = 0.3
+
+
+class JobQueries:
+    """Answer from the views, and read what they lack until a query's deadline."""
+
+    def __init__(self, views: Views, log: DecisionLog) -> None:
+        """Prepare to answer; the views are read by tasks of their own."""
+        self._views = views
+        self._log = log
+
+    async def state(self, job_id: str, wait: CallerWait) -> JobState | None:
+        """Return a job's state, or None if the job certainly does not exist.
+
+        Raise RejectedError if the view is too old to tell.
+        """
+        deadline = wait.until(QUERY_SHARE)
+        state = self._views.job_table.state(job_id)
+        if state is None:
+            await self._read_jobs(job_id, deadline)
+            state = self._views.job_table.state(job_id)
+        if state is not None and not state.is_final():
+            state = await self._refresh(job_id, state, deadline)
+        if state is None:
+            age = self._views.jobs_tail.age()
+            self._log.write(Decision("job-unknown", request=job_id, seconds=age))
+        elif not state.is_final():
+            self._check_age(job_id)
+        return state
+
+    async def _read_jobs(self, job_id: str, deadline: float) -> None:
+        tail = self._views.jobs_tail
+        try:
+            await _catch_up(tail, deadline)
+        except (StoreError, TimeoutError) as error:
+            detail = "the jobs can't be read"
+            reason = f"{detail}: {error!r}"
+            raise self._make_rejection(job_id, detail, reason, tail.age()) from error
+
+    async def _refresh(
+        self, job_id: str, state: JobState, deadline: float
+    ) -> JobState | None:
+        """Return a job's state as stored now, or the known one if that takes long."""
+        view = self._views.state_view
+        seconds_left = MAX_VIEW_AGE_SECONDS - view.age()
+        if self._views.follows_progress and seconds_left > 0:
+            # This view is read without a break, so it is as new as a read of its own.
+            return state
+        if seconds_left > STATE_READ_TIMEOUT_SECONDS:
+            read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
+            deadline = min(read_until, deadline)
+        try:
+            await _catch_up(view, deadline)
+        except (StoreError, TimeoutError) as error:
+            self._log.info("state-read-skipped", request=job_id, reason=repr(error))
+        return self._views.job_table.state(job_id)
+
+    def _check_age(self, job_id: str) -> None:
+        age = self._views.state_view.age()
+        if age > MAX_VIEW_AGE_SECONDS:
+            detail = f"the view of jobs is {age:.1f} s old"
+            raise self._make_rejection(job_id, detail, detail, age)
+
+    def _make_rejection(
+        self, job_id: str, detail: str, reason: str, age: float
+    ) -> RejectedError:
+        """Log why a query is rejected; return the error with the detail for callers."""
+        code = ResultCode.VIEW_NOT_CONFIRMED
+        self._log.write(
+            Decision(
+                "query-rejected",
+                request=job_id,
+                reason=reason,
+                result=int(code),
+                seconds=age,
+            )
+        )
+        return RejectedError(code, detail, RETRY_AFTER_SECONDS)
+
+
+async def _catch_up(tail: TopicTail, deadline: float) -> None:
+    """Read a topic to its end, or raise a StoreError or TimeoutError.
+
+    Raise StoreRejectedError at once if the store is known to be unreachable.
+    """
+    if tail.is_lost(MAX_SILENCE_SECONDS):
+        raise StoreRejectedError("the store is unreachable")
+    async with asyncio.timeout_at(deadline):
+        await tail.catch_up()
