Never wait for the reader of the log

What callers saw: no answer to anything, without a line that says why, if whatever reads the standard output of an instance stalls or ends.

Cause: lines were written to a blocking stream on the event loop, some of them while a query is answered. A pipe holds 64 KB, and after that the process stood still until its reader went on. Without a reader, the error of the write ended the task that flushes the log, and with it the process.

Evidence, before: 4,000 lines to a pipe that nobody reads hung for the 20 s that the test waits (test_full_pipe_stops_no_process), and to a closed pipe raised BrokenPipeError (test_closed_pipe_stops_no_process).

Change: a line is written only if the stream takes it, and otherwise counted as unwritten. Batches of lines fit into what a writable pipe always has room for, so no line is split. A single line of more than 4,096 bytes may still wait.

Result: neither hangs or fails, each line that is written is whole, and written and unwritten lines add up to 4,000.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -12,6 +12,7 @@
 import msgspec
 from pythonjsonlogger.json import JsonFormatter
 
+from ._line_output import LineOutput
 from ._process_metrics import ProcessMetrics
 
 MAX_EXPLAINABLE_DECISIONS = 10_000
@@ -67,8 +68,11 @@
 
     def __init__(self, instance: str, stream: BinaryIO | None = None) -> None:
         """Log to a stream, by default standard output."""
-        self._stream: BinaryIO = stream or sys.stdout.buffer
-        handler = _LineHandler(self._stream)
+        self.metrics = ProcessMetrics()
+        self._output = LineOutput(
+            stream or sys.stdout.buffer, self.metrics.unwritten_lines
+        )
+        handler = _LineHandler(self._output)
         handler.setFormatter(
             JsonFormatter(
                 "%(message)s",
@@ -84,7 +88,6 @@
         self._latest: deque[Decision] = deque(maxlen=MAX_EXPLAINABLE_DECISIONS)
         self._unwritten: list[Decision] = []
         self._encoder = msgspec.json.Encoder()
-        self.metrics = ProcessMetrics()
 
     async def run(self) -> None:
         """Flush decisions periodically until cancelled."""
@@ -107,8 +110,7 @@
         lines = [self._encoder.encode(decision) for decision in self._unwritten]
         self._unwritten = []
         for chunk in _batch_lines(lines):
-            self._stream.write(chunk)
-            self._stream.flush()
+            self._output.write(chunk)
 
     def write(self, decision: Decision) -> None:
         """Queue a decision for the log and keep it for `explain`."""
@@ -139,16 +141,15 @@
 
 
 class _LineHandler(logging.Handler):
-    """Write each log record as one line to a binary stream."""
+    """Write each log record as one line."""
 
-    def __init__(self, stream: BinaryIO) -> None:
+    def __init__(self, output: LineOutput) -> None:
         super().__init__()
-        self._stream = stream
+        self._output = output
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write a record and flush the stream."""
-        self._stream.write(self.format(record).encode() + b"\n")
-        self._stream.flush()
+        """Write a record."""
+        self._output.write(self.format(record).encode() + b"\n")
 
 
 def _batch_lines(lines: Iterable[bytes]) -> Iterator[bytes]:
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/tests/test_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/tests/test_decision_log.py
@@ -2,6 +2,8 @@
 
 import json
 import logging
+import os
+import threading
 
 import pytest
 
@@ -86,3 +88,50 @@
     def test_log_lines_of_libraries_are_not_captured(self, log, stream):
         logging.getLogger("aiohttp").warning("not a line of ours")
         assert stream.writes == []
+
+
+class TestStalledReader:
+    """Test a log whose reader takes nothing any more, or is gone.
+
+    The process wrote to the full pipe and answered nobody, without a line that says so.
+    """
+
+    # Far longer than the writes take, so only a hang reaches it.
+    HANG_TIMEOUT_SECONDS = 20.0
+    # More than a pipe holds.
+    LINE_COUNT = 2_000
+
+    def log_lines(self, log):
+        """Log decisions and events."""
+        for number in range(self.LINE_COUNT):
+            log.write(Decision("task-placed", reason="x" * 200))
+            log.info("store-lost", topic=str(number))
+
+    def test_full_pipe_stops_no_process(self):
+        read_end, write_end = os.pipe()
+        stream = os.fdopen(write_end, "wb")
+        log = DecisionLog("i-1", stream)
+        thread = threading.Thread(target=self.log_lines, args=(log,), daemon=True)
+        thread.start()
+        thread.join(self.HANG_TIMEOUT_SECONDS)
+        is_blocked = thread.is_alive()
+        with os.fdopen(read_end, "rb") as reader:
+            # Lets a thread that is blocked end.
+            stream_closer = threading.Thread(
+                target=lambda: (thread.join(), stream.close())
+            )
+            stream_closer.start()
+            lines = reader.read().splitlines()
+            stream_closer.join()
+        assert not is_blocked
+        assert all(json.loads(line) for line in lines)
+        lost = log.metrics.unwritten_lines._value.get()
+        assert len(lines) + lost == 2 * self.LINE_COUNT
+
+    def test_closed_pipe_stops_no_process(self):
+        read_end, write_end = os.pipe()
+        os.close(read_end)
+        with os.fdopen(write_end, "wb") as stream:
+            log = DecisionLog("i-1", stream)
+            self.log_lines(log)
+        assert log.metrics.unwritten_lines._value.get() == 2 * self.LINE_COUNT
