--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -7,6 +7,7 @@
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobState, encode_job
 from baobablane_platform import (
+    CallerWait,
     KeyedRecord,
     ProcessSettings,
     StoreError,
@@ -16,32 +17,29 @@
 from ..decision_log import Decision, DecisionLog
 from ._append_forecast import MAX_ACCEPT_SECONDS
 from ._clock import boot_seconds
+from ._job_queries import JobQueries
 from ._job_writer import JobWriter
 from ._load_rejection import LoadRejection
+from ._view_limits import (
+    MAX_SILENCE_SECONDS,
+    MAX_VIEW_AGE_SECONDS,
+    RETRY_AFTER_SECONDS,
+)
 from ._views import CANCEL_PREFIX, Views
 
 # Covers the time from reading the view's age to the answer, and the error of the clock.
 KEY_MARGIN_SECONDS = 0.8
 # Covers the error of the clock.
 CONFIGURATION_MARGIN_SECONDS = 0.2
-# A read takes at most 0.45 s unless its response is large, so the age of a view is at
-# most 0.9 s, or 1.2 s for states between queries. A view that is older than this may
-# lack what others have read.
-MAX_VIEW_AGE_SECONDS = 1.3
-# If nothing arrives for longer than this, the store is unreachable, and callers should
-# use other instances.
-MAX_SILENCE_SECONDS = 1.3
-# The same, once an append had no response in time: a read usually takes 0.7 s at most.
+# Replaces MAX_SILENCE_SECONDS once an append had no response in time: a read usually
+# takes 0.7 s at most.
 MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
-# Callers wait for 3 s, so after a rejection they have time to try another instance.
-CATCH_UP_TIMEOUT_SECONDS = 1.0
-# A read of states takes about 20 ms, and 0.1 s over a link that is in use. Without its
-# result, the answer comes from a view that is at most 1.3 s old.
-STATE_READ_TIMEOUT_SECONDS = 0.3
-# A fault of the store, or of the connection to it, lasts for seconds at least.
-RETRY_AFTER_SECONDS = 1.0
+# The share of a caller's wait after which a cancellation ends. It is longer than that
+# of a query: an append that is given up early is repeated at another instance, and
+# waits there for the same partition.
+CANCEL_SHARE = 0.8
 
 
 class JobActions:
@@ -67,6 +65,7 @@
         self._job_writer = job_writer
         self._log = log
         self._load_rejection = LoadRejection(views, job_writer, log)
+        self._queries = JobQueries(views, log)
         self.is_stopping = False
 
     def is_ready(self) -> bool:
@@ -179,7 +178,7 @@
         return max(views.operator_tail.silence(), views.jobs_tail.silence())
 
     def _find_store_fault(self) -> str:
-        """Return why a job can't be stored in time, or an empty string if it can."""
+        """Return why a record can't be stored in time, or an empty string if it can."""
         forecast, now = self._job_writer.forecast, boot_seconds()
         silence = self._store_silence()
         max_silence_seconds = (
@@ -194,56 +193,37 @@
             return f"the store would take {seconds:.1f} s to accept it"
         return ""
 
-    async def state(self, job_id: str) -> JobState | None:
+    async def state(self, job_id: str, wait: CallerWait) -> JobState | None:
         """Return a job's state, or None if the job certainly does not exist.
 
         Raise RejectedError if the view is too old to tell.
         """
-        state = self._views.job_table.state(job_id)
-        if state is None:
-            await self._catch_up()
-            state = self._views.job_table.state(job_id)
-        if state is not None and not state.is_final():
-            state = await self._refresh_state(job_id, state)
-        if state is not None and not state.is_final():
-            age = self._views.state_view.age()
-            if age > MAX_VIEW_AGE_SECONDS:
-                detail = f"the view of jobs is {age:.1f} s old"
-                raise RejectedError(
-                    ResultCode.VIEW_NOT_CONFIRMED, detail, RETRY_AFTER_SECONDS
-                )
-        return state
-
-    async def _refresh_state(self, job_id: str, state: JobState) -> JobState | None:
-        """Return a job's state as stored now, or the known one if that takes long."""
-        if self._views.follows_progress:
-            # This view is read without a break, so it is as new as a read of its own.
-            return state
-        try:
-            async with asyncio.timeout(STATE_READ_TIMEOUT_SECONDS):
-                await self._views.state_view.catch_up()
-        except (StoreError, TimeoutError) as error:
-            self._log.info("state-read-skipped", request=job_id, reason=repr(error))
-        return self._views.job_table.state(job_id)
+        return await self._queries.state(job_id, wait)
 
-    async def cancel(self, job_id: str) -> JobState | None:
+    async def cancel(self, job_id: str, wait: CallerWait) -> JobState | None:
         """Cancel a job; return its state, or None if it certainly does not exist.
 
         A job in a final state is left unchanged. Raise RejectedError if the state can't
         be read or the cancellation can't be stored; with the code ACCEPTANCE_UNKNOWN,
         it may be stored.
         """
-        state = await self.state(job_id)
+        state = await self._queries.state(job_id, wait)
         if state is None or state.is_final():
             return state
+        record = KeyedRecord(CANCEL_PREFIX + job_id, b"1")
+        reason = self._find_store_fault()
+        if reason and not self._job_writer.is_writing(record.key):
+            code = ResultCode.LOG_UNAVAILABLE
+            raise self._make_cancel_error(code, job_id, reason)
         try:
-            await self._job_writer.write(KeyedRecord(CANCEL_PREFIX + job_id, b"1"))
+            async with asyncio.timeout_at(wait.until(CANCEL_SHARE)):
+                await self._job_writer.write(record)
         except StoreRejectedError as error:
-            raise RejectedError(
-                ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
-            ) from error
-        except StoreError as error:
-            raise RejectedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
+            code = ResultCode.LOG_UNAVAILABLE
+            raise self._make_cancel_error(code, job_id, str(error)) from error
+        except (StoreError, TimeoutError) as error:
+            code = ResultCode.ACCEPTANCE_UNKNOWN
+            raise self._make_cancel_error(code, job_id, repr(error)) from error
         if self._views.job_table.cancel(job_id):
             self._views.on_change(job_id)
         self._log.write(Decision("job-cancelled", request=job_id))
@@ -257,14 +237,20 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
-    async def _catch_up(self) -> None:
-        try:
-            async with asyncio.timeout(CATCH_UP_TIMEOUT_SECONDS):
-                await self._views.jobs_tail.catch_up()
-        except (StoreError, TimeoutError) as error:
-            raise RejectedError(
-                ResultCode.VIEW_NOT_CONFIRMED, "", RETRY_AFTER_SECONDS
-            ) from error
+    def _make_cancel_error(
+        self, code: ResultCode, job_id: str, reason: str
+    ) -> RejectedError:
+        is_unsure = code is ResultCode.ACCEPTANCE_UNKNOWN
+        self._log.write(
+            Decision(
+                "cancel-unsure" if is_unsure else "cancel-refused",
+                request=job_id,
+                reason=reason,
+                result=int(code),
+                seconds=self._store_silence(),
+            )
+        )
+        return RejectedError(code, "", 0.0 if is_unsure else RETRY_AFTER_SECONDS)
 
     def _log_decision(self, event: str, job: Job, queue: str, reason: str = "") -> None:
         self._log.write(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -8,7 +8,7 @@
 from baobablane.deployment import PlatformLimits, Resources
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobProgress, JobState, JobTable, Step
-from baobablane_platform import StoreError
+from baobablane_platform import CallerWait, StoreError
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import JobActions
@@ -20,7 +20,11 @@
 def make_views(operator_silence, jobs_silence):
     """Return views of two topics that have been silent for these seconds."""
     tails = [
-        SimpleNamespace(silence=lambda seconds=seconds: seconds, age=lambda: 0.1)
+        SimpleNamespace(
+            silence=lambda seconds=seconds: seconds,
+            age=lambda: 0.1,
+            is_lost=lambda max_silence_seconds: False,
+        )
         for seconds in (operator_silence, jobs_silence)
     ]
     return SimpleNamespace(
@@ -31,6 +35,11 @@
     )
 
 
+def make_wait():
+    """Return the wait of a caller whose request arrives now."""
+    return CallerWait(asyncio.get_running_loop().time())
+
+
 def make_actions(views, log=None):
     """Return the actions of an instance whose writer can't write."""
     settings = SimpleNamespace(limits=PlatformLimits())
@@ -67,7 +76,11 @@
         views.follows_progress = False
         views.job_table.accept(JOB)
         views.job_table.set_state(JOB.id, JobState.RUNNING)
-        views.state_view = SimpleNamespace(catch_up=catch_up, age=lambda: 0.4)
+        views.state_view = SimpleNamespace(
+            catch_up=catch_up,
+            age=lambda: 0.4,
+            is_lost=lambda max_silence_seconds: False,
+        )
         return views
 
     async def test_query_shows_an_end_that_was_stored_after_the_last_read(self):
@@ -75,7 +88,9 @@
             views.job_table.set_state(JOB.id, JobState.COMPLETED)
 
         views = self.make_views(read_end)
-        assert await make_actions(views).state(JOB.id) is JobState.COMPLETED
+        assert (
+            await make_actions(views).state(JOB.id, make_wait()) is JobState.COMPLETED
+        )
 
     async def test_view_answers_while_the_store_does_not(self):
         async def wait():
@@ -89,7 +104,7 @@
             log = DecisionLog("entry-0", stream)
             actions = make_actions(self.make_views(catch_up), log)
             async with asyncio.timeout(1.0):
-                assert await actions.state(JOB.id) is JobState.RUNNING
+                assert await actions.state(JOB.id, make_wait()) is JobState.RUNNING
             assert b"state-read-skipped" in stream.getvalue()
 
 
@@ -117,12 +132,12 @@
     @pytest.mark.parametrize("in_progress", [True, False])
     async def test_final_state_is_shown(self, in_progress):
         actions = self.make_actions(JobState.FAILED, in_progress)
-        assert await actions.state(JOB.id) is JobState.FAILED
+        assert await actions.state(JOB.id, make_wait()) is JobState.FAILED
 
     @pytest.mark.parametrize("in_progress", [True, False])
     async def test_other_states_are_not_shown(self, in_progress):
         """Guards against a cancelled job that is shown as running."""
         actions = self.make_actions(JobState.RUNNING, in_progress)
         with pytest.raises(RejectedError) as raised:
-            await actions.state(JOB.id)
+            await actions.state(JOB.id, make_wait())
         assert raised.value.code is ResultCode.VIEW_NOT_CONFIRMED
