Reject queries while the topic that answers them was never read

What callers see: an instance that has read the jobs, but not their states, answers a query with status 500 once the store has failed for 3.6 s. One that has a configuration but no jobs tells 0 pending jobs.

Cause: the age of a view that was never read is infinite. It passed as the age of a dated state, and can't be rounded up for the `Age` header. A number of pending jobs was taken from the view whether or not that was read.

Evidence: test_state_that_was_never_read_is_not_shown (both parameters; 500) and test_unread_jobs_are_not_counted (200) fail on the code before.

Change: both are rejected (503), with a line `query-rejected`.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -233,8 +233,11 @@
         return JobState.CANCELLED
 
     def pending_count(self, queue: str) -> int:
-        """Return how many of a queue's jobs are pending, except periodic ones."""
-        return self._views.job_table.pending_count(queue)
+        """Return how many of a queue's jobs are pending, except periodic ones.
+
+        Raise RejectedError if the jobs are unread.
+        """
+        return self._queries.pending_count(queue)
 
     def report_error(self, error: Exception, path: str) -> None:
         """Log an unexpected error in a request."""
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
@@ -1,6 +1,7 @@
 """Answer queries for the states of jobs within a share of their callers' wait."""
 
 import asyncio
+import math
 
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import JobState, ShownState
@@ -54,6 +55,18 @@
             return None
         return ShownState(state, 0.0 if state.is_final() else self._age(job_id))
 
+    def pending_count(self, queue: str) -> int:
+        """Return how many of a queue's jobs are pending, except periodic ones.
+
+        Raise RejectedError if the jobs are unread.
+        """
+        age = self._views.jobs_tail.age()
+        if not math.isfinite(age):
+            detail = "the jobs are unread"
+            reason = f"{detail}, queue {queue}"
+            raise self._make_rejection("", detail, reason, age)
+        return self._views.job_table.pending_count(queue)
+
     async def _read_jobs(self, job_id: str, deadline: float) -> None:
         tail = self._views.jobs_tail
         try:
@@ -90,7 +103,7 @@
         age = view.age()
         if age <= MAX_VIEW_AGE_SECONDS:
             return 0.0
-        if view.is_lost(DATED_AFTER_SILENCE_SECONDS):
+        if math.isfinite(age) and view.is_lost(DATED_AFTER_SILENCE_SECONDS):
             self._log.write(Decision("state-dated", request=job_id, seconds=age))
             return age
         detail = f"the view of jobs is {age:.1f} s old"
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -13,7 +13,7 @@
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import JOBS_TOPIC, JobActions, JobWriter, Views
 
-from .scripted_store import ScriptedStore
+from .scripted_store import ScriptedStore, hang
 
 JOB_ID = "0" * 16
 STEP = Step(1, Resources(1000, 0, 0), 100)
@@ -77,6 +77,22 @@
         self.store.put(JOBS_TOPIC, JOB_ID, encode_job(JOB))
 
 
+@asynccontextmanager
+async def run_starting_instance(unread_topic, follows_progress=True):
+    """Run an instance that can read all topics but one; yield its caller."""
+    caller = Caller(follows_progress)
+    caller.accept_elsewhere()
+    caller.store.fault_by_topic[unread_topic] = hang
+    task = asyncio.create_task(caller.views.run())
+    try:
+        # Several reads have failed by then.
+        await asyncio.sleep(10.0)
+        yield caller
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 @asynccontextmanager
 async def run_instance(follows_progress=True, has_job=False):
     """Run an instance that has read everything; yield its caller."""
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -20,7 +20,7 @@
 )
 from baobablane_daemon.jobs._view_limits import MAX_VIEW_AGE_SECONDS
 
-from .caller import JOB_ID, run_instance
+from .caller import JOB_ID, run_instance, run_starting_instance
 from .scripted_store import answer_after, fail_with, hang, trickle
 from .virtual_time import run_in_virtual_time
 
@@ -181,6 +181,37 @@
         run_in_virtual_time(scenario())
 
 
+class TestStartingInstance:
+    """Test an instance that has not read a topic yet and has no data from it."""
+
+    @pytest.mark.parametrize("follows_progress", [True, False])
+    def test_state_that_was_never_read_is_not_shown(self, follows_progress):
+        """Guards against a state of unknown age that is shown with an age."""
+
+        async def scenario():
+            topic = PROGRESS_TOPIC if follows_progress else STATES_TOPIC
+            async with run_starting_instance(topic, follows_progress) as caller:
+                status, _, seconds = await caller.call("GET")
+                assert status == 503
+                assert seconds <= BOUND_SECONDS
+                assert b"request-failed" not in caller.output.getvalue()
+                events = [decision.event for decision in caller.log.explain(JOB_ID)]
+                assert events == ["query-rejected"]
+
+        run_in_virtual_time(scenario())
+
+    def test_unread_jobs_are_not_counted(self):
+        """Guards against a count of zero while jobs wait."""
+
+        async def scenario():
+            async with run_starting_instance(JOBS_TOPIC) as caller:
+                status, _, seconds = await caller.call("GET", job_id="")
+                assert status == 503
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+
 class TestUnexpectedError:
     """Test queries whose read fails by an error that is none of the store's."""
 
