Forget a failed read while the process was stopped

What callers see: an instance that was frozen while its latest read had failed shows a state from before with an age of 20 s, and rejects unknown jobs, though the store answers again.

Cause: the store counts as lost after one failed read and a long silence. The silence of a frozen process is long, whatever the store does.

Evidence: test_state_is_read_anew_if_a_read_had_failed_before (both parameters) fails on the code before: 200 with `Age: 21`.

Change: a failure counts for 4.1 s, which is longer than a read and its repetition take to fail. A process that was stopped for less may still show a state that is older by as much; its age says so.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -19,6 +19,9 @@
 # view. A lost connection is detected within this time plus the timeout of the read.
 READ_WAIT_MS = 400
 READ_RETRY_SECONDS = 0.1
+# Longer than a read and its repetition take to fail. A failure from before that says
+# nothing about the store now, since the process was stopped in the meantime.
+MAX_FAILURE_AGE_SECONDS = 4.1
 # With fewer unread records, reading them is cheaper than reading the newest records.
 MIN_SKIPPED_RECORDS = 2
 
@@ -69,6 +72,8 @@
         self._newest_keys: set[str] = set()
         self._is_reachable = True
         self._failed_reads = 0
+        # When the latest read failed; -inf before the first.
+        self._failed_at = float("-inf")
         # When a part of a successful response last arrived; -inf before the first.
         self._data_at = float("-inf")
         # When the latest read was sent that reached the end or returned the newest
@@ -97,7 +102,12 @@
 
     def is_lost(self, max_silence_seconds: float) -> bool:
         """Return whether the latest read failed and the silence has lasted longer."""
-        return not self._is_reachable and self.silence() > max_silence_seconds
+        failure_age = boot_seconds() - self._failed_at
+        return (
+            not self._is_reachable
+            and failure_age <= MAX_FAILURE_AGE_SECONDS
+            and self.silence() > max_silence_seconds
+        )
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -268,6 +278,7 @@
     def _log_failure(self, error: StoreError) -> None:
         self._log.metrics.store_read_failures.labels(self._topic).inc()
         self._failed_reads += 1
+        self._failed_at = boot_seconds()
         if self._is_reachable:
             self._is_reachable = False
             self._log.info(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -281,6 +281,27 @@
 
         run_in_virtual_time(scenario())
 
+    @pytest.mark.parametrize("follows_progress", [True, False])
+    def test_state_is_read_anew_if_a_read_had_failed_before(self, follows_progress):
+        """Guards against a state from before though the store answers again."""
+
+        async def scenario():
+            async with run_instance(follows_progress, has_job=True) as caller:
+                rejection = fail_with(StoreRejectedError("status 429"))
+                for topic in (JOBS_TOPIC, PROGRESS_TOPIC, STATES_TOPIC):
+                    caller.store.fault_by_topic[topic] = rejection
+                # Longer than the read that is open when the fault begins.
+                await asyncio.sleep(0.6)
+                caller.store.fault_by_topic.clear()
+                asyncio.get_running_loop().freeze(self.FROZEN_SECONDS)
+                for job_id, expected in ((JOB_ID, 200), ("f" * 16, 410)):
+                    status, _, seconds = await caller.call("GET", job_id=job_id)
+                    assert status == expected
+                    assert caller.shown_age is None
+                    assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
     def test_query_that_was_frozen_with_the_process_ends(self):
         async def scenario():
             async with run_instance() as caller:
