--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_closing_connections.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_closing_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from urllib.parse import urlsplit
 
 import aiohttp
 from baobablane_standin.platform import PATH_PREFIX
@@ -63,6 +64,24 @@
                 assert await is_closed_by_server(url)
 
 
+class TestUnreadBody:
+    """Test responses to requests whose bodies have not been read."""
+
+    # More than the buffers of both sides of a connection to this machine hold.
+    BODY_BYTES = 8_000_000
+
+    async def test_response_is_not_lost_with_the_rest_of_the_body(self):
+        """Guards against a reset: a client that sends meets it before the response."""
+        async with run_server(is_leaving=lambda: True) as url:
+            reader, writer = await asyncio.open_connection(HOST, urlsplit(url).port)
+            head = "POST / HTTP/1.1\r\nHost: q.example\r\nContent-Length: {}\r\n\r\n"
+            writer.write(head.format(self.BODY_BYTES).encode())
+            writer.write(bytes(self.BODY_BYTES))
+            await writer.drain()
+            assert await reader.readline() == b"HTTP/1.1 200 OK\r\n"
+            writer.close()
+
+
 class TestLeavingInstance:
     """Test an instance that the balancer should route no callers to."""
 
