Bound a submission from its arrival

What callers saw: no answer to a new job within the 3 s that they wait, where docs/design/slow-store.md promises an unknown outcome after 2.4 s.

Cause: a job waited for the appends in flight first, and only then for 2.4 s for its own. A caller that waits for less than 3 s was held as long as any other.

Evidence, before, in virtual time: 3.75 s behind unanswered appends (test_submission_behind_unanswered_appends_ends); stored after 1.5 s for a caller that waits 1.0 s (test_job_is_stored_after_its_caller_was_answered).

Change: as for a cancellation, the append is waited for until 0.8 of the caller's wait have passed since the request arrived, and goes on after that. So a repeated request may find the append of the first one open, and its failure says nothing about the store now: the record is then written again. If that is rejected, the outcome of the first append stands.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -36,10 +36,10 @@
 MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
 # Callers choose host and path, so the part of them that is logged is limited.
 MAX_LOGGED_CHARACTERS = 200
-# The share of a caller's wait after which a cancellation ends. It is longer than that
-# of a query: an append that is given up early is repeated at another instance, and
-# waits there for the same partition.
-CANCEL_SHARE = 0.8
+# The share of a caller's wait after which an append is no longer waited for. It is
+# longer than that of a query: an append that is given up early is repeated at another
+# instance, and waits there for the same partition.
+APPEND_SHARE = 0.8
 
 
 class JobActions:
@@ -129,7 +129,7 @@
             return RejectedError(code, "", RETRY_AFTER_SECONDS)
         return RejectedError(code, target)
 
-    async def submit(self, job: Job, queue: Queue) -> None:
+    async def submit(self, job: Job, queue: Queue, wait: CallerWait) -> None:
         """Store a job unless it is already known, or raise RejectedError.
 
         With the code ACCEPTANCE_UNKNOWN, the job may be stored; otherwise it is not.
@@ -154,15 +154,15 @@
             raise RejectedError(ResultCode.BODY_TOO_LARGE, detail)
         try:
             with self._log.metrics.accept_seconds.time():
-                await self._job_writer.write(record)
+                await self._write(record, wait)
         except StoreRejectedError as error:
             self._log_decision("job-refused", job, queue.name, str(error))
             raise RejectedError(
                 ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
             ) from error
-        except StoreError as error:
+        except (StoreError, TimeoutError) as error:
             self._load_rejection.add_unsure(job.id)
-            self._log_decision("job-unsure", job, queue.name, str(error))
+            self._log_decision("job-unsure", job, queue.name, repr(error))
             raise RejectedError(ResultCode.ACCEPTANCE_UNKNOWN) from error
         if self._views.job_table.accept(job):
             self._views.on_change(job.id)
@@ -216,8 +216,7 @@
             code = ResultCode.LOG_UNAVAILABLE
             raise self._make_cancel_error(code, job_id, reason)
         try:
-            async with asyncio.timeout_at(wait.until(CANCEL_SHARE)):
-                await self._job_writer.write(record)
+            await self._write(record, wait)
         except StoreRejectedError as error:
             code = ResultCode.LOG_UNAVAILABLE
             raise self._make_cancel_error(code, job_id, str(error)) from error
@@ -229,6 +228,28 @@
         self._log.write(Decision("job-cancelled", request=job_id))
         return JobState.CANCELLED
 
+    async def _write(self, record: KeyedRecord, wait: CallerWait) -> None:
+        """Store a record, or raise a StoreError or TimeoutError.
+
+        After a TimeoutError, it is still written.
+        """
+        # The failure of a write from before the request says nothing about the store
+        # now, but its record may be stored.
+        is_repeated = self._job_writer.is_writing(record.key)
+        async with asyncio.timeout_at(wait.until(APPEND_SHARE)):
+            try:
+                await self._job_writer.write(record)
+            except StoreError as error:
+                if not is_repeated:
+                    raise
+                await self._write_again(record, error)
+
+    async def _write_again(self, record: KeyedRecord, earlier: StoreError) -> None:
+        try:
+            await self._job_writer.write(record)
+        except StoreRejectedError as error:
+            raise earlier from error
+
     def pending_count(self, queue: str) -> int:
         """Return how many of a queue's jobs are pending, except periodic ones."""
         return self._views.job_table.pending_count(queue)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -35,6 +35,7 @@
         self.views.on_job_read = self.job_writer.confirm_stored
         settings = SimpleNamespace(limits=PlatformLimits())
         actions = JobActions(settings, self.views, self.job_writer, log)
+        self.actions = actions
         self._app = make_platform_app(
             CallerActions(
                 actions.is_ready,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -59,7 +59,7 @@
         actions = make_actions(make_views(*silences))
         assert not actions.is_ready()
         with pytest.raises(RejectedError) as raised:
-            await actions.submit(JOB, SimpleNamespace(name="q"))
+            await actions.submit(JOB, SimpleNamespace(name="q"), make_wait())
         assert raised.value.code is ResultCode.LOG_UNAVAILABLE
 
 
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
@@ -0,0 +1,112 @@
+"""Test that each submission ends before its caller gives up.
+
+A caller that got no answer sends its job again, after it has waited for nothing.
+"""
+
+import asyncio
+
+import pytest
+from baobablane.errors import RejectedError, ResultCode
+from baobablane_platform import CallerWait, KeyedRecord, StoreRejectedError
+
+from baobablane_daemon.jobs import _actions, _job_writer, _topic_tail
+
+from .caller import JOB, QUEUE, run_instance
+from .scripted_store import answer_after, fail_with, hang
+from .virtual_time import run_in_virtual_time
+
+# Leaves time for one attempt at another instance.
+BOUND_SECONDS = 2.4
+
+
+@pytest.fixture(autouse=True)
+def virtual_clock(monkeypatch):
+    """Let the views and the writer read the time of the loop."""
+    for module in (_actions, _job_writer, _topic_tail):
+        monkeypatch.setattr(
+            module, "boot_seconds", lambda: asyncio.get_running_loop().time()
+        )
+
+
+async def submit(caller, patience_seconds=3.0):
+    """Return the result code of a submission, and the seconds it takes."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    code = ResultCode.DONE
+    try:
+        wait = CallerWait(started_at, patience_seconds)
+        await caller.actions.submit(JOB, QUEUE, wait)
+    except RejectedError as error:
+        code = error.code
+    return code, loop.time() - started_at
+
+
+class TestSubmission:
+    """Test submissions while appends have no response."""
+
+    def test_submission_behind_unanswered_appends_ends(self):
+        """Guards against a wait for earlier appends, and then for its own."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.append_fault = hang
+                writes = []
+                for number in range(40):
+                    record = KeyedRecord(f"reader/{number}", b"1")
+                    write = caller.job_writer.write(record)
+                    writes.append(asyncio.gather(write, return_exceptions=True))
+                    await asyncio.sleep(0.03)
+                code, seconds = await submit(caller)
+                await asyncio.gather(*writes)
+                assert code is ResultCode.ACCEPTANCE_UNKNOWN
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def test_job_is_stored_after_its_caller_was_answered(self):
+        """Guards against an unknown outcome for a job that is then dropped."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.append_fault = answer_after(1.5)
+                code, seconds = await submit(caller, patience_seconds=1.0)
+                assert code is ResultCode.ACCEPTANCE_UNKNOWN
+                assert seconds <= 0.8 + 1e-9
+                await asyncio.sleep(2.0)
+                assert (await submit(caller)) == (ResultCode.DONE, 0.0)
+
+        run_in_virtual_time(scenario())
+
+
+class TestRepeatedSubmission:
+    """Test a submission that is repeated while its first append has no response."""
+
+    async def repeat(self, fault):
+        """Return the results of a submission and of its repetition under a fault."""
+        async with run_instance() as caller:
+            caller.store.append_fault = hang
+            first = await submit(caller, patience_seconds=2.0)
+            caller.store.append_fault = fault
+            return first, await submit(caller)
+
+    def test_repetition_is_stored_once_the_store_answers(self):
+        """Guards against the failure of an append from before the repetition."""
+
+        async def scenario():
+            (first, _), (second, seconds) = await self.repeat(answer_after(0.01))
+            assert first is ResultCode.ACCEPTANCE_UNKNOWN
+            assert second is ResultCode.DONE
+            assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def test_rejected_repetition_is_unknown(self):
+        """Guards against a rejection of a job whose first append may be stored."""
+
+        async def scenario():
+            rejection = StoreRejectedError("the store returned status 503")
+            _, (second, seconds) = await self.repeat(fail_with(rejection))
+            assert second is ResultCode.ACCEPTANCE_UNKNOWN
+            assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
