Keep the end of a task that is reported after its next run has begun

What callers saw: jobs that are late, as work is done again that is known to be done. The soak saw a third run of a task 17 s after its first run had ended as `done`.

Cause: an end counted only if it was of the task's latest run. `done` of an earlier run, reported once its upstream could be reached again, was dropped and acknowledged. If the next run was lost, a third one began. The class: a fact about a task is taken for news of one run.

Change: `done` of any earlier run ends the task, and for a gang all of its tasks; other late ends change nothing, as before. The record keeps the number of the run that counts. A later run is stopped, counts for its upstream until it is gone, and is not started if it is not sent yet.

Rules thought through: the end is recorded before it is acknowledged; an end after which the lease lapsed permits the next run and does not forbid to count it, as it counted before if no next run had begun; the next step starts after an end `done` of each task; late ends `failed` are not counted, since the platform may not count them as attempts.

Tests: the model of test_stale_owner had no run for the start that it sends; it has one now, as recorded, and a case more.

A start on its way as the end is reported may still be carried out, so the soak's entry stays, reworded.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -84,7 +84,7 @@
             upstream is None
             or poller is None
             or job_run is None
-            or job_run.state.is_final()
+            or not self._scheduler.is_start_wanted(order)
             or upstream.entry.incarnation != order.incarnation
         ):
             return StartResult.LATE
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -8,7 +8,8 @@
 from types import SimpleNamespace
 
 import pytest
-from baobablane.jobs import TaskId
+from baobablane.deployment import NO_RESOURCES
+from baobablane.jobs import Job, JobProgress, JobState, Step, Task, TaskId, TaskState
 from baobablane.scheduling import (
     LeaseTracker,
     PaceOrder,
@@ -18,6 +19,8 @@
     StartResult,
     StopOrder,
 )
+from baobablane.scheduling._job_run import JobRun
+from baobablane.scheduling._upstream import Run
 from baobablane_platform import StoreFencedError
 
 from baobablane_daemon.decision_log import DecisionLog
@@ -53,7 +56,7 @@
 
 
 def make_scheduler():
-    """Return a scheduler in which TASK may be started on the upstream `u`."""
+    """Return a scheduler in which the start of TASK on the upstream `u` is recorded."""
     entry = SimpleNamespace(incarnation=1, address="10.0.0.1:80", zone="zone")
     upstream = SimpleNamespace(
         id="u",
@@ -61,7 +64,8 @@
         lease=SimpleNamespace(
             deadline_for_start=lambda *args: 1, extend=lambda *args: 1
         ),
-        runs={},
+        runs={TASK: Run(TASK, 1, NO_RESOURCES, "account", False, False, 0.0)},
+        remove=lambda task: None,
         applied_end=0,
         recorded_end=0,
         is_reachable=True,
@@ -69,8 +73,10 @@
     )
     scheduler = Scheduler(SchedulingPolicy())
     scheduler.state.upstreams["u"] = upstream
-    job_run = SimpleNamespace(state=SimpleNamespace(is_final=lambda: False))
-    scheduler.state.jobs[TASK.job] = job_run
+    steps = (Step(1, NO_RESOURCES),)
+    job = Job(TASK.job, "queue", "pool", "account", "spec", steps, 0)
+    progress = JobProgress(JobState.RUNNING, {"0.0.0": Task(TaskState.STARTED, 1)})
+    scheduler.state.jobs[TASK.job] = JobRun(job, progress, 0.0)
     return scheduler
 
 
@@ -112,6 +118,16 @@
         await self.send_all(client, 0.1)
         assert client.calls == ["start", "stop", "set_pace"]
 
+    async def test_no_start_is_sent_for_a_task_that_is_done(self, client):
+        """Guards against a run of a task whose earlier run is reported as done."""
+        sender, _ = self.make_sender(client, 0.1)
+        job_run = sender._scheduler.state.jobs[TASK.job]
+        order = StartOrder(TASK, 1, "", "", "u", 1)
+        job_run.steps[(0, 0)].finish(0, 0)
+        assert await sender._try_start(order) is StartResult.LATE
+        assert client.calls == []
+        await sender.close()
+
     async def test_no_start_is_sent_after_a_suspension(self, client):
         await self.send_all(client, 2.0)
         assert "start" not in client.calls
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -103,12 +103,16 @@
         """Return whether every task of every occurrence is done."""
         return self._first_open >= self.occurrences()
 
+    def find_step(self, task: TaskId) -> StepRun | None:
+        """Return a task's step, or None if its occurrence is not open."""
+        return self.steps.get((task.occurrence, task.step))
+
     def find_task(self, task: TaskId) -> tuple[StepRun, Task] | None:
         """Return a task's step and progress, or None if its occurrence is not open.
 
         Also return None if the job has no such task.
         """
-        step_run = self.steps.get((task.occurrence, task.step))
+        step_run = self.find_step(task)
         if step_run is None or not 0 <= task.position < step_run.step.count:
             return None
         return step_run, step_run.task(task.position)
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -117,8 +117,11 @@
     step_run.note_checkpoint(task, ended.checkpoint)
     state.dirty_jobs.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
-        _finish_task(step_run, ended.task, task)
-        if step_run.step.may_run_twice or step_run.step.is_gang:
+        is_late = task.run != ended.run
+        if is_late:
+            _log_late_end(state, ended, task)
+        _finish_task(step_run, ended)
+        if is_late or step_run.step.may_run_twice or step_run.step.is_gang:
             # Other runs of the task, or of the gang, may have to be stopped.
             state.check_stops_of(ended.task.job)
         job_run.close_ended_occurrences()
@@ -137,7 +140,24 @@
 def _is_relevant_end(step_run: StepRun, task: Task, ended: EndedRun) -> bool:
     # For a task that may run twice, the first copy to finish completes the task, and
     # the failure of either copy counts.
-    return task.run == ended.run or step_run.step.may_run_twice
+    if task.run == ended.run or step_run.step.may_run_twice:
+        return True
+    # An upstream was taken to be gone and a later run begun, but the work was done.
+    return (
+        ended.reason is EndReason.DONE
+        and ended.run < task.run
+        and not step_run.step.is_lasting
+    )
+
+
+def _log_late_end(state: SchedulerState, ended: EndedRun, task: Task) -> None:
+    state.log_decision(
+        "run-not-needed",
+        ended.task,
+        task.run,
+        upstream=task.upstream,
+        reason=f"run {ended.run} had ended as done",
+    )
 
 
 def _update_health(
@@ -190,17 +210,13 @@
     state.run_times.observe(queue, image, seconds, run.declared_seconds)
 
 
-def _finish_task(step_run: StepRun, task_id: TaskId, task: Task) -> None:
+def _finish_task(step_run: StepRun, ended: EndedRun) -> None:
     if not step_run.step.is_gang:
-        task.state = TaskState.DONE
-        step_run.waiting.discard(task_id.position)
-        step_run.done += 1
+        step_run.finish(ended.task.position, ended.run)
         return
     # One finished task completes the whole gang.
     for index in range(step_run.step.count):
-        step_run.task(index).state = TaskState.DONE
-    step_run.waiting.clear()
-    step_run.done = step_run.step.count
+        step_run.finish(index, ended.run)
 
 
 def _apply_failure(
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -28,7 +28,7 @@
 from ._reconciliation import apply_report
 from ._report import RenewalReport
 from ._speculation import allow_copies
-from ._stalls import detect_stalls, may_still_arrive
+from ._stalls import detect_stalls, may_still_arrive, should_stop
 from ._start_results import apply_start_result
 from ._state import SchedulerState
 from ._stop_planning import plan_stops
@@ -292,6 +292,16 @@
             ):
                 self.remove_lost_upstream(upstream.id, "unlisted", now)
 
+    def is_start_wanted(self, order: StartOrder) -> bool:
+        """Return whether a planned start should still be sent."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        return (
+            run is not None
+            and run.number == order.run
+            and not should_stop(self.state, run)
+        )
+
     def start_answered(
         self, order: StartOrder, result: StartResult, now: float
     ) -> None:
--- a/packages/baobablane/baobablane/scheduling/_speculation.py
+++ b/packages/baobablane/baobablane/scheduling/_speculation.py
@@ -51,13 +51,13 @@
 
 
 def is_superseded(state: SchedulerState, run: Run) -> bool:
-    """Return whether a later run replaces this one, or its task is done.
-
-    This applies only to tasks that may run twice.
-    """
+    """Return whether a later run replaces this one, or its task is done without it."""
     job_run = state.jobs.get(run.task.job)
     found = job_run.find_task(run.task) if job_run else None
-    if found is None or not found[0].step.may_run_twice:
+    if found is None:
         return False
-    task = found[1]
-    return task.state is TaskState.DONE or task.run > run.number
+    step_run, task = found
+    if step_run.step.may_run_twice:
+        return task.state is TaskState.DONE or task.run > run.number
+    # Members of a gang that is done end by themselves.
+    return task.state is TaskState.DONE and run.number > task.run
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -188,6 +188,10 @@
                 del self.run_count_by_job[task.job]
             self.usage.remove(run.account, run.needs)
             self.standings.remove_run(run, upstream.entry.pool)
+            job_run = self.jobs.get(task.job)
+            step_run = job_run.find_step(task) if job_run else None
+            if step_run is not None:
+                step_run.note_gone(task.position, upstream.id)
             # Its end completes a probe of an ejected upstream, even if it does not show
             # whether the upstream is healthy.
             self.ejections.record_inconclusive(upstream.id)
--- a/packages/baobablane/baobablane/scheduling/_step_run.py
+++ b/packages/baobablane/baobablane/scheduling/_step_run.py
@@ -15,6 +15,8 @@
         self.tasks: dict[int, Task] = {}
         self.waiting: set[int] = set(range(self.step.count))
         self.done = 0
+        # Upstreams on which a later run of a done task may still run, by index.
+        self.unneeded_on: dict[int, str] = {}
         # The latest checkpoint of any member, from which all of a gang resume.
         self.gang_checkpoint = ""
 
@@ -44,6 +46,24 @@
         """Return whether every task is done."""
         return self.done >= self.step.count
 
+    def finish(self, index: int, run: int) -> None:
+        """Note that a run of a task has ended as done, whichever is its latest run."""
+        task = self.task(index)
+        if task.state is TaskState.DONE:
+            return
+        if task.state is TaskState.STARTED and task.run > run:
+            self.unneeded_on[index] = task.upstream
+        task.state = TaskState.DONE
+        # The number of the run that counts tells the other ones apart.
+        task.run = run
+        self.waiting.discard(index)
+        self.done += 1
+
+    def note_gone(self, index: int, upstream: str) -> None:
+        """Note that an upstream no longer runs a task."""
+        if self.unneeded_on.get(index) == upstream:
+            del self.unneeded_on[index]
+
     def task(self, index: int) -> Task:
         """Return a task's progress, and create it on first use."""
         found = self.tasks.get(index)
@@ -60,9 +80,11 @@
         return [i for i, t in self.tasks.items() if t.state is TaskState.STARTED]
 
     def placed_by_upstream(self) -> dict[str, int]:
-        """Return how many tasks may be running on each upstream."""
+        """Return how many tasks may be running on each upstream, needed or not."""
         placed: dict[str, int] = {}
         for index in self.started_indexes():
             name = self.tasks[index].upstream
             placed[name] = placed.get(name, 0) + 1
+        for name in self.unneeded_on.values():
+            placed[name] = placed.get(name, 0) + 1
         return placed
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,7 @@
 from ._soak import Soak
 
 FOLDER = Path(__file__).resolve().parent.parent / "target" / "soak"
-# Broken by a fault that is listed in KNOWN-RED.txt.
+# Listed in KNOWN-RED.txt: the check can't tell the fault from what is allowed.
 KNOWN_PROMISES = (LATE_END_PROMISE,)
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
