Let a later owner count only what it can know of a crash

What callers saw: a job with nothing wrong is shown as failed.

Cause: the record of a trial lacked when it had begun. An owner that took over counted each run of an earlier owner as not settled, and the run of a suspect as a trial that crashed its upstream. The other half: a loss is withdrawn when its upstream responds only by the owner that noted it. The class: what an owner has not seen is taken for what did not happen.

Change: the record holds when a trial began (Task.trial_ms, for trials only; old records decode). A run of an earlier owner is evidence only if it was a trial and is found lost within 1.5 s of its start, also for an upstream that restarted under its id while nobody watched. Otherwise the loss proves nothing; its task stays a suspect and is tried again. Five such crashes fail a job as well, so that a task that crashes upstreams is not started without end while owners change. The first response of an upstream withdraws the losses with that life, whoever recorded them, and leaves those with an earlier life.

--- a/packages/baobablane/baobablane/crashes/_verdict.py
+++ b/packages/baobablane/baobablane/crashes/_verdict.py
@@ -13,6 +13,9 @@
 # This many crashes are enough wherever they were, as a pool may have only one instance
 # or one rack.
 MIN_CRASHES = 3
+# The same if owners changed during the trials, so that it is unknown whether the task
+# had just been started. After three crashes, a task may be started twice more.
+MIN_UNSEEN_CRASHES = 5
 
 
 def is_deadly(losses: Iterable[RunLoss]) -> bool:
@@ -22,11 +25,10 @@
     and at least one while no other run there could have been the cause. Beside other
     suspects, it must have been seen to start.
     """
-    crashes = [
-        loss
-        for loss in losses
-        if loss.is_crash and (loss.is_started or loss.suspects == 1)
-    ]
+    confirmed = [loss for loss in losses if loss.is_crash]
+    if sum(loss.suspects <= 1 for loss in confirmed) >= MIN_UNSEEN_CRASHES:
+        return True
+    crashes = [loss for loss in confirmed if loss.is_started or loss.suspects == 1]
     if not any(loss.suspects == 1 for loss in crashes):
         return False
     return len(crashes) >= MIN_CRASHES or any(
--- a/packages/baobablane/baobablane/jobs/_run_loss.py
+++ b/packages/baobablane/baobablane/jobs/_run_loss.py
@@ -12,6 +12,7 @@
     # Instance of the upstream; empty if it is unknown.
     instance: str = ""
     # How many runs there had started as recently, with this one; a gang counts as one.
+    # 0 if it is unknown whether this one had.
     suspects: int = 0
     # The upstream confirmed its start.
     is_started: bool = False
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -16,6 +16,9 @@
 
 # The list of instances may show an upstream as up for this long after it has crashed.
 LISTING_LAG_SECONDS = 1.0
+# An owner that finds a trial of an earlier one lost within this time of its start takes
+# it for lost by its start. Includes the difference of two clocks.
+MAX_UNSEEN_SECONDS = 1.5
 # At most this many lost runs of a task are kept.
 MAX_LOSSES = 8
 # At most this many labels are kept with each.
@@ -73,13 +76,16 @@
         or _is_known_to_be_up(state, lost)
     ):
         return
+    unix_ms = round((now + state.unix_offset_seconds) * 1000)
+    # Another owner may have seen it settle and not have recorded that.
+    is_young = not run.is_restored or was_just_tried(task, unix_ms)
     loss = RunLoss(
         run.number,
         lost.upstream,
         lost.incarnation,
         state.instance_by_upstream.get(upstream.id, ""),
-        _count_suspects(step_run, run.task, lost),
-        is_started=run.was_seen,
+        _count_suspects(step_run, run.task, lost) if is_young else 0,
+        is_started=run.was_seen and is_young,
         labels=place_labels(state, upstream),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
@@ -98,6 +104,12 @@
     )
 
 
+def was_just_tried(task: Task, unix_ms: int) -> bool:
+    """Return whether a trial that is lost by now, in Unix ms, had just been started."""
+    # Clocks differ, so that the start may seem to be the later one.
+    return abs(unix_ms - task.trial_ms) <= MAX_UNSEEN_SECONDS * 1000
+
+
 def place_labels(state: SchedulerState, upstream: Upstream) -> tuple[str, ...]:
     """Return the labels of an upstream that may tell where it is.
 
@@ -147,14 +159,22 @@
         observe_loss(state, upstream, now).is_down = True
 
 
-def withdraw_losses(state: SchedulerState, upstream_id: str, reason: str) -> None:
-    """Drop the losses with an upstream, for whose end there is another reason."""
+def withdraw_losses(
+    state: SchedulerState,
+    upstream_id: str,
+    reason: str,
+    incarnation: int | None = None,
+) -> None:
+    """Drop the losses with an upstream, for whose end there is another reason.
+
+    With `incarnation`, drop only those with this one.
+    """
     for task_id in state.suspects.tasks_lost_with(upstream_id):
         found = _find(state, task_id)
         if found is None:
             state.suspects.remove(task_id)
         else:
-            _drop_losses(state, task_id, found, upstream_id, reason)
+            _drop_losses(state, task_id, found, upstream_id, reason, incarnation)
 
 
 def withdraw_loss_of_run(
@@ -190,7 +210,7 @@
     """Forget the losses of a task that has run without a crash."""
     if not task.losses:
         return
-    task.losses = []
+    task.losses, task.trial_ms = [], 0
     state.suspects.remove(task_id)
     state.dirty_jobs.add(task_id.job)
     state.log_decision("suspect-cleared", task_id, task.run, upstream=task.upstream)
@@ -226,12 +246,26 @@
 
 
 def _drop_losses(
-    state: SchedulerState, task_id: TaskId, task: Task, upstream_id: str, reason: str
+    state: SchedulerState,
+    task_id: TaskId,
+    task: Task,
+    upstream_id: str,
+    reason: str,
+    incarnation: int | None = None,
 ) -> None:
-    task.losses = [loss for loss in task.losses if loss.upstream != upstream_id]
-    state.suspects.remove_loss(task_id, upstream_id)
+    kept = [
+        loss
+        for loss in task.losses
+        if loss.upstream != upstream_id or incarnation not in (None, loss.incarnation)
+    ]
+    has_changed = len(kept) < len(task.losses)
+    task.losses = kept
+    if not any(loss.upstream == upstream_id for loss in kept):
+        state.suspects.remove_loss(task_id, upstream_id)
     if not task.losses:
         state.suspects.remove(task_id)
+    if not has_changed:
+        return
     state.dirty_jobs.add(task_id.job)
     state.log_decision(
         "loss-withdrawn", task_id, task.run, upstream=upstream_id, reason=reason
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -2,7 +2,12 @@
 
 from ..deployment import NO_RESOURCES, UpstreamEntry
 from ..jobs import RunLoss, Task, TaskId
-from ._crash_evidence import confirm_crash, place_labels, withdraw_losses
+from ._crash_evidence import (
+    confirm_crash,
+    place_labels,
+    was_just_tried,
+    withdraw_losses,
+)
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -21,7 +26,9 @@
     step = found[0].step
     is_same_incarnation = upstream.entry.incarnation == task.incarnation
     if upstream.entry.incarnation > task.incarnation:
-        _note_crash_before_takeover(task, place_labels(state, upstream))
+        _note_crash_before_takeover(
+            task, upstream.entry.incarnation, place_labels(state, upstream)
+        )
     run = Run(
         task_id,
         task.run,
@@ -57,15 +64,17 @@
             )
 
 
-def _note_crash_before_takeover(task: Task, labels: tuple[str, ...]) -> None:
-    # It restarted under its id while nobody watched. Only a trial tells which run was
-    # the cause.
+def _note_crash_before_takeover(
+    task: Task, restarted_ms: int, labels: tuple[str, ...]
+) -> None:
+    # It restarted under its id while nobody watched. Only a trial that had just begun
+    # tells which run was the cause.
     if not any(loss.run == task.run for loss in task.losses):
         loss = RunLoss(
             task.run,
             task.upstream,
             task.incarnation,
-            suspects=1 if task.losses else 0,
+            suspects=1 if was_just_tried(task, restarted_ms) else 0,
             is_crash=True,
             labels=labels,
         )
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -413,7 +413,9 @@
         lost = self.state.lost_upstreams.get(upstream.id)
         if lost is not None and lost.incarnation == upstream.entry.incarnation:
             del self.state.lost_upstreams[upstream.id]
-            withdraw_losses(self.state, upstream.id, "reachable again")
+        # An earlier owner may have recorded them.
+        incarnation = upstream.entry.incarnation
+        withdraw_losses(self.state, upstream.id, "reachable again", incarnation)
 
     def _requeue_of_down(self, upstream_id: str, now: float) -> None:
         # Nothing runs on an instance that is down. Only an order of unknown outcome may
--- a/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_deadly_tasks.py
@@ -259,6 +259,21 @@
         assert fleet.state_of(DEADLY_JOB) is JobState.FAILED
         assert len(fleet.crashed_starts) <= MAX_STARTS
 
+    def test_no_owner_sees_when_upstreams_crash(self, fleet):
+        """Guards against starts without end of a task whose crashes prove nothing."""
+        add(fleet, make_job(name=DEADLY_JOB))
+        for _ in range(8):
+            crashes = len(fleet.crashed_starts)
+            for _ in range(80):
+                if len(fleet.crashed_starts) > crashes:
+                    break
+                fleet.advance(0.25)
+            fleet.now += 2.0
+            fleet.replace_owner()
+        fleet.advance(VERDICT_SECONDS)
+        assert fleet.state_of(DEADLY_JOB) is JobState.FAILED
+        assert 2 < len(fleet.crashed_starts) <= MAX_STARTS
+
     def test_owner_is_replaced_twice_in_a_row(self, fleet):
         add(fleet, make_job(name=DEADLY_JOB))
         fleet.place()
--- a/packages/baobablane/baobablane/scheduling/tests/test_false_verdicts.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_false_verdicts.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 
-from baobablane.jobs import JobProgress, TaskId
+from baobablane.jobs import JobProgress, TaskId, decode_progress
 from baobablane.scheduling import StartResult
 
 from .crash_model import DOWN_SECONDS, CrashFleet
@@ -237,6 +237,79 @@
         fleet.renew(order.upstream)
         assert not losses_of(fleet)
 
+    def start_trial(self, fleet):
+        """Lose the first run of a job in a crash, and try its task again.
+
+        Return the upstream of the trial.
+        """
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        (order,) = fleet.place()
+        fleet.crash(order.upstream)
+        fleet.scheduler.set_evacuation(frozenset(), False)
+        fleet.advance(DOWN_SECONDS + 0.5)
+        fleet.scheduler.set_evacuation(frozenset(), True)
+        return advance_until_start(fleet)
+
+    def replace_owner_by_old_record(self, fleet, record):
+        """Replace an owner that could not record what it learned."""
+        job_run = fleet.scheduler.state.jobs[JOB]
+        job_run.progress = lambda: msgspec.json.decode(record, type=JobProgress)
+        fleet.replace_owner()
+
+    def test_trial_that_the_next_owner_saw_as_well_is_not_suspected(self):
+        """Guards against evidence from an upstream that had only just responded."""
+        fleet = CrashFleet(3)
+        name = self.start_trial(fleet)
+        record = msgspec.json.encode(fleet.scheduler.state.jobs[JOB].progress())
+        fleet.advance(2.0)
+        self.replace_owner_by_old_record(fleet, record)
+        fleet.renew(name)
+        fleet.cut_power(name)
+        advance_until_verdict(fleet)
+        assert not fleet.state_of(JOB).is_final()
+
+    def test_trial_that_restarted_unseen_after_it_had_settled_is_not_suspected(self):
+        fleet = CrashFleet(3)
+        name = self.start_trial(fleet)
+        record = msgspec.json.encode(fleet.scheduler.state.jobs[JOB].progress())
+        fleet.advance(2.0)
+        model = fleet.upstreams[name]
+        model.restart()
+        model.entry = replace(model.entry, incarnation=round(fleet.now * 1000))
+        self.replace_owner_by_old_record(fleet, record)
+        assert [loss.suspects for loss in losses_of(fleet)] == [1, 0]
+        advance_until_verdict(fleet)
+        assert not fleet.state_of(JOB).is_final()
+
+    @pytest.mark.parametrize(("seconds", "suspects"), [(0.1, 1), (2.0, 0)])
+    def test_trial_counts_only_if_it_was_lost_at_its_start(self, seconds, suspects):
+        fleet = CrashFleet(3)
+        name = self.start_trial(fleet)
+        record = msgspec.json.encode(fleet.scheduler.state.jobs[JOB].progress())
+        fleet.crash(name)
+        fleet.now += seconds
+        self.replace_owner_by_old_record(fleet, record)
+        fleet.list_instances()
+        assert [loss.suspects for loss in losses_of(fleet)] == [1, suspects]
+
+    def test_crash_of_an_earlier_life_is_kept_when_the_next_one_responds(self):
+        fleet = CrashFleet(1)
+        add(fleet, make_job(name=JOB))
+        (order,) = fleet.place()
+        fleet.upstreams[order.upstream].restart()
+        fleet.renew(order.upstream)
+        assert [loss.is_crash for loss in losses_of(fleet)] == [True]
+        fleet.replace_owner()
+        fleet.renew(order.upstream)
+        assert [loss.is_crash for loss in losses_of(fleet)] == [True]
+
+    def test_record_of_before_trials_had_a_time_is_read(self):
+        loss = ["u0", 1, "", 1, True, True, []]
+        task = [1, 2, 0, "u1", 5, "", 0, [[1, *loss]]]
+        record = msgspec.json.encode({"state": 1, "tasks": {"0.0.0": task}})
+        progress = decode_progress(record)
+        assert progress.tasks["0.0.0"].trial_ms == 0
+
 
 class TestCost:
     """Test what it costs to wait for the response of an upstream."""
