Repeat an append when it is overdue, and take a lost answer for no slowness

Seen: while the store loses a third of the answers for 4.5 s, or does what was asked seconds later, the owner changes although it is well, and callers are told 504 or wait.

Cause: the owner had one attempt in flight, gave it up after 0.25 s and waited half as long again after each loss, so that three or four in a row kept its heartbeat back for 1.5 s. An entry instance counted an attempt that its repetition had overtaken as one that took 0.25 s, took the store for slow, repeated only after 1 s, and made no third attempt.

Change: one piece sends both kinds of append (_repeated_append.py): the first attempt goes on, a repetition is sent when the answer is overdue against the recent ones, and either answer counts. AppendForecast, without I/O, decides when that is; it knows whether others append to the partition. A partition takes its appends in turn, so an overtaken one is lost and says nothing of the store's time; neither does a rejection. The owner's attempts carry the same sequence number, so a late one is a repetition or is rejected: tests with 70% of the answers lost show that nothing is stored twice, or after the claim of another.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Re-export what every entry instance needs to accept and follow jobs."""
 
 from ._actions import JobActions
+from ._append_forecast import AppendForecast
 from ._clock import boot_seconds, unix_ms
 from ._job_writer import JobWriter
 from ._order_record import InstanceOrderRecord, encode_order_record
@@ -12,6 +13,7 @@
     make_holder,
 )
 from ._owner_load import OwnerLoad
+from ._repeated_append import append_repeatedly
 from ._state_reader import register_state_reader
 from ._topic_tail import TopicTail
 from ._views import (
@@ -30,6 +32,7 @@
 )
 
 __all__ = [
+    "AppendForecast",
     "CANCEL_PREFIX",
     "HOST_PREFIX",
     "JOBS_TOPIC",
@@ -48,6 +51,7 @@
     "OwnerLoad",
     "TopicTail",
     "Views",
+    "append_repeatedly",
     "boot_seconds",
     "decode_owner_heartbeat",
     "encode_order_record",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
@@ -1,11 +1,16 @@
-"""Predict how long the store takes to answer an append.
+"""Predict how long the store takes to answer an append, and when to repeat one.
 
 Load pattern: for some seconds, the store takes 60 times as long as usual, and all entry
 instances append to the same partition. An append that is given up because its response
 is late leaves the outcome unknown, and its repetition lengthens the queue. So appends
-wait for their response for as long as the callers do, are repeated only while the
-store is fast, and fewer are sent at the same time. A job that can't be stored while its
-caller waits is rejected before anything is sent.
+wait for their response for as long as the callers do, are repeated only when they are
+overdue against the recent responses, and fewer are sent at the same time. A job that
+can't be stored while its caller waits is rejected before anything is sent.
+
+Load pattern: for some seconds, the store loses a third of the responses, or carries the
+appends out seconds later, and answers the others as fast as ever. A partition takes its
+appends one after the other. So an append that one sent later has overtaken is lost, and
+tells nothing of the time that the store takes.
 """
 
 from collections import deque
@@ -15,6 +20,15 @@
 MIN_REPEAT_DELAY_SECONDS = 0.25
 # Responses vary by this factor while the store is slow.
 REPEAT_DELAY_FACTOR = 4.0
+# Repetitions of all instances stand in one queue, so their intervals grow fast: an
+# append is sent at once, after 0.25 s and after 1 s.
+AGE_FACTOR = 3.0
+# In a partition with one writer, only its own appends are ahead of a repetition.
+MIN_ONLY_WRITER_DELAY_SECONDS = 0.13
+ONLY_WRITER_DELAY_FACTOR = 2.0
+# The intervals grow in proportion to the time without a response: nine attempts in the
+# first 1.2 s, and few more at a store that has fallen silent.
+ONLY_WRITER_AGE_SHARE = 1 / 8
 # Callers wait for 3 s. The rest is for the way to the caller and back.
 MAX_ACCEPT_SECONDS = 2.4
 # Faults of the store last for seconds, so older response times tell little.
@@ -30,11 +44,17 @@
 class AppendForecast:
     """Hold the latest response times of appends; times are monotonic seconds."""
 
-    def __init__(self) -> None:
-        """Expect a fast store."""
+    def __init__(self, is_only_writer: bool = False) -> None:
+        """Expect a fast store.
+
+        `is_only_writer` says that no other process appends to the partition.
+        """
+        self.is_only_writer = is_only_writer
         self._observed: deque[tuple[float, float]] = deque()
         self._timed_out_at = float("-inf")
         self._sent_at: dict[int, float] = {}
+        # When the newest append that has a response was sent.
+        self._answered_sent_at = float("-inf")
         self._next_number = 0
 
     def start(self, now: float) -> int:
@@ -45,23 +65,40 @@
 
     def finish(self, number: int, is_answered: bool, now: float) -> None:
         """Note the response to an append, or that there was none in time."""
-        seconds = now - self._sent_at.pop(number)
-        self._observed.append((now, seconds))
-        if not is_answered:
+        sent_at = self._sent_at.pop(number)
+        if is_answered:
+            self._answered_sent_at = max(self._answered_sent_at, sent_at)
+        else:
             self._timed_out_at = now
+            if sent_at < self._answered_sent_at:
+                return
+        self._observed.append((now, now - sent_at))
+
+    def give_up(self, number: int) -> None:
+        """Note that nobody waits for the response to an append any more."""
+        del self._sent_at[number]
 
     def expected_seconds(self, now: float) -> float:
         """Return the longest time that a recent append took or is taking."""
-        while self._observed and now - self._observed[0][0] > MEMORY_SECONDS:
-            self._observed.popleft()
-        finished = (seconds for _, seconds in self._observed)
-        unanswered = (now - sent_at for sent_at in self._sent_at.values())
-        return max(*finished, *unanswered, 0.0, 0.0)
+        return max(self._observed_seconds(now), self._unanswered_seconds(now, now))
+
+    def repeat_delay(self, now: float, age: float = 0.0) -> float:
+        """Return how long to wait for a response before the append is repeated.
 
-    def repeat_delay(self, now: float) -> float:
-        """Return how long to wait for a response before the append is repeated."""
-        delay = REPEAT_DELAY_FACTOR * self.expected_seconds(now)
-        return max(delay, MIN_REPEAT_DELAY_SECONDS)
+        `age` is the time since its first attempt was sent.
+        """
+        if self.is_only_writer:
+            return max(
+                ONLY_WRITER_DELAY_FACTOR * self._observed_seconds(now),
+                ONLY_WRITER_AGE_SHARE * age,
+                MIN_ONLY_WRITER_DELAY_SECONDS,
+            )
+        return max(
+            REPEAT_DELAY_FACTOR * self._observed_seconds(now),
+            REPEAT_DELAY_FACTOR * self._unanswered_seconds(now, now - age),
+            AGE_FACTOR * age,
+            MIN_REPEAT_DELAY_SECONDS,
+        )
 
     def max_in_flight(self, now: float) -> int:
         """Return how many appends may wait for a response at the same time."""
@@ -83,3 +120,22 @@
         return now - self._timed_out_at < MEMORY_SECONDS or any(
             now - sent_at > OVERDUE_SECONDS for sent_at in self._sent_at.values()
         )
+
+    def _observed_seconds(self, now: float) -> float:
+        while self._observed and now - self._observed[0][0] > MEMORY_SECONDS:
+            self._observed.popleft()
+        return max((seconds for _, seconds in self._observed), default=0.0)
+
+    def _unanswered_seconds(self, now: float, before: float) -> float:
+        """Return the age of the oldest open append that none has overtaken.
+
+        Only those count that were sent until `before`.
+        """
+        return max(
+            (
+                now - sent_at
+                for sent_at in self._sent_at.values()
+                if self._answered_sent_at <= sent_at <= before
+            ),
+            default=0.0,
+        )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -6,12 +6,12 @@
     KeyedRecord,
     StoreClient,
     StoreError,
-    StoreRejectedError,
     StoreUnknownOutcomeError,
 )
 
 from ._append_forecast import MAX_ACCEPT_SECONDS, AppendForecast
 from ._clock import boot_seconds
+from ._repeated_append import append_repeatedly
 from ._views import JOBS_TOPIC
 
 # Records are batched: an append occupies the partition for some milliseconds, whatever
@@ -19,11 +19,9 @@
 MAX_RECORDS_PER_APPEND = 200
 # Well below the limit of the store for one call, and 0.2 s over 10 Mbit/s. A single
 # record may be larger.
-MAX_BYTES_PER_APPEND = 256_000  # An append without a response, and its repetition.
-MAX_ATTEMPTS_AT_ONCE = 2
-
-# Typical time until a stored record is read back.
-READ_BACK_SECONDS = 0.15
+MAX_BYTES_PER_APPEND = 256_000
+# An append without a response, and its repetition.
+MAX_ATTEMPTS_AT_ONCE = 4
 
 
 class JobWriter:
@@ -91,71 +89,22 @@
             self._complete_write(record.key, error)
 
     async def _store_batch(self, batch: list[KeyedRecord]) -> StoreError | None:
-        """Append until stored, rejected or too late; return the error, if any.
+        """Append until stored, rejected or too late; return the error, if any."""
 
-        An append without a response is repeated, and either response counts. The
-        first one is not given up for that: its outcome would stay unknown.
-        """
-        attempts: set[asyncio.Task[StoreError | None]] = set()
-        now = boot_seconds()
-        give_up_at, repeat_at = now + MAX_ACCEPT_SECONDS, now
-        is_rejected = may_be_stored = False
-        error: StoreError = StoreUnknownOutcomeError("no response in time")
-        try:
-            while now < give_up_at:
-                if not attempts or (now >= repeat_at and not is_rejected):
-                    attempts.add(self._start_attempt(batch, give_up_at - now))
-                    repeat_at = now + self.forecast.repeat_delay(now)
-                can_repeat = len(attempts) < MAX_ATTEMPTS_AT_ONCE and not is_rejected
-                until = min(repeat_at, give_up_at) if can_repeat else give_up_at
-                done, attempts = await asyncio.wait(
-                    attempts,
-                    timeout=until - now,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                for result in [attempt.result() for attempt in done]:
-                    if result is None:
-                        return None
-                    error = result
-                    is_rejected = isinstance(error, StoreRejectedError)
-                    may_be_stored |= not is_rejected
-                if not attempts and not may_be_stored:
-                    return error
-                if not attempts:
-                    # The records may be read back in the meantime.
-                    await asyncio.sleep(READ_BACK_SECONDS)
-                if not any(record.key in self._futures_by_key for record in batch):
-                    return None
-                now = boot_seconds()
-        finally:
-            for attempt in attempts:
-                attempt.cancel()
-        return StoreUnknownOutcomeError(f"append has unknown outcome: {error}")
-
-    def _start_attempt(
-        self, batch: list[KeyedRecord], seconds: float
-    ) -> asyncio.Task[StoreError | None]:
-        return asyncio.get_running_loop().create_task(self._attempt(batch, seconds))
-
-    async def _attempt(
-        self, batch: list[KeyedRecord], seconds: float
-    ) -> StoreError | None:
-        number = self.forecast.start(boot_seconds())
-        # An attempt is cancelled once another one was answered.
-        is_answered = True
-        try:
+        async def send(seconds: float) -> None:
             await self._store.append(JOBS_TOPIC, 0, batch, None, seconds)
-            return None
-        except StoreRejectedError as error:
-            return error
+
+        try:
+            await append_repeatedly(
+                send,
+                self.forecast,
+                MAX_ACCEPT_SECONDS,
+                MAX_ATTEMPTS_AT_ONCE,
+                lambda: any(record.key in self._futures_by_key for record in batch),
+            )
         except StoreError as error:
-            is_answered = False
             return error
-        except Exception as error:
-            # Otherwise, the callers would wait for as long as they can.
-            return StoreUnknownOutcomeError(f"unexpected error: {error!r}")
-        finally:
-            self.forecast.finish(number, is_answered, boot_seconds())
+        return None
 
     def _complete_write(self, key: str, error: StoreError | None) -> None:
         future = self._futures_by_key.pop(key, None)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
@@ -1,6 +1,7 @@
 """Append records to one topic under the owner's epoch."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from baobablane_platform import (
@@ -8,18 +9,17 @@
     Producer,
     StoreClient,
     StoreRejectedError,
-    StoreUnknownOutcomeError,
 )
 
-from ..jobs import boot_seconds
+from ..jobs import AppendForecast, append_repeatedly
 
 PRODUCER_NAME = "owner"
 APPEND_RETRY_SECONDS = 0.05
-# A response usually takes about 10 ms, and 1 to 2 s while the store is slow.
-INITIAL_TIMEOUT_SECONDS = 0.25
-MAX_TIMEOUT_SECONDS = 2.5
-# Timeouts grow slowly, so that others don't claim after three lost responses in a row.
-TIMEOUT_GROWTH_FACTOR = 1.5
+# An append that has no response by then may have been sent over a connection that
+# carries nothing any more. The store rejects what would wait for longer than 2 s.
+ATTEMPT_TIMEOUT_SECONDS = 2.5
+# More than are sent in that time.
+MAX_ATTEMPTS_AT_ONCE = 16
 
 
 class FencedAppender:
@@ -42,6 +42,7 @@
         self._epoch = epoch
         self._sequence = sequence
         self._on_stored = on_stored
+        self._forecast = AppendForecast(is_only_writer=True)
         self._lock = asyncio.Lock()
 
     async def append(self, records: list[KeyedRecord]) -> None:
@@ -60,20 +61,22 @@
     async def _append_until_stored(
         self, records: list[KeyedRecord], producer: Producer
     ) -> None:
-        timeout_seconds = INITIAL_TIMEOUT_SECONDS
+        async def send(seconds: float) -> None:
+            await self._store.append(
+                self._topic,
+                0,
+                records,
+                producer,
+                min(seconds, ATTEMPT_TIMEOUT_SECONDS),
+            )
+
         while True:
-            requested_at = boot_seconds()
             try:
-                await self._store.append(
-                    self._topic, 0, records, producer, timeout_seconds
+                requested_at = await append_repeatedly(
+                    send, self._forecast, math.inf, MAX_ATTEMPTS_AT_ONCE
                 )
-                self._on_stored(requested_at)
-                return
             except StoreRejectedError:
                 await asyncio.sleep(APPEND_RETRY_SECONDS)
-            except StoreUnknownOutcomeError:
-                timeout_seconds = min(
-                    TIMEOUT_GROWTH_FACTOR * timeout_seconds, MAX_TIMEOUT_SECONDS
-                )
-                # The error may occur immediately, not only after the timeout.
-                await asyncio.sleep(APPEND_RETRY_SECONDS)
+            else:
+                self._on_stored(requested_at)
+                return
