Store what all of the owner's tasks wait to write by one append

Each takes 0.24 s of the line in which the owner's next heartbeat stands.

Cause: the owner's round, the load, the orders for instances and the starts of bursts each waited for an append of their own, one after the other. A heartbeat went with the one that was due to write it, behind all that waited.

Change: whoever has its turn first appends what all of them wait to write, with a heartbeat if one is due then. The order of the records stays, each write returns once its own records are stored, and all learn of a newer owner. A round that has nothing to write waits for nobody.

Measured: in a replay of five tasks that write at the same time, heartbeats were 1.89 s apart, now less than 1 s (test failing before).

Tried and left out: claims that wait for longer while the instance's own appends take long.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -1,7 +1,8 @@
 """Append the owner's records, fenced by its epoch."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
 from hashlib import blake2b
 
 from baobablane_platform import (
@@ -45,8 +46,22 @@
     return int.from_bytes(digest, "big") * SEQUENCES_PER_HOLDER
 
 
+@dataclass(slots=True)
+class _Write:
+    records: list[KeyedRecord]
+    is_stored: bool = False
+
+    @property
+    def size_bytes(self) -> int:
+        return sum(len(record.value or b"") for record in self.records)
+
+
 class ProgressWriter:
-    """Append the owner's records in sequence, one append at a time."""
+    """Append the owner's records in sequence, one append at a time.
+
+    Load pattern: for some seconds, an append takes 0.24 s, whatever its size. The
+    rounds, the load, orders for instances and heartbeats would each wait for one.
+    """
 
     def __init__(
         self,
@@ -67,6 +82,8 @@
         self._status = FencedAppender(store, STATUS_TOPIC, epoch, 0)
         self.states = StatePublisher(store, epoch, sequence)
         self._last_heartbeat_at = float("-inf")
+        self._waiting: list[_Write] = []
+        self._turn = asyncio.Lock()
 
     async def write(self, values_by_key: Mapping[str, bytes | None]) -> None:
         """Store all records, and retry until stored.
@@ -74,16 +91,16 @@
         A key without a value is deleted. Raise StoreFencedError if there is a newer
         owner, or StoreSequenceError if the store expects another sequence number.
         """
-        batch = self._heartbeat_if_due()
-        size_bytes = 0
-        for key, value in values_by_key.items():
-            batch.append(KeyedRecord(key, value))
-            size_bytes += len(value or b"")
-            if size_bytes > MAX_APPEND_BYTES:
-                await self._append(batch)
-                batch, size_bytes = [], 0
-        if batch:
-            await self._append(batch)
+        if not values_by_key and not self._is_heartbeat_due():
+            return
+        # Whoever has its turn first stores what all others wait to write.
+        waiting = _Write(
+            [KeyedRecord(key, value) for key, value in values_by_key.items()]
+        )
+        self._waiting.append(waiting)
+        async with self._turn:
+            while not waiting.is_stored:
+                await self._append_waiting()
 
     async def write_heartbeat(self) -> None:
         """Store a heartbeat unless one was sent within HEARTBEAT_INTERVAL_SECONDS."""
@@ -100,13 +117,32 @@
             # Others claim about a second later, when the heartbeats time out.
             return
 
+    async def _append_waiting(self) -> None:
+        """Append what waits to be written, up to MAX_APPEND_BYTES or one write."""
+        writes: list[_Write] = []
+        records = self._heartbeat_if_due()
+        size_bytes = 0
+        for write in self._waiting:
+            size_bytes += write.size_bytes
+            if writes and size_bytes > MAX_APPEND_BYTES:
+                break
+            writes.append(write)
+            records += write.records
+        for batch in _divide(records):
+            await self._append(batch)
+        del self._waiting[: len(writes)]
+        for write in writes:
+            write.is_stored = True
+
     def _heartbeat_if_due(self) -> list[KeyedRecord]:
-        now = boot_seconds()
-        if now - self._last_heartbeat_at < HEARTBEAT_INTERVAL_SECONDS:
+        if not self._is_heartbeat_due():
             return []
-        self._last_heartbeat_at = now
+        self._last_heartbeat_at = boot_seconds()
         return [self._make_heartbeat()]
 
+    def _is_heartbeat_due(self) -> bool:
+        return boot_seconds() - self._last_heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS
+
     def _make_heartbeat(self, is_leaving: bool = False) -> KeyedRecord:
         value = encode_owner_heartbeat(
             unix_ms(), self._epoch, self._holder, self._is_large, is_leaving
@@ -129,3 +165,17 @@
         for record in records:
             if record.key == OWNER_HEARTBEAT_KEY and record.value:
                 self.states.publish_heartbeat(record.value)
+
+
+def _divide(records: list[KeyedRecord]) -> Iterator[list[KeyedRecord]]:
+    """Yield the records in lists that end once they exceed MAX_APPEND_BYTES."""
+    batch: list[KeyedRecord] = []
+    size_bytes = 0
+    for record in records:
+        batch.append(record)
+        size_bytes += len(record.value or b"")
+        if size_bytes > MAX_APPEND_BYTES:
+            yield batch
+            batch, size_bytes = [], 0
+    if batch:
+        yield batch
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
@@ -126,6 +126,58 @@
         assert heartbeat_gap(store) < HEARTBEAT_TIMEOUT_SECONDS
 
 
+class TestSharedAppends:
+    """Test what the owner's round and its other tasks write at the same time."""
+
+    def test_what_waits_is_stored_by_one_append(self):
+        """Guards against a heartbeat that waits for an append of each of them."""
+
+        async def run(store):
+            loop = asyncio.get_running_loop()
+            writer = ProgressWriter(store, 1, "owner", True, lambda at: None)
+            chance = random.Random(0)
+            delays = []
+
+            async def write_often(name, seconds):
+                while loop.time() < RUN_SECONDS:
+                    began_at = loop.time()
+                    await writer.write({name: b"%d" % round(1000 * began_at)})
+                    delays.append(loop.time() - began_at)
+                    await asyncio.sleep(chance.uniform(0.0, 2 * seconds))
+
+            names = ["job", "load", "order/1", "order/2", "rises"]
+            await asyncio.gather(*(write_often(name, 0.2) for name in names))
+            return delays
+
+        store = StoreModel(BEGIN_SECONDS, END_SECONDS, slowness=SLOWNESS)
+        delays = run_in_virtual_time(run(store))
+        assert heartbeat_gap(store) < 1.0
+        # An append of its own, and the one before it.
+        assert max(delays) < 3 * SLOWNESS * RESPONSE_SECONDS
+        for name in ["job", "load", "order/1", "order/2", "rises"]:
+            values = [
+                int(record.value)
+                for _, _, records in store.stored
+                for record in records
+                if record.key == name
+            ]
+            assert values == sorted(set(values))
+
+    def test_all_writers_learn_of_a_newer_owner(self):
+        """Guards against a writer that takes its records for stored."""
+
+        async def run():
+            store = StoreModel(0.0, 0.0)
+            writer = ProgressWriter(store, 1, "owner", True, lambda at: None)
+            claim = FencedAppender(store, PROGRESS_TOPIC, 2, 900)
+            await claim.append([KeyedRecord(OWNER_HEARTBEAT_KEY, b"claim")])
+            writes = (writer.write({f"job-{n}": b"v"}) for n in range(3))
+            return await asyncio.gather(*writes, return_exceptions=True)
+
+        results = run_in_virtual_time(run())
+        assert [type(result) for result in results] == 3 * [StoreFencedError]
+
+
 class BusyStore:
     """Lose the first append, reject those until `free_at`, and store the others."""
 
