Let an error in telling why a task waits stop no job

Seen by callers: nothing yet. An error in the search for the reason of a wait, which serves the log alone, set the job apart: its long-running tasks were not started again under this owner. An error as the line was written ended the round, and with it the owner. Cause: `log_waits` treated the error like one in the work on the job, and the part that writes the line was outside of the guard. Change: one guard around both; it logs `waits-not-known` with the job and the error, at most every 5 s, and leaves the job as it is. Measured: 15 tests of test_waits.py pass.

--- a/packages/baobablane/baobablane/scheduling/_wait_table.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_table.py
@@ -20,3 +20,5 @@
 
     wait_by_task: dict[TaskId, Wait] = field(default_factory=dict)
     checked_at: float = float("-inf")
+    # When it was last logged that a check raised an error.
+    error_logged_at: float = float("-inf")
--- a/packages/baobablane/baobablane/scheduling/_waits.py
+++ b/packages/baobablane/baobablane/scheduling/_waits.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from ..jobs import TaskId
+from ._event import SchedulingEvent
 from ._job_run import JobRun
 from ._placement import has_room, may_run
 from ._stalls import may_still_arrive
@@ -45,20 +46,23 @@
     waits.checked_at = now
     previous, waits.wait_by_task = waits.wait_by_task, {}
     lines = 0
-    for job_id, job_run in list(state.jobs.items()):
+    for job_id, job_run in state.jobs.items():
         if not job_run.is_lasting or job_run.state.is_final():
             continue
         try:
-            reason_by_task = _find_reasons(state, job_run, now)
+            for task, reason in _find_reasons(state, job_run, now).items():
+                wait = waits.wait_by_task[task] = previous.get(task) or Wait(now)
+                if lines < MAX_LINES and _is_due(wait, reason, now):
+                    lines += 1
+                    wait.reason, wait.logged_at = reason, now
+                    _log_wait(state, job_run, task, reason, now - wait.since)
         except Exception as error:
-            state.set_apart(job_id, error)
-            continue
-        for task, reason in reason_by_task.items():
-            wait = waits.wait_by_task[task] = previous.get(task) or Wait(now)
-            if lines < MAX_LINES and _is_due(wait, reason, now):
-                lines += 1
-                wait.reason, wait.logged_at = reason, now
-                _log_wait(state, job_run, task, reason, now - wait.since)
+            # It only tells why the job's tasks wait, so work on the job goes on.
+            if now - waits.error_logged_at >= REPEAT_SECONDS:
+                waits.error_logged_at = now
+                state.events.append(
+                    SchedulingEvent("waits-not-known", job_id, reason=repr(error))
+                )
 
 
 def _log_wait(
--- a/packages/baobablane/baobablane/scheduling/tests/test_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_waits.py
@@ -127,3 +127,50 @@
         add(fleet, make_job(make_step(is_lasting=True), name=JOB))
         run_rounds(fleet, 5.0)
         assert not fleet.scheduler.state.jobs[JOB].has_begun()
+
+
+class TestErrors:
+    """Test that an error in telling why a task waits does not stop its job."""
+
+    @pytest.fixture
+    def fleet(self, fleet, monkeypatch):
+        """Return a full fleet with a waiting task; no reason can be told."""
+        fill(fleet)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+
+        def raise_error(*args):
+            raise KeyError("reason")
+
+        monkeypatch.setattr(
+            "baobablane.scheduling._waits._why_not_started", raise_error
+        )
+        return fleet
+
+    def test_task_is_started_once_there_is_room(self, fleet):
+        run_rounds(fleet, 3.0)
+        for position in range(8):
+            fleet.finish(TaskId("f" * 16, 0, 0, position))
+        run_rounds(fleet, 0.5)
+        assert fleet.runs_of(TASK) == 1
+
+    def test_error_is_logged_every_few_seconds(self, fleet):
+        for _ in range(20):
+            fleet.now += 0.5
+            fleet.renew_all()
+            fleet.place()
+        lines = [e for e in fleet.scheduler.pop_events() if e.job == JOB]
+        assert {line.event for line in lines} == {"waits-not-known"}
+        assert len(lines) == 2
+        assert "reason" in lines[0].reason
+
+    def test_error_as_a_line_is_written_does_not_stop_the_round(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.undo()
+
+        def raise_error(*args):
+            raise ValueError("line")
+
+        monkeypatch.setattr("baobablane.scheduling._waits._log_wait", raise_error)
+        assert run_rounds(fleet, 3.0) == []
+        assert JOB in fleet.scheduler.state.jobs
