Lose nothing known of a job on which work raised an error

Seen by callers: not yet; found by reading, with an error put into the work on one job. The end `done` of a task was acknowledged and not recorded, so the next owner started the task again. A cancellation stopped the runs, but no state was recorded. Two kinds of runs were left on an upstream for good, and it got no more starts of any job: those planned before the error, which nobody sent, and those of unknown outcome, which nobody stopped. Cause: `set_apart` dropped the job's tracking and its place among the jobs to be recorded, while reports, acknowledgements and room went on without it. It also left a job that had just ended among those to be removed, so that it was removed without a record of its end. Change: `JobApart` keeps the tasks of the job, to which the ends, losses and final states that come meanwhile are applied, each so that a second time changes nothing, as the error may have come half way. They are recorded as those of any job, and the end that raised the error is among them. Starts of the round in which the error came are withdrawn, and stops of starts with an unknown outcome are sent. An owner that finds all tasks of a job done and no end recorded completes it. In test_set_apart.py and test_accepted_jobs.py the name of the collection changes, the checks don't.

--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -121,6 +121,10 @@
         """
         if self.state.is_final():
             return JobProgress(self.state)
+        return self.open_progress()
+
+    def open_progress(self) -> JobProgress:
+        """Return the job's state with the started tasks of its open occurrences."""
         tasks = {
             f"{occurrence}.{step}.{index}": _recorded_task(task)
             for (occurrence, step), step_run in self.steps.items()
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -61,6 +61,7 @@
         orders += started
     for pool, candidates in candidates_by_pool.items():
         orders += plan_trials(state, pool, candidates, room, now)
+    state.unsent_tasks.clear()
     log_waits(state, now)
     return orders
 
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -30,6 +30,7 @@
                 _apply_end(state, upstream, ended, now)
             except Exception as error:
                 state.set_apart(ended.task.job, error)
+                _apply_end_apart(state, upstream, ended)
     listed = {row.task for row in report.running} | report.unreadable_tasks
     upstream.orphan_runs = {}
     for row in report.running:
@@ -99,17 +100,19 @@
         state.remove_run(upstream, ended.task)
     job_run = state.jobs.get(ended.task.job)
     found = job_run.find_task(ended.task) if job_run else None
+    if found is not None or ended.task.job in state.apart_by_id:
+        state.log_decision(
+            "task-ended",
+            ended.task,
+            ended.run,
+            upstream=upstream.id,
+            reason=ended.reason.value,
+            age_seconds=now - run.started_at if run else 0.0,
+        )
     if job_run is None or found is None:
+        _apply_end_apart(state, upstream, ended)
         return
     step_run, task = found
-    state.log_decision(
-        "task-ended",
-        ended.task,
-        ended.run,
-        upstream=upstream.id,
-        reason=ended.reason.value,
-        age_seconds=now - run.started_at if run else 0.0,
-    )
     if task.state is TaskState.DONE or not _is_relevant_end(step_run, task, ended):
         return
     if ended.reason in (EndReason.DONE, EndReason.FAILED):
@@ -134,6 +137,38 @@
         step_run.waiting.add(ended.task.position)
 
 
+def _apply_end_apart(
+    state: SchedulerState, upstream: Upstream, ended: EndedRun
+) -> None:
+    """Apply the end of a run if its job is set apart.
+
+    The end may have been applied in part when the error was raised.
+    """
+    apart = state.apart_by_id.get(ended.task.job)
+    if apart is None:
+        return
+    run = upstream.runs.get(ended.task)
+    if run is not None and run.number == ended.run:
+        state.remove_run(upstream, ended.task)
+    task = apart.note_end(ended)
+    if task is None:
+        return
+    state.dirty_jobs.add(ended.task.job)
+    queue = state.configuration.queues_by_name.get(apart.job.queue)
+    if (
+        queue is not None
+        and not apart.job.steps[ended.task.step].is_lasting
+        and task.failures >= queue.max_attempts
+    ):
+        state.finish_apart(apart, JobState.FAILED, f"{task.failures} failed runs")
+
+
+def complete_if_done(state: SchedulerState, job_run: JobRun, now: float) -> None:
+    """Complete a job of which all tasks are known to be done, unless it has ended."""
+    if job_run.is_complete() and not job_run.state.is_final():
+        _complete_job(state, job_run, now)
+
+
 def _is_relevant_end(step_run: StepRun, task: Task, ended: EndedRun) -> bool:
     # For a task that may run twice, the first copy to finish completes the task, and
     # the failure of either copy counts.
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -5,7 +5,7 @@
 
 from ..crashes import HostChanges
 from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
-from ..jobs import Job, JobProgress, JobState, check_job
+from ..jobs import Job, JobProgress, JobState
 from ._advice import AdviceRequest
 from ._crash_evidence import (
     clear_settled,
@@ -18,8 +18,8 @@
 )
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
-from ._incarnations import replace_incarnation, restore_losses, restore_run
-from ._job_run import JobRun
+from ._incarnations import replace_incarnation
+from ._job_intake import take_in
 from ._lost_upstream import unstable_pools
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._pacing import FULL_PERCENT, plan_pace_orders
@@ -56,40 +56,9 @@
         self.state.allows_starts = allows_starts
 
     def add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
-        """Schedule a job, resuming from its recorded progress if there is any.
-
-        If that raises an error, the job is set apart: a job is stored, so an error that
-        ended this owner would end each later one too.
-        """
-        if job.id in self.state.jobs or job.id in self.state.errors_by_job:
-            return
-        try:
-            self._add_job(job, progress, now)
-        except Exception as error:
-            self.state.set_apart(job.id, error)
-
-    def _add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
-        check_job(job)
-        job_run = JobRun(job, progress, now)
-        self.state.jobs[job.id] = job_run
-        self.state.standings.record_arrival(job)
-        if job_run.state.is_final():
-            self.state.final_jobs.add(job.id)
-        pool = self.state.pool_of(job_run)
-        core_seconds = job.declared_core_seconds()
-        self.state.arrived_core_seconds[pool] += core_seconds
-        self.state.arrived_squares[pool] += core_seconds**2
-        if not job_run.is_lasting and not job.is_periodic():
-            job_run.size_class = self.state.size_classes.add_job(
-                job.queue, core_seconds, now
-            )
-        if progress:
-            for step_run in job_run.steps.values():
-                for index in step_run.started_indexes():
-                    restore_run(
-                        self.state, step_run.task_id(index), step_run.tasks[index], now
-                    )
-                restore_losses(self.state, step_run, now)
+        """Schedule a job, resuming from its recorded progress if there is any."""
+        if job.id not in self.state.jobs and job.id not in self.state.apart_by_id:
+            take_in(self.state, job, progress, now)
 
     def note_past_job(self, job: Job) -> None:
         """Count a job that ended under an earlier owner against its account's rate."""
@@ -98,14 +67,13 @@
 
     def cancel_job(self, job_id: str) -> None:
         """Cancel a job unless it has ended, so that its runs are stopped."""
-        # Without this entry, runs of an unknown job are stopped.
-        if self.state.errors_by_job.pop(job_id, None):
-            self.state.check_stops_of(job_id)
+        reason = "cancelled by its caller"
+        apart = self.state.apart_by_id.get(job_id)
+        if apart is not None:
+            self.state.finish_apart(apart, JobState.CANCELLED, reason)
         job_run = self.state.jobs.get(job_id)
         if job_run is not None:
-            self.state.finish_job(
-                job_run, JobState.CANCELLED, "cancelled by its caller"
-            )
+            self.state.finish_job(job_run, JobState.CANCELLED, reason)
 
     def upstream_listed(self, entry: UpstreamEntry, now: float) -> None:
         """Apply an upstream's entry; a newer incarnation replaces the known one."""
@@ -339,14 +307,18 @@
         dirty_jobs, self.state.dirty_jobs = self.state.dirty_jobs, set()
         for job_id in dirty_jobs:
             job_run = self.state.jobs.get(job_id)
-            if job_run is None:
-                continue
-            try:
-                if job_run.state is JobState.PENDING and job_run.has_started():
-                    job_run.state = JobState.RUNNING
-                changed[job_id] = job_run.progress()
-            except Exception as error:
-                self.state.set_apart(job_id, error)
+            if job_run is not None:
+                try:
+                    if job_run.state is JobState.PENDING and job_run.has_started():
+                        job_run.state = JobState.RUNNING
+                    changed[job_id] = job_run.progress()
+                except Exception as error:
+                    self.state.set_apart(job_id, error)
+            apart = self.state.apart_by_id.get(job_id)
+            if apart is not None:
+                changed[job_id] = apart.recorded_progress()
+        # A job that was just set apart is recorded with the others.
+        self.state.dirty_jobs.clear()
         return changed
 
     def applied_ends(self) -> list[tuple[Upstream, int]]:
@@ -376,9 +348,7 @@
         ]
         self.state.final_jobs.difference_update(ended)
         for job_id in ended:
-            self.state.jobs.pop(job_id, None)
-            self.state.standings.remove_job(job_id)
-            self.state.advice.remove_job(job_id)
+            self.state.forget_job(job_id)
         return ended
 
     def pop_events(self) -> list[SchedulingEvent]:
--- a/packages/baobablane/baobablane/scheduling/_stalls.py
+++ b/packages/baobablane/baobablane/scheduling/_stalls.py
@@ -18,7 +18,10 @@
     """Return whether a run is unwanted, stalled or evicted."""
     job_run = state.jobs.get(run.task.job)
     if job_run is None:
-        return run.task.job not in state.errors_by_job
+        apart = state.apart_by_id.get(run.task.job)
+        # A start of unknown outcome keeps all others away from its upstream until it
+        # is stopped.
+        return apart is None or apart.is_final() or run.needs_stop
     if job_run.state.is_final() or job_run.find_task(run.task) is None:
         return True
     return (
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -30,6 +30,7 @@
         target_ms=step.target_ms,
         is_trial=is_trial,
     )
+    state.unsent_tasks.add(run.task)
     state.add_run(run, upstream, now)
 
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -3,12 +3,13 @@
 from collections import Counter, defaultdict
 
 from ..deployment import Configuration
-from ..jobs import JobState, TaskId, TaskState
+from ..jobs import Job, JobProgress, JobState, TaskId, TaskState
 from ..routing import EjectionPolicy, EjectionTable
 from ._account_standings import AccountStandings
 from ._account_usage import AccountUsage
 from ._advice import AdviceTable
 from ._event import CRASH_EVENT, SchedulingEvent
+from ._job_apart import JobApart
 from ._job_run import JobRun
 from ._lost_upstream import LostUpstream
 from ._placement import has_room
@@ -68,9 +69,10 @@
         # When a report of any upstream last showed that a start or its response had
         # been lost.
         self.last_message_loss_at = float("-inf")
-        # Jobs on which work raised an error, with its description. They are not placed,
-        # and their runs are left alone.
-        self.errors_by_job: dict[str, str] = {}
+        # Jobs on which work raised an error. They are not placed, and their runs go on.
+        self.apart_by_id: dict[str, JobApart] = {}
+        # Tasks with a run of this round, of which no start can have been sent.
+        self.unsent_tasks: set[TaskId] = set()
         # Jobs in a final state that are not removed yet.
         self.final_jobs: set[str] = set()
         # Number of runs of each job that has any.
@@ -195,14 +197,21 @@
         """Return a task to the waiting state after its run was lost."""
         run = self.remove_run(upstream, task)
         job_run = self.jobs.get(task.job)
-        found = job_run.find_task(task) if job_run else None
-        if found is None or run is None:
+        if run is None:
             return
-        step_run, progress = found
-        if progress.state is not TaskState.STARTED or progress.run != run.number:
-            return
-        progress.state = TaskState.WAITING
-        step_run.waiting.add(task.position)
+        if job_run is None:
+            apart = self.apart_by_id.get(task.job)
+            if apart is None or not apart.note_lost_run(run, upstream.id):
+                return
+        else:
+            found = job_run.find_task(task)
+            if found is None:
+                return
+            step_run, progress = found
+            if progress.state is not TaskState.STARTED or progress.run != run.number:
+                return
+            progress.state = TaskState.WAITING
+            step_run.waiting.add(task.position)
         self.dirty_jobs.add(task.job)
         self.requeued_by_reason[reason] += 1
         self.log_decision(
@@ -245,18 +254,45 @@
     def set_apart(self, job_id: str, error: Exception) -> None:
         """Stop all work on a job after an unexpected error, so that others go on.
 
-        A run without a number was never recorded, so its room is freed.
+        What is known of the job is recorded, as ends that were applied
+        before the error will be acknowledged.
         """
-        self.errors_by_job[job_id] = repr(error)
-        self.jobs.pop(job_id, None)
-        self.standings.remove_job(job_id)
-        self.suspects.remove_job(job_id)
-        self.dirty_jobs.discard(job_id)
+        job_run = self.jobs.get(job_id)
+        if job_run is not None:
+            progress = job_run.open_progress()
+            self.dirty_jobs.add(job_id)
+            self.set_apart_unchanged(job_run.job, progress, error, job_run)
+        elif job_id not in self.apart_by_id:
+            self._log_set_apart(job_id, error)
+
+    def set_apart_unchanged(
+        self,
+        job: Job,
+        progress: JobProgress,
+        error: Exception,
+        job_run: JobRun | None,
+    ) -> None:
+        """Set a job apart whose progress needs no new record."""
+        apart = JobApart(job, progress, repr(error), job_run)
+        self.apart_by_id[job.id] = apart
+        self.jobs.pop(job.id, None)
+        self.suspects.remove_job(job.id)
         for upstream in self.upstreams.values():
             for task, run in list(upstream.runs.items()):
-                if task.job == job_id and not run.number:
+                if task.job == job.id and task in self.unsent_tasks:
                     self.remove_run(upstream, task)
-        self.events.append(SchedulingEvent("job-set-apart", job_id, reason=repr(error)))
+                    apart.note_lost_run(run, upstream.id)
+        if apart.is_final():
+            self._await_removal(job.id)
+        self._log_set_apart(job.id, error)
+
+    def finish_apart(self, apart: JobApart, state: JobState, reason: str) -> None:
+        """Set the final state of a job that is set apart, unless it has one."""
+        if apart.is_final():
+            return
+        apart.progress.state = state
+        self._await_removal(apart.job.id)
+        self._log_final_state(apart.job, state, reason)
 
     def finish_job(
         self, job_run: JobRun, state: JobState, reason: str, outcome: str = ""
@@ -266,16 +302,35 @@
             return
         job_run.state = state
         self.suspects.remove_job(job_run.job.id)
-        self.final_jobs.add(job_run.job.id)
-        self.dirty_jobs.add(job_run.job.id)
-        self.check_stops_of(job_run.job.id)
+        self._await_removal(job_run.job.id)
+        self._log_final_state(job_run.job, state, reason, outcome)
+
+    def forget_job(self, job_id: str) -> None:
+        """Forget a job whose end is recorded and that has no runs."""
+        self.jobs.pop(job_id, None)
+        self.apart_by_id.pop(job_id, None)
+        self.standings.remove_job(job_id)
+        self.advice.remove_job(job_id)
+
+    def _await_removal(self, job_id: str) -> None:
+        """Let a job in a final state be recorded, and its runs be stopped."""
+        self.final_jobs.add(job_id)
+        self.dirty_jobs.add(job_id)
+        self.check_stops_of(job_id)
+
+    def _log_set_apart(self, job_id: str, error: Exception) -> None:
+        self.events.append(SchedulingEvent("job-set-apart", job_id, reason=repr(error)))
+
+    def _log_final_state(
+        self, job: Job, state: JobState, reason: str, outcome: str = ""
+    ) -> None:
         self.events.append(
             SchedulingEvent(
                 f"job-{state.name.lower()}",
-                job_run.job.id,
+                job.id,
                 reason=reason,
-                account=job_run.job.account,
-                queue=job_run.job.queue,
+                account=job.account,
+                queue=job.queue,
                 outcome=outcome,
             )
         )
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -86,6 +86,9 @@
     planner = _TrialPlanner(state, pool, room, now)
     orders: list[StartOrder] = []
     for candidate in likely_last:
+        if candidate.step_run.job.id not in state.jobs:
+            # It was set apart in this round.
+            continue
         try:
             orders += planner.plan(candidate)
         except Exception as error:
--- a/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_set_apart.py
@@ -52,7 +52,7 @@
 
         monkeypatch.setattr(type(job_runs[GOOD]), "work", raise_for_one_job)
         assert {order.task.job for order in fleet.place()} == {GOOD}
-        assert unmeasurable in fleet.scheduler.state.errors_by_job
+        assert unmeasurable in fleet.scheduler.state.apart_by_id
 
     def test_error_is_reported_once(self, fleet):
         for _ in range(3):
@@ -65,18 +65,18 @@
         fleet.place()
         add(fleet, make_bad_job())
         assert BAD not in fleet.scheduler.state.jobs
-        assert BAD in fleet.scheduler.state.errors_by_job
+        assert BAD in fleet.scheduler.state.apart_by_id
 
     def test_malformed_progress_sets_a_job_apart(self, fleet):
         job = make_job(name="c" * 16)
         fleet.scheduler.add_job(job, JobProgress(tasks={"7.7.7": Task()}), fleet.now)
-        assert job.id in fleet.scheduler.state.errors_by_job
+        assert job.id in fleet.scheduler.state.apart_by_id
         assert GOOD in {order.task.job for order in fleet.place()}
 
     def test_job_out_of_its_limits_is_set_apart(self, fleet):
         job = make_job(make_step(10**9), name="c" * 16)
         add(fleet, job)
-        assert job.id in fleet.scheduler.state.errors_by_job
+        assert job.id in fleet.scheduler.state.apart_by_id
 
     def test_runs_of_a_job_set_apart_are_neither_stopped_nor_restarted(self):
         fleet = ModelFleet()
@@ -131,7 +131,7 @@
             fleet.finish(TaskId(name, 0, 0, 0), EndReason.DONE)
         fleet.renew_all()
         assert fleet.scheduler.state.jobs[GOOD].state is JobState.COMPLETED
-        assert BAD in fleet.scheduler.state.errors_by_job
+        assert BAD in fleet.scheduler.state.apart_by_id
 
     @staticmethod
     def raise_for_bad_job(job_run):
