Leave the runs alone of a job that could not be read

Seen by callers: not yet; found by reading. A new owner that meets an error as it takes a job over has none of its runs, so it stopped each of them as unexpected, though docs/OPERATIONS.md promises that they go on. An error that passes cost a long-running job all its tasks at once. Cause: runs that an upstream lists and that the owner doesn't follow are stopped, whether or not their job is set apart. Change: not while their job is set apart and was never followed. Once it is resumed, its recorded runs are followed and any others stopped; once it is cancelled, all are stopped. Until then their room counts as free, and their upstream rejects what doesn't fit.

--- a/packages/baobablane/baobablane/scheduling/_stop_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_stop_planning.py
@@ -4,6 +4,7 @@
 upstreams on which something has changed are checked.
 """
 
+from ..jobs import TaskId
 from ._orders import StopOrder
 from ._stalls import should_stop
 from ._state import SchedulerState
@@ -17,6 +18,7 @@
         orders += [
             StopOrder(task, run, upstream.id)
             for task, run in upstream.orphan_runs.items()
+            if not _is_not_followed(state, task)
         ]
         upstream.orphan_runs = {}
         if upstream.may_need_stops:
@@ -24,6 +26,12 @@
     return orders
 
 
+def _is_not_followed(state: SchedulerState, task: TaskId) -> bool:
+    """Return whether an error has kept this owner from following a job's runs."""
+    apart = state.apart_by_id.get(task.job)
+    return apart is not None and apart.job_run is None and not apart.is_final()
+
+
 def _plan_stops_on(
     state: SchedulerState, upstream: Upstream, now: float
 ) -> list[StopOrder]:
--- a/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
@@ -70,6 +70,19 @@
         assert fleet.place() == []
         assert not fleet.scheduler.state.run_count_by_job
 
+    def test_runs_of_a_job_that_could_not_be_added_go_on(self, fleet):
+        """Guards against a new owner that stops what it can't read at first."""
+        job = make_job(make_step(2, is_lasting=True), name=BAD)
+        add(fleet, job)
+        fleet.place()
+        fleet.scheduler = fleet.make_scheduler()
+        fleet.scheduler.add_job(job, JobProgress(tasks={"7.7.7": Task()}), fleet.now)
+        run_rounds(fleet, 5.0)
+        assert [fleet.runs_of(task) for task in (TASK, SECOND)] == [1, 1]
+        fleet.scheduler.cancel_job(BAD)
+        run_rounds(fleet, 0.5)
+        assert [fleet.runs_of(task) for task in (TASK, SECOND)] == [0, 0]
+
 
 class TestEnds:
     """Test the ends of runs of a job that is set apart."""
