Test two lines of the progress kept of a job with an error

Cause: in a trial without the line that lets the progress be recorded as the job is set apart, and in one in which failures of a done task count, all tests passed. Change: a test for each. Each trial fails one of them now.

--- a/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
@@ -3,7 +3,7 @@
 import pytest
 
 from baobablane.jobs import JobProgress, JobState, Task, TaskState
-from baobablane.scheduling import EndReason, StartResult, _reconciliation
+from baobablane.scheduling import EndedRun, EndReason, StartResult, _reconciliation
 
 from .fault_model import (
     BAD,
@@ -116,6 +116,27 @@
         set_apart(fleet)
         assert fleet.record()[BAD].tasks["0.0.0"].state is TaskState.DONE
 
+    def test_progress_is_recorded_whatever_the_error_interrupted(self, fleet):
+        add(fleet, make_job(name=BAD))
+        fleet.place()
+        assert fleet.record() == {}
+        set_apart(fleet)
+        assert fleet.record()[BAD].tasks["0.0.0"].state is TaskState.STARTED
+
+    def test_failure_of_a_copy_counts_no_more_once_the_task_is_done(self, fleet):
+        add(fleet, make_job(make_step(may_run_twice=True), name=BAD))
+        (order,) = fleet.place()
+        set_apart(fleet)
+        fleet.finish(TASK)
+        model = fleet.upstreams[order.upstream]
+        model.end_count += 1
+        model.ended.append(
+            EndedRun(model.end_count, TASK, 2, EndReason.FAILED, checkpoint="")
+        )
+        fleet.renew_all()
+        task = fleet.record()[BAD].tasks["0.0.0"]
+        assert (task.state, task.failures) == (TaskState.DONE, 0)
+
     def test_error_in_the_record_itself_loses_no_end(self, fleet, monkeypatch):
         add(fleet, make_job(make_step(2), name=BAD))
         fleet.place()
