Test that two waits without a bound end at once with their cause

Seen by callers: nothing; the two other reasons in docs/design/waits.md why a long-running task may wait without an end of their own were checked. Cause looked for: a view of evacuations that stays old though the store responds again, and a task that no upstream could run and that is forgotten. Neither was found. Change: tests of the view (timeouts, expired records, unexpected errors, a query that gives up in the middle of a shared read), of the first round after it is confirmed, and of the first round after an upstream is listed with a fitting label and capacity, after the first report of another one, and after the queue is given another pool. All passed at once. Not covered: a response of the store that trickles has no limit of its total time (`stall_timeout`), and the view is old until it has arrived.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_topic_tail.py
@@ -4,6 +4,7 @@
 import io
 import json
 import math
+from importlib import import_module
 from types import SimpleNamespace
 
 import pytest
@@ -304,3 +305,81 @@
         assert (regained["event"], regained["failed_reads"]) == ("store-regained", 2)
         failures = log.metrics.store_read_failures.labels("keyed.jobs")
         assert failures._value.get() == 2
+
+
+class OutageStore:
+    """Fail the first reads, and then confirm that there are no records."""
+
+    def __init__(self, errors):
+        """Set the errors that the first calls raise."""
+        self.errors = list(errors)
+        self.confirmed = asyncio.Event()
+
+    async def read_newest(self, topic, partition, after, on_data=None):
+        """Return no records, or raise the next error."""
+        self.fail()
+        return NewestPage(7, [], None)
+
+    async def read(self, topic, partition, start, wait_ms, on_data):
+        """Return a page without records, or raise the next error."""
+        if self.confirmed.is_set():
+            await asyncio.Event().wait()
+        self.fail()
+        self.confirmed.set()
+        return RecordPage(start, 0, [])
+
+    def fail(self):
+        """Raise the next error, unless the outage is over."""
+        if self.errors:
+            raise self.errors.pop(0)
+
+
+class TestOutage:
+    """Test that a view does not stay old once the store responds again.
+
+    Nothing is started as long as the view of the operators' topic is too old.
+    """
+
+    @pytest.mark.parametrize(
+        "error",
+        [
+            StoreUnknownOutcomeError("no response"),
+            StoreExpiredError("read anew"),
+            ValueError("unexpected"),
+            TimeoutError(),
+        ],
+    )
+    @pytest.mark.parametrize("count", [1, 2, 50])
+    async def test_first_good_read_confirms_the_view(self, monkeypatch, error, count):
+        module = import_module("baobablane_daemon.jobs._topic_tail")
+        monkeypatch.setattr(module, "READ_RETRY_SECONDS", 0.0)
+        store = OutageStore([error] * count)
+        log = DecisionLog("entry-1")
+        tail = TopicTail(store, log, "keyed.op", lambda record: None)
+        reader = asyncio.create_task(tail.run())
+        try:
+            async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+                await store.confirmed.wait()
+            await asyncio.sleep(0)
+            assert math.isfinite(tail.age())
+            assert not store.errors
+            assert not reader.done()
+        finally:
+            reader.cancel()
+
+    async def test_reader_outlives_queries_that_give_up(self):
+        """Guards against a shared read that ends with the query that began it."""
+        store = OutageStore([])
+        tail = TopicTail(store, DecisionLog("entry-1"), "keyed.op", lambda record: None)
+        query = asyncio.create_task(tail.catch_up())
+        await asyncio.sleep(0)
+        query.cancel()
+        reader = asyncio.create_task(tail.run())
+        try:
+            async with asyncio.timeout(HANG_TIMEOUT_SECONDS):
+                await store.confirmed.wait()
+            await asyncio.sleep(0)
+            assert math.isfinite(tail.age())
+            assert not reader.done()
+        finally:
+            reader.cancel()
--- a/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from baobablane.deployment import Resources
 from baobablane.jobs import TaskId
 
 from .fleet_model import (
     CORE,
     ModelFleet,
+    ModelUpstream,
     add,
     make_configuration,
     make_job,
@@ -144,3 +146,65 @@
         assert fleet.plan_starts() == []
         (again,) = fleet.scheduler.pop_advice_requests()
         assert again.upstreams == (other,)
+
+
+class TestUnfitPools:
+    """Test a task that no upstream can run, once one comes that can."""
+
+    @pytest.fixture
+    def fleet(self, fleet):
+        """Return a fleet with a task that no upstream can run."""
+        step = make_step(cpu=8 * CORE, is_lasting=True, required_label="disk")
+        add(fleet, make_job(step, name=JOB))
+        for _ in range(10):
+            fleet.now += 1.0
+            fleet.renew_all()
+            assert fleet.place() == []
+        return fleet
+
+    def list_fitting(self, fleet, name):
+        """List an upstream as one that can run the task."""
+        entry = replace(
+            fleet.upstreams["u0"].entry,
+            id=name,
+            capacity=Resources(8 * CORE, 1_000_000, 0),
+            labels=frozenset({"disk"}),
+        )
+        fleet.upstreams.setdefault(name, ModelUpstream(entry))
+        fleet.scheduler.upstream_listed(entry, fleet.now)
+
+    def test_task_starts_in_the_round_after_an_upstream_has_changed(self, fleet):
+        self.list_fitting(fleet, "u0")
+        assert [order.upstream for order in fleet.place()] == ["u0"]
+
+    def test_task_starts_in_the_round_after_the_first_report_of_another(self, fleet):
+        self.list_fitting(fleet, "u9")
+        fleet.renew("u9")
+        assert [order.upstream for order in fleet.place()] == ["u9"]
+
+    def test_task_starts_in_the_round_after_its_queue_has_another_pool(self, fleet):
+        self.list_fitting(fleet, "u9")
+        known = fleet.scheduler.state.upstreams["u9"]
+        known.entry = replace(known.entry, pool="other")
+        fleet.renew("u9")
+        assert fleet.place() == []
+        queues = [make_queue(pool="other")]
+        fleet.scheduler.set_configuration(make_configuration(2, queues=queues))
+        assert [order.upstream for order in fleet.place()] == ["u9"]
+
+
+class TestEvacuationView:
+    """Test tasks that wait because it is not known which zones are evacuated."""
+
+    @pytest.mark.parametrize("outage_seconds", [1.0, 300.0])
+    def test_task_starts_in_the_round_after_the_view_is_confirmed(
+        self, fleet, outage_seconds
+    ):
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.scheduler.set_evacuation(frozenset(), allows_starts=False)
+        assert fleet.place() == []
+        fleet.now += outage_seconds
+        fleet.renew_all()
+        assert fleet.place() == []
+        fleet.scheduler.set_evacuation(frozenset(), allows_starts=True)
+        assert [order.task for order in fleet.place()] == [TASK]
