Probe readiness by an unknown queue, and check the count of read jobs

Cause: TestReadiness took the number of pending jobs as the sign that an instance has its configuration. That number is rejected now until the jobs are read, so the probe never came.

Change: the probe waits for the 404 of an unknown queue, which needs the configuration and no jobs; the test's assertions are unchanged. One more test checks that read jobs are counted.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -200,6 +200,10 @@
 
         run_in_virtual_time(scenario())
 
+
+class TestPendingCount:
+    """Test the number of a queue's pending jobs."""
+
     def test_unread_jobs_are_not_counted(self):
         """Guards against a count of zero while jobs wait."""
 
@@ -211,6 +215,14 @@
 
         run_in_virtual_time(scenario())
 
+    def test_read_jobs_are_counted(self):
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                status, body, _ = await caller.call("GET", job_id="")
+                assert (status, body) == (200, {"pendingCount": 1})
+
+        run_in_virtual_time(scenario())
+
 
 class TestUnexpectedError:
     """Test queries whose read fails by an error that is none of the store's."""
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_views.py
@@ -91,8 +91,8 @@
                 if not deployment.entries:
                     return False
                 try:
-                    call = deployment.call(deployment.entries[0], "GET", PATH_PREFIX)
-                    return (await call)[0] == 200
+                    call = deployment.call(deployment.entries[0], "GET", "/none/")
+                    return (await call)[0] == 404
                 except aiohttp.ClientError:
                     return False
 
