Keep the final state of a job apart out of the record that was read

A cancellation of a job that could not be added set the state in the record that the views hold, so that an entry instance would have shown it before it was stored. Change: it holds a copy. Evidence: test_record_that_was_read_is_not_changed failed before.

--- a/packages/baobablane/baobablane/scheduling/_job_intake.py
+++ b/packages/baobablane/baobablane/scheduling/_job_intake.py
@@ -1,5 +1,7 @@
 """Begin to track jobs, and resume those on which work raised an error."""
 
+from copy import copy
+
 from ..jobs import Job, JobProgress, check_job
 from ._event import SchedulingEvent
 from ._incarnations import restore_losses, restore_run
@@ -37,7 +39,8 @@
             _restore_runs(state, job_run, now)
             complete_if_done(state, job_run, now)
     except Exception as error:
-        known = progress or JobProgress()
+        # The record that was read belongs to the views.
+        known = copy(progress) if progress else JobProgress()
         followed = state.jobs.get(job.id, previous)
         state.set_apart_unchanged(job, known, error, followed)
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
@@ -230,6 +230,14 @@
         assert fleet.record()[BAD].state is JobState.CANCELLED
         assert len(pop_events(fleet, "job-cancelled")) == 1
 
+    def test_record_that_was_read_is_not_changed(self, fleet):
+        """Guards against a state that is shown before it is stored."""
+        progress = JobProgress(JobState.RUNNING, {"7.7.7": Task()})
+        fleet.scheduler.add_job(make_job(name=GOOD), progress, fleet.now)
+        fleet.scheduler.cancel_job(GOOD)
+        assert fleet.record()[GOOD].state is JobState.CANCELLED
+        assert progress.state is JobState.RUNNING
+
 
 class TestFinalJobs:
     """Test jobs that are set apart as they end."""
