Show a dated state only while the instance is not ready

What callers see: with the topic of states alone silent, an instance that the balancer still routes to showed a state from 10 s before, where another instance may know more (found by the review).

Cause: a dated state looked at the silence of one topic, readiness at that of others.

A query whose read of the jobs ends late looks again whether the job is known by then, and a skipped read is a decision, so that its lines are bounded as those of others.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
@@ -72,6 +72,9 @@
         try:
             await _catch_up(tail, deadline)
         except (StoreError, TimeoutError) as error:
+            if self._views.job_table.state(job_id) is not None:
+                # The read goes on, and a part of it was enough.
+                return
             detail = "the jobs can't be read"
             reason = f"{detail}: {error!r}"
             raise self._make_rejection(job_id, detail, reason, tail.age()) from error
@@ -91,7 +94,10 @@
         try:
             await _catch_up(view, deadline)
         except (StoreError, TimeoutError) as error:
-            self._log.info("state-read-skipped", request=job_id, reason=repr(error))
+            decision = Decision(
+                "state-read-skipped", request=job_id, reason=repr(error)
+            )
+            self._log.write(decision)
         return self._views.job_table.state(job_id)
 
     def _age(self, job_id: str) -> float:
@@ -103,12 +109,18 @@
         age = view.age()
         if age <= MAX_VIEW_AGE_SECONDS:
             return 0.0
-        if math.isfinite(age) and view.is_lost(DATED_AFTER_SILENCE_SECONDS):
+        if math.isfinite(age) and self._is_store_lost():
             self._log.write(Decision("state-dated", request=job_id, seconds=age))
             return age
         detail = f"the view of jobs is {age:.1f} s old"
         raise self._make_rejection(job_id, detail, detail, age)
 
+    def _is_store_lost(self) -> bool:
+        """Return whether this instance has long ceased to be ready."""
+        views = self._views
+        tails = (views.operator_tail, views.jobs_tail, views.state_view)
+        return all(tail.is_lost(DATED_AFTER_SILENCE_SECONDS) for tail in tails)
+
     def _make_rejection(
         self, job_id: str, detail: str, reason: str, age: float
     ) -> RejectedError:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -105,6 +105,7 @@
             async with asyncio.timeout(1.0):
                 shown = await actions.state(JOB.id, make_wait())
             assert shown == ShownState(JobState.RUNNING)
+            log.flush()
             assert b"state-read-skipped" in stream.getvalue()
 
 
