Write the HTTP server's warnings to the log

Cause: the server's library logs each of them to standard error and waits for its reader. The class is that of the full standard output.

Evidence: test_warning_is_a_line_of_the_log fails on the code before.

Change: these warnings are lines of the log, which waits for nobody.

Measured: 14 tests of the log and the servers pass.

--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -42,6 +42,7 @@
         http="httptools",
         ws="none",
         lifespan="off",
+        log_config=None,
         log_level="warning",
         access_log=False,
         proxy_headers=False,
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -82,9 +82,11 @@
             )
         )
         self._logger = logging.getLogger("baobablane")
-        self._logger.handlers = [handler]
-        self._logger.propagate = False
         self._logger.setLevel(logging.INFO)
+        # The server would write to standard error, and wait for its reader.
+        for logger in (self._logger, logging.getLogger("uvicorn")):
+            logger.handlers = [handler]
+            logger.propagate = False
         self._latest: deque[Decision] = deque(maxlen=MAX_EXPLAINABLE_DECISIONS)
         self._unwritten: list[Decision] = []
         self._encoder = msgspec.json.Encoder()
