Keep one virtual clock for the tests of the daemon

Two test folders had a loop of their own, and three files the same fixture that set the clock of modules by name, which missed a new module. The loop now sets the one clock that all of them read.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_cancel_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_cancel_bounds.py
@@ -12,10 +12,6 @@
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     STATES_TOPIC,
-    _actions,
-    _job_writer,
-    _repeated_append,
-    _topic_tail,
 )
 from baobablane_daemon.jobs._views import CANCEL_PREFIX
 
@@ -27,15 +23,6 @@
 BOUND_SECONDS = 2.4
 
 
-@pytest.fixture(autouse=True)
-def virtual_clock(monkeypatch):
-    """Let the views and the writer read the time of the loop."""
-    for module in (_actions, _job_writer, _repeated_append, _topic_tail):
-        monkeypatch.setattr(
-            module, "boot_seconds", lambda: asyncio.get_running_loop().time()
-        )
-
-
 def is_cancellation_stored(caller):
     """Return whether the store has the cancellation of the job."""
     records = caller.store.records_by_topic[JOBS_TOPIC]
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -14,10 +14,6 @@
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     STATES_TOPIC,
-    _actions,
-    _job_writer,
-    _repeated_append,
-    _topic_tail,
 )
 from baobablane_daemon.jobs._view_limits import MAX_VIEW_AGE_SECONDS
 
@@ -30,15 +26,6 @@
 COMPLETED = b"2"
 
 
-@pytest.fixture(autouse=True)
-def virtual_clock(monkeypatch):
-    """Let the views and the writer read the time of the loop."""
-    for module in (_actions, _job_writer, _repeated_append, _topic_tail):
-        monkeypatch.setattr(
-            module, "boot_seconds", lambda: asyncio.get_running_loop().time()
-        )
-
-
 class TestUnknownJob:
     """Test queries for a job that this instance has not read."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
@@ -5,17 +5,9 @@
 
 import asyncio
 
-import pytest
 from baobablane.errors import RejectedError, ResultCode
 from baobablane_platform import CallerWait, KeyedRecord, StoreRejectedError
 
-from baobablane_daemon.jobs import (
-    _actions,
-    _job_writer,
-    _repeated_append,
-    _topic_tail,
-)
-
 from .caller import JOB, QUEUE, run_instance
 from .scripted_store import answer_after, fail_with, hang
 from .virtual_time import run_in_virtual_time
@@ -24,15 +16,6 @@
 BOUND_SECONDS = 2.4
 
 
-@pytest.fixture(autouse=True)
-def virtual_clock(monkeypatch):
-    """Let the views and the writer read the time of the loop."""
-    for module in (_actions, _job_writer, _repeated_append, _topic_tail):
-        monkeypatch.setattr(
-            module, "boot_seconds", lambda: asyncio.get_running_loop().time()
-        )
-
-
 async def submit(caller, patience_seconds=3.0):
     """Return the result code of a submission, and the seconds it takes."""
     loop = asyncio.get_running_loop()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/virtual_time.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/virtual_time.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
-from typing import Any
+from unittest import mock
+
+# Long after the start of the machine.
+DEFAULT_START_SECONDS = 1000.0
+CLOCK = "baobablane_daemon.jobs._clock.time.clock_gettime"
 
 
 class _InstantSelector(selectors.DefaultSelector):
@@ -25,9 +28,9 @@
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """Run timers in order without waiting for them."""
 
-    def __init__(self):
-        """Start at second 1,000, long after the start of the machine."""
-        self._now = 1000.0
+    def __init__(self, start_seconds):
+        """Start at a time."""
+        self._now = start_seconds
         super().__init__(_InstantSelector(self.freeze))
 
     def time(self):
@@ -39,7 +42,11 @@
         self._now += seconds
 
 
-def run_in_virtual_time(coroutine: Coroutine[Any, Any, None]) -> None:
-    """Run a coroutine to its end on a new loop."""
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        runner.run(coroutine)
+def run_in_virtual_time(coroutine, start_seconds=DEFAULT_START_SECONDS):
+    """Run a coroutine to its end; `boot_seconds` shows the time of the loop."""
+    loop = VirtualTimeLoop(start_seconds)
+    with (
+        mock.patch(CLOCK, lambda clock_id: loop.time()),
+        asyncio.Runner(loop_factory=lambda: loop) as runner,
+    ):
+        return runner.run(coroutine)
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
@@ -17,8 +17,8 @@
 from baobablane_daemon.owner._fenced_appender import FencedAppender
 from baobablane_daemon.owner._progress_writer import ProgressWriter
 
+from ..jobs.tests.virtual_time import run_in_virtual_time
 from .store_model import RESPONSE_SECONDS, StoreModel
-from .virtual_time import run_in_virtual_time
 
 BEGIN_SECONDS = 2.0
 TROUBLE_SECONDS = 4.5
@@ -89,7 +89,7 @@
             store = StoreModel(
                 BEGIN_SECONDS, END_SECONDS, seed, loss=0.35, is_late=is_late
             )
-            run_in_virtual_time(run_owner(store, seed))
+            run_in_virtual_time(run_owner(store, seed), 0.0)
             claims += heartbeat_gap(store) > HEARTBEAT_TIMEOUT_SECONDS
         # Nine attempts in a row are lost of one append in 12,000, which is one in these
         # 80 troubles of about 30 appends each.
@@ -103,7 +103,9 @@
             store = StoreModel(
                 BEGIN_SECONDS, END_SECONDS, seed, loss=0.3, is_late=is_late
             )
-            for at, seconds, error in run_in_virtual_time(submit_jobs(store, seed)):
+            for at, seconds, error in run_in_virtual_time(
+                submit_jobs(store, seed), 0.0
+            ):
                 if BEGIN_SECONDS < at < END_SECONDS:
                     taken.append(seconds)
                     unknown += error is not None
@@ -118,7 +120,7 @@
     def test_repetitions_of_the_owner_do_not_stand_in_its_line(self):
         """Guards against an owner that makes its own line longer."""
         store = StoreModel(BEGIN_SECONDS, END_SECONDS, slowness=SLOWNESS)
-        run_in_virtual_time(run_owner(store, 0))
+        run_in_virtual_time(run_owner(store, 0), 0.0)
         stored = [at for at, _, _ in store.stored if BEGIN_SECONDS < at < END_SECONDS]
         possible = TROUBLE_SECONDS / (SLOWNESS * RESPONSE_SECONDS)
         assert len(stored) >= 0.7 * possible
@@ -150,7 +152,7 @@
             return delays
 
         store = StoreModel(BEGIN_SECONDS, END_SECONDS, slowness=SLOWNESS)
-        delays = run_in_virtual_time(run(store))
+        delays = run_in_virtual_time(run(store), 0.0)
         assert heartbeat_gap(store) < 1.0
         # An append of its own, and the one before it.
         assert max(delays) < 3 * SLOWNESS * RESPONSE_SECONDS
@@ -174,7 +176,7 @@
             writes = (writer.write({f"job-{n}": b"v"}) for n in range(3))
             return await asyncio.gather(*writes, return_exceptions=True)
 
-        results = run_in_virtual_time(run())
+        results = run_in_virtual_time(run(), 0.0)
         assert [type(result) for result in results] == 3 * [StoreFencedError]
 
 
@@ -207,7 +209,7 @@
             await appender.append([KeyedRecord(OWNER_HEARTBEAT_KEY, b"1")])
             return asyncio.get_running_loop().time()
 
-        assert run_in_virtual_time(run()) < HEARTBEAT_TIMEOUT_SECONDS
+        assert run_in_virtual_time(run(), 0.0) < HEARTBEAT_TIMEOUT_SECONDS
 
 
 class TestSupersededOwner:
@@ -230,7 +232,7 @@
             await asyncio.sleep(10.0)
             return store.stored[claimed:]
 
-        assert run_in_virtual_time(run()) == []
+        assert run_in_virtual_time(run(), 0.0) == []
 
     @pytest.mark.parametrize("seed", range(8))
     def test_late_repetitions_store_nothing_twice(self, seed):
@@ -245,4 +247,4 @@
             return [records[0].value for _, _, records in store.stored]
 
         expected = [b"%d" % number for number in range(20)]
-        assert run_in_virtual_time(run()) == expected
+        assert run_in_virtual_time(run(), 0.0) == expected
