Test a late end of a job that is set apart

Cause: the merge of late ends and resumed jobs let JobApart count a late end as done, and no test covered it.

Change: the test.

--- a/packages/baobablane/baobablane/scheduling/tests/test_late_ends.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_late_ends.py
@@ -63,6 +63,22 @@
         fleet.renew_all()
         assert fleet.send_stops() == []
 
+    def test_end_counts_while_the_job_is_set_apart(self, fleet):
+        """Guards against an end that is lost since work on its job raised an error."""
+        upstream, (second,) = begin_second_run(fleet, make_job())
+        fleet.scheduler.state.set_apart(JOB, ValueError("no such step"))
+        fleet.renew(upstream)
+        (task,) = fleet.record()[JOB].tasks.values()
+        assert (task.state, task.run) == (TaskState.DONE, 1)
+        stops = []
+        for _ in range(3):
+            fleet.renew_all()
+            assert fleet.plan_starts() == []
+            stops += fleet.send_stops()
+            fleet.now += 0.9
+        assert {(s.upstream, s.run) for s in stops} == {(second.upstream, 2)}
+        assert fleet.scheduler.state.jobs[JOB].state is JobState.COMPLETED
+
     def test_end_of_the_later_run_changes_nothing(self, fleet):
         job = make_job(make_step(), make_step(after=(0,)))
         upstream, (second,) = begin_second_run(fleet, job)
