--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
@@ -1,4 +1,4 @@
-"""Test that each submission ends before its caller gives up.
+"""Test that each new job is answered before its caller gives up.
 
 A caller that got no answer sends its job again, after it has waited for nothing.
 """
@@ -17,7 +17,7 @@
 
 
 async def submit(caller, patience_seconds=3.0):
-    """Return the result code of a submission, and the seconds it takes."""
+    """Return the result code of a new job, and the seconds until then."""
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     code = ResultCode.DONE
@@ -67,10 +67,10 @@
 
 
 class TestRepeatedSubmission:
-    """Test a submission that is repeated while its first append has no response."""
+    """Test a job that is sent again while its first append has no response."""
 
     async def repeat(self, fault):
-        """Return the results of a submission and of its repetition under a fault."""
+        """Return the results of a job and of its repetition under a fault."""
         async with run_instance() as caller:
             caller.store.append_fault = hang
             first = await submit(caller, patience_seconds=2.0)
