Log which step holds a round of the owner, and count the seconds of rounds

While a round of the owner waits, nothing is placed although upstreams have room, and no line told that or what it waited for.

A round that takes longer than 0.4 s, after which it delays a heartbeat, now leaves the line round-held with the step that took longest; baobablane_round_seconds is a histogram of all. docs/design/rounds.md lists the steps and their bounds as they are.

Both tests failed before: there was neither the line nor the metric. They run an owner in virtual time on a scripted store with one upstream, for the changes to come. Run: the tests of owner/ and test_platform.py of the daemon and the pages, 92 passed.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -42,6 +42,12 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.round_seconds = Histogram(
+            "baobablane_round_seconds",
+            "Time of a round of the owner, without the wait for the next one",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
         self.store_read_seconds = Histogram(
             "baobablane_store_read_seconds",
             "Time of a successful read of a topic, with the wait for a record",
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -44,6 +44,7 @@
 from ._order_sender import OrderSender
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
+from ._round_watch import RoundWatch
 from ._takeover_policy import make_policy
 from ._upstream_poller import UpstreamPoller
 
@@ -120,6 +121,7 @@
         self._max_progress_bytes = settings.limits.max_record_bytes - MAX_KEY_BYTES
         self._changed_job_ids: list[str] = []
         self._metrics_set_at = float("-inf")
+        self._round_watch = RoundWatch(log)
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
         self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
         self._load_publisher = LoadPublisher(
@@ -133,7 +135,8 @@
         try:
             await self._take_over()
             while self._ownership.epoch == self._epoch:
-                await self._run_round()
+                with self._round_watch.round():
+                    await self._run_round()
                 await self._wait_for_wake()
             if self._ownership.is_stopping:
                 await self._writer.announce_leaving()
@@ -201,6 +204,7 @@
                 await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
 
     async def _run_round(self) -> None:
+        self._round_watch.enter("changes")
         self._apply_changes()
         if self._views.state_readers and not self._writer.states.is_active:
             self._writer.states.activate(self._recorded_states())
@@ -209,6 +213,7 @@
         self._scheduler.expire_unreachable(now)
         for upstream_id in self._scheduler.state.upstreams:
             self._ensure_poller(upstream_id)
+        self._round_watch.enter("plan")
         for stop in self._scheduler.plan_stops(now):
             self._start_task(self._order_sender.send_stop(stop))
         for pace in self._scheduler.pop_pace_orders():
@@ -231,6 +236,7 @@
         hosts = self._instance_manager.pop_unrecorded_hosts()
         applied_ends = self._scheduler.applied_ends()
         log_events(self._log, self._scheduler.pop_events())
+        self._round_watch.enter("record")
         if changed_progress or waves or hosts:
             await self._record_progress(changed_progress, waves, hosts)
         else:
@@ -240,7 +246,9 @@
                 self._pollers[upstream_id].ends_recorded.set()
         for job_id in self._scheduler.remove_ended_jobs():
             self._ended_jobs.add(job_id, now)
+        self._round_watch.enter("delete")
         await self._job_deleter.delete_due(now)
+        self._round_watch.enter("orders")
         for start in starts:
             self._start_task(self._order_sender.send_start(start))
         self._set_account_metrics(now)
@@ -278,6 +286,7 @@
         self._writer.states.publish(
             {job_id: progress.state for job_id, progress in progress_by_job.items()}
         )
+        self._round_watch.enter("wave-status")
         for number in waves:
             await self._writer.write_wave_status(
                 number, progress_by_wave[number].is_complete
