Delete ended jobs beside the rounds of the owner

What callers saw: while the store answers no append to the topic of jobs, or slowly, tasks wait although upstreams have room, each time that ended jobs are to be deleted.

Cause: the round awaited the tombstones of the jobs, for up to 2.5 s, and then those of their progress, before it sent the starts that it had planned.

The deletion is a task of its own now: one append at a time, jobs before their progress, and none unless the ownership was confirmed within 1 s, as the store fences no tombstones of jobs. An unexpected error requeues the jobs as a StoreError does; it ended the ownership before.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
@@ -1,15 +1,32 @@
-"""Delete the records of jobs that ended long ago."""
+"""Delete the records of jobs that ended long ago.
 
-from baobablane_platform import KeyedRecord, StoreClient, StoreError
+Load pattern: for some seconds, the store answers no append to the topic of jobs, or
+takes 60 times as long. Deletions can wait, but tasks that could be placed can't.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from baobablane_platform import (
+    KeyedRecord,
+    StoreClient,
+    StoreError,
+    StoreFencedError,
+    StoreSequenceError,
+)
 
 from ..decision_log import DecisionLog
-from ..jobs import CANCEL_PREFIX, JOBS_TOPIC
+from ..jobs import CANCEL_PREFIX, JOBS_TOPIC, boot_seconds
 from ._ended_jobs import EndedJobs
+from ._ownership import MAX_CONFIRMATION_AGE_SECONDS
 from ._progress_writer import ProgressWriter
 
+# With MAX_JOBS_PER_DELETION, a thousand jobs a second may end for good.
+DELETION_INTERVAL_SECONDS = 0.1
+
 
 class JobDeleter:
-    """Write tombstones for the records of ended jobs."""
+    """Write tombstones for the records of ended jobs, one append after the other."""
 
     def __init__(
         self,
@@ -17,31 +34,57 @@
         writer: ProgressWriter,
         ended: EndedJobs,
         log: DecisionLog,
+        may_order: Callable[[float], bool],
     ) -> None:
-        """Use the owner's store client and writer; `ended` holds the jobs to delete."""
+        """Use the owner's store client and writer; `ended` holds the jobs to delete.
+
+        `may_order` returns whether the ownership was confirmed in the last seconds.
+        """
         self._store = store
         self._writer = writer
         self._ended = ended
         self._log = log
+        self._may_order = may_order
+
+    async def run(self) -> None:
+        """Delete what is due until cancelled.
 
-    async def delete_due(self, now: float) -> None:
+        Raise StoreFencedError if there is a newer owner, or StoreSequenceError if the
+        store expects another sequence number.
+        """
+        while True:
+            # The store doesn't fence tombstones of jobs, so that a newer owner could
+            # not stop them.
+            if self._may_order(MAX_CONFIRMATION_AGE_SECONDS):
+                await self._delete_due()
+            await asyncio.sleep(DELETION_INTERVAL_SECONDS)
+
+    async def _delete_due(self) -> None:
         """Delete the records that are due; requeue the jobs if that fails.
 
-        Requeued jobs are due after another full retention. `now` is in seconds of the
-        monotonic clock. Raise the errors of `ProgressWriter.write`.
+        Requeued jobs are due after another full retention.
         """
-        due = self._ended.pop_due(now)
+        due = self._ended.pop_due(boot_seconds())
         if not due:
             return
-        records = [KeyedRecord(job_id, None) for job_id in due]
-        records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in due]
-        # The job is deleted before its progress: a job without progress counts as new.
         try:
-            await self._store.append(JOBS_TOPIC, 0, records)
+            await self._delete(due)
+        except (StoreFencedError, StoreSequenceError):
+            raise
         except StoreError as error:
             self._log.info("jobs-not-dropped", count=len(due), reason=str(error))
-            for job_id in due:
-                self._ended.add(job_id, now)
+        except Exception as error:
+            self._log.error("jobs-not-dropped", error, count=len(due))
+        else:
             return
-        await self._writer.write(dict.fromkeys(due))
-        self._writer.states.delete(due)
+        now = boot_seconds()
+        for job_id in due:
+            self._ended.add(job_id, now)
+
+    async def _delete(self, job_ids: list[str]) -> None:
+        records = [KeyedRecord(job_id, None) for job_id in job_ids]
+        records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in job_ids]
+        # The job is deleted before its progress: a job without progress counts as new.
+        await self._store.append(JOBS_TOPIC, 0, records)
+        await self._writer.write(dict.fromkeys(job_ids))
+        self._writer.states.delete(job_ids)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -123,7 +123,9 @@
         self._metrics_set_at = float("-inf")
         self._round_watch = RoundWatch(log)
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
-        self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
+        self._job_deleter = JobDeleter(
+            store, self._writer, self._ended_jobs, log, self._may_order
+        )
         self._load_publisher = LoadPublisher(
             self._scheduler, self._instance_manager.instances, self._writer, log, epoch
         )
@@ -193,6 +195,7 @@
         self._start_task(self._writer.states.run())
         self._start_task(self._instance_manager.run())
         self._start_task(self._load_publisher.run())
+        self._start_task(self._job_deleter.run())
 
     async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
         while True:
@@ -246,8 +249,6 @@
                 self._pollers[upstream_id].ends_recorded.set()
         for job_id in self._scheduler.remove_ended_jobs():
             self._ended_jobs.add(job_id, now)
-        self._round_watch.enter("delete")
-        await self._job_deleter.delete_due(now)
         self._round_watch.enter("orders")
         for start in starts:
             self._start_task(self._order_sender.send_start(start))
