Tell a wave's completion only once its progress is stored

What operators could see: a wave shown as completed whose stored progress did not say so yet. A new owner at that moment would take the wave up again.

Cause: the owner encoded the progress of a wave, waited for the store, and then read the status from the progress, which the plan of instances may have completed meanwhile. The status is now taken together with the record.

Run: the tests of owner/, all passed.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -274,10 +274,13 @@
                 values[job_id] = encode_progress(progress, self._max_progress_bytes)
             except JobLimitError as error:
                 self._scheduler.state.set_apart(job_id, error)
-        progress_by_wave = self._instance_manager.progress_by_wave
+        # The progress may go on while its record is written.
+        is_complete_by_wave: dict[int, bool] = {}
         for number in waves:
+            wave_progress = self._instance_manager.progress_by_wave[number]
+            is_complete_by_wave[number] = wave_progress.is_complete
             values[f"{WAVE_PROGRESS_PREFIX}{number}"] = encode_wave_progress(
-                progress_by_wave[number]
+                wave_progress
             )
         # After the progress: that an upstream crashed can be found out again only while
         # the record names it as the latest of its instance.
@@ -288,10 +291,8 @@
             {job_id: progress.state for job_id, progress in progress_by_job.items()}
         )
         self._round_watch.enter("wave-status")
-        for number in waves:
-            await self._writer.write_wave_status(
-                number, progress_by_wave[number].is_complete
-            )
+        for number, is_complete in is_complete_by_wave.items():
+            await self._writer.write_wave_status(number, is_complete)
 
     def _recorded_states(self) -> dict[str, JobState]:
         return {
