End what the owner waits for when its ownership ends

What callers saw: an owner that the store had turned away ended its ownership as unconfirmed after 4 s, and went on waiting in its write beside the next owner. It could not become the owner again meanwhile, and a process that was stopped waited for the store without a bound of its own before it announced that.

Cause: the owner looked at its ownership, and at the orders that were rejected for a newer owner, only between rounds; a write or the takeover's reads are repeated until the store answers.

The rounds are a task that ends with the ownership, or with the first order or record that shows a newer owner.

Five tests failed before: with a silent store, the owner went on for the 60 s that the tests watched, after the end as unconfirmed (round and takeover), after a rejection by an upstream and after the stop; now 4.1, 4.1, 2.0 and 0.5 s at most, in virtual time. Three passed before.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -133,15 +133,24 @@
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def run(self) -> None:
-        """Place tasks until the ownership ends or a newer owner fences this one."""
+        """Place tasks until the ownership ends or a newer owner fences this one.
+
+        What the owner waits for then, such as the store, is given up.
+        """
+        loop = asyncio.get_running_loop()
+        rounds = loop.create_task(self._run_rounds())
+        end = loop.create_task(self._ownership.wait_for_end(self._epoch))
         try:
-            await self._take_over()
-            while self._ownership.epoch == self._epoch:
-                with self._round_watch.round():
-                    await self._run_round()
-                await self._wait_for_wake()
+            await asyncio.wait(
+                (rounds, end, self._failure), return_when=asyncio.FIRST_COMPLETED
+            )
+            if self._failure.done():
+                self._failure.result()
             if self._ownership.is_stopping:
+                # It is stored after the write that is on its way.
                 await self._writer.announce_leaving()
+            if rounds.done():
+                rounds.result()
         except OWNERSHIP_ERRORS as error:
             self._ownership.end(f"fenced: {error}", self._epoch)
         finally:
@@ -149,9 +158,10 @@
             self._views.set_is_owner(False)
             self._log.metrics.set_evacuating_runs({})
             self._log.metrics.set_account_cores({}, {})
-            for task in self._tasks:
+            tasks = (rounds, end, *self._tasks)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             failure = self._failure.exception() if self._failure.done() else None
             if failure is not None:
                 self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
@@ -159,6 +169,13 @@
             await self._instance_client.close()
             await self._order_sender.close()
 
+    async def _run_rounds(self) -> None:
+        await self._take_over()
+        while self._ownership.epoch == self._epoch:
+            with self._round_watch.round():
+                await self._run_round()
+            await self._wait_for_wake()
+
     async def _take_over(self) -> None:
         tail = TopicTail(self._store, self._log, UPSTREAM_TOPIC, self._on_upstream)
         # The claim is stored, so no earlier owner can append records after this read.
@@ -307,8 +324,6 @@
         except TimeoutError:
             pass
         self._wake.clear()
-        if self._failure.done():
-            self._failure.result()
 
     def _apply_changes(self) -> None:
         self._apply_configuration()
@@ -411,7 +426,6 @@
         if isinstance(error, OWNERSHIP_ERRORS):
             if not self._failure.done():
                 self._failure.set_exception(error)
-                self._wake.set()
         elif isinstance(error, Exception):
             # An order is repeated when its response is overdue.
             self._log.error("order-failed", error)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -126,6 +126,11 @@
         """
         return self.epoch == epoch and self.is_confirmed(seconds)
 
+    async def wait_for_end(self, epoch: int) -> None:
+        """Wait until this process is not the owner under `epoch`."""
+        while self.epoch == epoch:
+            await self.changed.wait()
+
     def last_renewal_age(self, now: float) -> float | None:
         """Return for how many seconds no earlier owner has renewed any lease.
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
@@ -42,6 +42,8 @@
         self.append_fault_by_topic = defaultdict(lambda: answer_after(0.01))
         # Time, topic, key and value of each record that was appended.
         self.stored = []
+        # Sequence number and records of each append of progress that was stored.
+        self.progress_appends = []
         self.put(UPSTREAM_TOPIC, "u", json.dumps(UPSTREAM).encode())
 
     async def append(
@@ -57,6 +59,8 @@
         self.append_count += 1
         await self.append_fault_by_topic[topic](timeout_seconds, lambda: None)
         self.records_by_topic[topic] += records
+        if producer is not None and topic == PROGRESS_TOPIC:
+            self.progress_appends.append((producer.sequence, records))
         now = boot_seconds()
         self.stored += [(now, topic, r.key, r.value) for r in records]
 
@@ -116,7 +120,8 @@
         self.ownership = Ownership(
             self.store, self.views, self.log, "entry-0-1", True, candidacy
         )
-        self.ownership._begin_ownership(1, boot_seconds())
+        self.began_at = boot_seconds()
+        self.ownership._begin_ownership(1, self.began_at)
         settings = ProcessSettings(
             "entry-0", "zone", "", "", "", "", "", PlatformLimits(**limits)
         )
