Repeat the owner's append soon after a silence of the store

What callers saw: a store silent for 3 s ended the ownership although it was back a second before: no append was stored in that second, and tasks waited for a new owner.

Cause: an attempt without a response in 2.5 s counted as a response time of 2.5 s, so the next repetition waited for twice that, 5 s, and the attempts that were open had all been sent during the silence. In a partition with one writer, an append without a response is lost, not slow, and counts for no forecast any more.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
@@ -70,7 +70,9 @@
             self._answered_sent_at = max(self._answered_sent_at, sent_at)
         else:
             self._timed_out_at = now
-            if sent_at < self._answered_sent_at:
+            # With only its own appends in line, an append without a response is lost:
+            # the store rejects what would wait for as long.
+            if self.is_only_writer or sent_at < self._answered_sent_at:
                 return
         self._observed.append((now, now - sent_at))
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
@@ -13,6 +13,7 @@
 )
 
 from baobablane_daemon.jobs import OWNER_HEARTBEAT_KEY, PROGRESS_TOPIC, JobWriter
+from baobablane_daemon.jobs._append_forecast import ONLY_WRITER_AGE_SHARE
 from baobablane_daemon.owner._candidacy import HEARTBEAT_TIMEOUT_SECONDS
 from baobablane_daemon.owner._fenced_appender import FencedAppender
 from baobablane_daemon.owner._progress_writer import ProgressWriter
@@ -128,6 +129,34 @@
         assert heartbeat_gap(store) < HEARTBEAT_TIMEOUT_SECONDS
 
 
+class TestSilentStore:
+    """Test a store that answers nothing for some seconds."""
+
+    @pytest.mark.parametrize("seconds", [1.0, 2.0, 3.0, 3.5])
+    def test_owner_stores_its_next_record_once_the_store_is_back(self, seconds):
+        """Guards against an ownership that ends a second after the trouble."""
+
+        async def run(store, seed):
+            loop = asyncio.get_running_loop()
+            stored_at = []
+            writer = ProgressWriter(
+                store, 1, "owner", True, lambda at: stored_at.append(loop.time())
+            )
+            chance = random.Random(seed)
+            while loop.time() < RUN_SECONDS:
+                await writer.write({"job": b"%d" % len(stored_at)})
+                await asyncio.sleep(chance.uniform(0.0, 0.1))
+            return stored_at
+
+        for seed in SEEDS:
+            end = BEGIN_SECONDS + seconds
+            store = StoreModel(BEGIN_SECONDS, end, seed, loss=1.0)
+            stored_at = run_in_virtual_time(run(store, seed), 0.0)
+            waited = min(at for at in stored_at if at > end) - end
+            # The longest interval of its attempts by then.
+            assert waited < max(0.15, ONLY_WRITER_AGE_SHARE * (seconds + 0.5))
+
+
 class TestSharedAppends:
     """Test what the owner's round and its other tasks write at the same time."""
 
