Bound the interval at which the owner repeats an append

What callers saw: after a silence of the store of more than 3 s, what is left of the ownership is less than a second, and the owner's next attempt came up to 0.38 s after the store was back (trials). Some ownerships ended beside a store that answered.

Cause: the interval grew by an eighth of the silence without a bound. It is 0.2 s at most now, but for a store that is slow: then it is twice the recent time, as before.

test_next_record_is_stored_once_the_store_is_back failed before for four of nine lengths of a silence (up to 0.34 s).

Tried and not built: a successful read of any topic as the sign to repeat.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_append_forecast.py
@@ -26,9 +26,11 @@
 # In a partition with one writer, only its own appends are ahead of a repetition.
 MIN_ONLY_WRITER_DELAY_SECONDS = 0.13
 ONLY_WRITER_DELAY_FACTOR = 2.0
-# The intervals grow in proportion to the time without a response: nine attempts in the
-# first 1.2 s, and few more at a store that has fallen silent.
+# The intervals grow in proportion to the time without a response, to nine attempts in
+# the first 1.2 s. After a silence, little is left of the ownership, so that a long
+# interval would outlast it.
 ONLY_WRITER_AGE_SHARE = 1 / 8
+MAX_ONLY_WRITER_DELAY_SECONDS = 0.2
 # Callers wait for 3 s. The rest is for the way to the caller and back.
 MAX_ACCEPT_SECONDS = 2.4
 # Faults of the store last for seconds, so older response times tell little.
@@ -92,7 +94,7 @@
         if self.is_only_writer:
             return max(
                 ONLY_WRITER_DELAY_FACTOR * self._observed_seconds(now),
-                ONLY_WRITER_AGE_SHARE * age,
+                min(ONLY_WRITER_AGE_SHARE * age, MAX_ONLY_WRITER_DELAY_SECONDS),
                 MIN_ONLY_WRITER_DELAY_SECONDS,
             )
         return max(
