Set a job apart whose progress can't be encoded for any reason

What callers would see: a job whose record raises anything but JobLimitError ends the round and the ownership, then that of each later owner; nothing is placed. Found by reading, no play showed it.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -7,7 +7,6 @@
 import msgspec
 from baobablane.crashes import Host, encode_host
 from baobablane.deployment import UpstreamEntry
-from baobablane.errors import JobLimitError
 from baobablane.evacuation import start_window_seconds
 from baobablane.jobs import JobProgress, JobState, encode_progress
 from baobablane.maintenance import encode_wave_progress
@@ -290,7 +289,8 @@
         for job_id, progress in progress_by_job.items():
             try:
                 values[job_id] = encode_progress(progress, self._max_progress_bytes)
-            except JobLimitError as error:
+            except Exception as error:
+                # All other records can be stored.
                 self._scheduler.state.set_apart(job_id, error)
         # The progress may go on while its record is written.
         is_complete_by_wave: dict[int, bool] = {}
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
@@ -11,7 +11,11 @@
 from baobablane.deployment import PlatformLimits
 from baobablane.jobs import JobProgress, JobState, encode_job, encode_progress
 from baobablane.scheduling import RenewalReport, StartResult
-from baobablane.scheduling.tests.fleet_model import make_configuration, make_job
+from baobablane.scheduling.tests.fleet_model import (
+    make_configuration,
+    make_job,
+    make_step,
+)
 from baobablane_platform import UPSTREAM_TOPIC, InstanceListError, ProcessSettings
 
 from baobablane_daemon.decision_log import DecisionLog
@@ -132,9 +136,9 @@
             )
         self.owner._instance_client.list_instances = _fail_to_list
 
-    def put_job(self, job_id):
+    def put_job(self, job_id, tasks=1):
         """Store a job as an entry instance does."""
-        job = make_job(name=job_id)
+        job = make_job(make_step(tasks), name=job_id)
         self.store.put(JOBS_TOPIC, job_id, encode_job(job))
 
     def put_ended_job(self, job_id):
