Cancel a job as one that is set apart if its cancellation raises

It was the one step of a round that works on a job and was not guarded. Found by reading, no play showed it.

Run: the tests of owner/ (106), and those of scheduling/ on cancellations, faulty work and jobs set apart (41), all passed.

--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -66,14 +66,20 @@
         self.state.standings.remove_job(job.id)
 
     def cancel_job(self, job_id: str) -> None:
-        """Cancel a job unless it has ended, so that its runs are stopped."""
+        """Cancel a job unless it has ended, so that its runs are stopped.
+
+        If that raises an error, the job is set apart and cancelled as such.
+        """
         reason = "cancelled by its caller"
+        job_run = self.state.jobs.get(job_id)
+        if job_run is not None:
+            try:
+                self.state.finish_job(job_run, JobState.CANCELLED, reason)
+            except Exception as error:
+                self.state.set_apart(job_id, error)
         apart = self.state.apart_by_id.get(job_id)
         if apart is not None:
             self.state.finish_apart(apart, JobState.CANCELLED, reason)
-        job_run = self.state.jobs.get(job_id)
-        if job_run is not None:
-            self.state.finish_job(job_run, JobState.CANCELLED, reason)
 
     def upstream_listed(self, entry: UpstreamEntry, now: float) -> None:
         """Apply an upstream's entry; a newer incarnation replaces the known one."""
