Publish only the states that are recorded

What callers of an instance with a narrow link could see: the state of a job whose progress could not be encoded, which the next owner does not know of.

Cause: after the write, the owner published the state of each job that had changed, also of those whose record failed, and as it was by then: the progress of a job that is set apart is shared with the scheduler, so a cancellation during the write was published before its record (by reading). The states are taken together with the records.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -286,14 +286,17 @@
         hosts: dict[str, Host],
     ) -> None:
         values: dict[str, bytes | None] = {}
+        # What is published is what the records say: jobs and waves may go on while
+        # they are written.
+        state_by_id: dict[str, JobState] = {}
+        is_complete_by_wave: dict[int, bool] = {}
         for job_id, progress in progress_by_job.items():
             try:
                 values[job_id] = encode_progress(progress, self._max_progress_bytes)
+                state_by_id[job_id] = progress.state
             except Exception as error:
                 # All other records can be stored.
                 self._scheduler.state.set_apart(job_id, error)
-        # The progress may go on while its record is written.
-        is_complete_by_wave: dict[int, bool] = {}
         for number in waves:
             wave_progress = self._instance_manager.progress_by_wave[number]
             is_complete_by_wave[number] = wave_progress.is_complete
@@ -305,9 +308,7 @@
         for instance, host in hosts.items():
             values[f"{HOST_PREFIX}{instance}"] = encode_host(host)
         await self._writer.write(values)
-        self._writer.states.publish(
-            {job_id: progress.state for job_id, progress in progress_by_job.items()}
-        )
+        self._writer.states.publish(state_by_id)
         for number, is_complete in is_complete_by_wave.items():
             self._writer.wave_statuses.publish(number, is_complete)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_faulty_jobs.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_faulty_jobs.py
@@ -9,7 +9,13 @@
 from baobablane.jobs import JobState, decode_progress, encode_progress
 from baobablane.scheduling._state import SchedulerState
 
-from baobablane_daemon.jobs import CANCEL_PREFIX, JOBS_TOPIC, PROGRESS_TOPIC
+from baobablane_daemon.jobs import (
+    CANCEL_PREFIX,
+    JOBS_TOPIC,
+    PROGRESS_TOPIC,
+    STATE_READER_PREFIX,
+    STATES_TOPIC,
+)
 
 from ...jobs.tests.virtual_time import run_in_virtual_time
 from .owner_model import run_owner
@@ -56,6 +62,23 @@
 
         run_in_virtual_time(scenario())
 
+    def test_its_state_is_not_published(self):
+        """Guards against a state that the next owner doesn't know of."""
+
+        async def scenario():
+            target = "baobablane_daemon.owner._owner.encode_progress"
+            with mock.patch(target, encode_unless_faulty):
+                async with run_owner() as model:
+                    model.store.put(JOBS_TOPIC, STATE_READER_PREFIX + "entry-1", b"1")
+                    model.put_job(FAULTY_ID, FAULTY_TASKS)
+                    await model.seconds_until_start(OTHER_ID, 3.0)
+                    await asyncio.sleep(1.0)
+                    published = model.store.stored_keys(STATES_TOPIC)
+                    assert OTHER_ID in published
+                    assert FAULTY_ID not in published
+
+        run_in_virtual_time(scenario())
+
 
 class TestCancellations:
     """Test a job whose cancellation raises an error."""
