Bound the starts that one round of the owner plans

What callers would see on a large fleet, after a loss of power or a silence of the store: thousands of tasks wait beside hundreds of empty upstreams, and the owner plans all of them before it records or sends one. Others claim after 1.5 s without a heartbeat, and the next owner begins the same plan.

Cause: each start looks at all upstreams, and a round had as many as there was room. Once a round has 200, the less urgent jobs follow in the next one, at once, in the order of urgency as before. One step with more tasks is still planned as a whole.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -243,6 +243,8 @@
             self._views.evacuated_zones, self._start_window("") > 0.0
         )
         starts = self._scheduler.plan_starts(now, unix_ms())
+        if self._scheduler.state.has_more_starts:
+            self._wake.set()
         for upstream_id in self._scheduler.upstreams_to_check(now):
             if upstream_id in self._pollers:
                 self._start_task(self._pollers[upstream_id].check())
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_rounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_rounds.py
@@ -4,13 +4,19 @@
 """
 
 import asyncio
+import json
+
+from baobablane.scheduling._planning import MAX_STARTS_PER_ROUND
+from baobablane.scheduling.tests.fleet_model import CORE
+from baobablane_platform import UPSTREAM_TOPIC
 
 from baobablane_daemon.jobs import PROGRESS_TOPIC
+from baobablane_daemon.owner._owner import MAX_IDLE_SECONDS
 from baobablane_daemon.owner._progress_writer import HEARTBEAT_INTERVAL_SECONDS
 
 from ...jobs.tests.scripted_store import answer_after
 from ...jobs.tests.virtual_time import run_in_virtual_time
-from .owner_model import run_owner
+from .owner_model import UPSTREAM, run_owner
 
 JOB_IDS = [f"{number:016x}" for number in range(1, 9)]
 
@@ -46,3 +52,29 @@
                 assert registry.get_sample_value(name) >= 10
 
         run_in_virtual_time(scenario())
+
+
+class TestLargeRounds:
+    """Test an owner that finds more tasks than one round may start."""
+
+    def test_next_round_follows_at_once(self):
+        """Guards against a pause after each part of a large backlog."""
+        jobs = 3 * MAX_STARTS_PER_ROUND
+
+        def prepare(model):
+            capacity = {"cpu": jobs * CORE, "memMb": jobs * 100, "gpu": 0}
+            model.store.put(
+                UPSTREAM_TOPIC,
+                "u",
+                json.dumps(UPSTREAM | {"capacity": capacity}).encode(),
+            )
+            for number in range(jobs):
+                model.put_job(f"{number:016x}")
+
+        async def scenario():
+            async with run_owner(prepare) as model:
+                times = model.upstream.started_at_by_job.values()
+                assert len(times) == jobs
+                assert max(times) - min(times) < MAX_IDLE_SECONDS
+
+        run_in_virtual_time(scenario())
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -25,6 +25,11 @@
 )
 from ._waits import log_waits
 
+# Load pattern: after a loss of power or a silence of the store, thousands of tasks wait
+# and hundreds of upstreams are empty. To plan all starts at once takes longer than the
+# owner may go without a heartbeat, and none is sent before. Once a round has so many,
+# the less urgent jobs follow in the next one, at once.
+MAX_STARTS_PER_ROUND = 200
 # Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
 MAX_YOUNG_RUNS = 4
 
@@ -51,7 +56,11 @@
         )
     state.unix_offset_seconds = unix_ms / 1000 - now
     measure_pressure(state, now, unix_ms)
+    state.has_more_starts = False
     for key, job_run in _jobs_by_urgency(state, unix_ms):
+        if len(orders) >= MAX_STARTS_PER_ROUND:
+            state.has_more_starts = True
+            break
         try:
             started = _plan_job(state, job_run, room, candidates_by_pool, now)
         except Exception as error:
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -40,6 +40,8 @@
         # Zones in which nothing may start, and whether anything may start at all.
         self.evacuated_zones: frozenset[str] = frozenset()
         self.allows_starts = True
+        # Whether the latest round left out jobs, since it had enough starts.
+        self.has_more_starts = False
         self.jobs: dict[str, JobRun] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.usage = AccountUsage()
