--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -7,7 +7,6 @@
 import msgspec
 from baobablane.crashes import Host, encode_host
 from baobablane.deployment import UpstreamEntry
-from baobablane.errors import JobLimitError
 from baobablane.evacuation import start_window_seconds
 from baobablane.jobs import JobProgress, JobState, encode_progress
 from baobablane.maintenance import encode_wave_progress
@@ -44,6 +43,7 @@
 from ._order_sender import OrderSender
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
+from ._round_watch import RoundWatch
 from ._takeover_policy import make_policy
 from ._upstream_poller import UpstreamPoller
 
@@ -120,8 +120,11 @@
         self._max_progress_bytes = settings.limits.max_record_bytes - MAX_KEY_BYTES
         self._changed_job_ids: list[str] = []
         self._metrics_set_at = float("-inf")
+        self._round_watch = RoundWatch(log)
         self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
-        self._job_deleter = JobDeleter(store, self._writer, self._ended_jobs, log)
+        self._job_deleter = JobDeleter(
+            store, self._writer, self._ended_jobs, log, self._may_order
+        )
         self._load_publisher = LoadPublisher(
             self._scheduler, self._instance_manager.instances, self._writer, log, epoch
         )
@@ -129,14 +132,24 @@
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def run(self) -> None:
-        """Place tasks until the ownership ends or a newer owner fences this one."""
+        """Place tasks until the ownership ends or a newer owner fences this one.
+
+        What the owner waits for then, such as the store, is given up.
+        """
+        loop = asyncio.get_running_loop()
+        rounds = loop.create_task(self._run_rounds())
+        end = loop.create_task(self._ownership.wait_for_end(self._epoch))
         try:
-            await self._take_over()
-            while self._ownership.epoch == self._epoch:
-                await self._run_round()
-                await self._wait_for_wake()
+            await asyncio.wait(
+                (rounds, end, self._failure), return_when=asyncio.FIRST_COMPLETED
+            )
+            if self._failure.done():
+                self._failure.result()
             if self._ownership.is_stopping:
+                # It is stored after the write that is on its way.
                 await self._writer.announce_leaving()
+            if rounds.done():
+                rounds.result()
         except OWNERSHIP_ERRORS as error:
             self._ownership.end(f"fenced: {error}", self._epoch)
         finally:
@@ -144,9 +157,10 @@
             self._views.set_is_owner(False)
             self._log.metrics.set_evacuating_runs({})
             self._log.metrics.set_account_cores({}, {})
-            for task in self._tasks:
+            tasks = (rounds, end, *self._tasks)
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
             failure = self._failure.exception() if self._failure.done() else None
             if failure is not None:
                 self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
@@ -154,6 +168,13 @@
             await self._instance_client.close()
             await self._order_sender.close()
 
+    async def _run_rounds(self) -> None:
+        await self._take_over()
+        while self._ownership.epoch == self._epoch:
+            with self._round_watch.round():
+                await self._run_round()
+            await self._wait_for_wake()
+
     async def _take_over(self) -> None:
         tail = TopicTail(self._store, self._log, UPSTREAM_TOPIC, self._on_upstream)
         # The claim is stored, so no earlier owner can append records after this read.
@@ -188,8 +209,10 @@
         self._instance_manager.take_over()
         self._start_task(tail.run())
         self._start_task(self._writer.states.run())
+        self._start_task(self._writer.wave_statuses.run())
         self._start_task(self._instance_manager.run())
         self._start_task(self._load_publisher.run())
+        self._start_task(self._job_deleter.run())
 
     async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
         while True:
@@ -201,6 +224,7 @@
                 await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
 
     async def _run_round(self) -> None:
+        self._round_watch.enter("changes")
         self._apply_changes()
         if self._views.state_readers and not self._writer.states.is_active:
             self._writer.states.activate(self._recorded_states())
@@ -209,6 +233,7 @@
         self._scheduler.expire_unreachable(now)
         for upstream_id in self._scheduler.state.upstreams:
             self._ensure_poller(upstream_id)
+        self._round_watch.enter("plan")
         for stop in self._scheduler.plan_stops(now):
             self._start_task(self._order_sender.send_stop(stop))
         for pace in self._scheduler.pop_pace_orders():
@@ -218,6 +243,8 @@
             self._views.evacuated_zones, self._start_window("") > 0.0
         )
         starts = self._scheduler.plan_starts(now, unix_ms())
+        if self._scheduler.state.has_more_starts:
+            self._wake.set()
         for upstream_id in self._scheduler.upstreams_to_check(now):
             if upstream_id in self._pollers:
                 self._start_task(self._pollers[upstream_id].check())
@@ -231,6 +258,7 @@
         hosts = self._instance_manager.pop_unrecorded_hosts()
         applied_ends = self._scheduler.applied_ends()
         log_events(self._log, self._scheduler.pop_events())
+        self._round_watch.enter("record")
         if changed_progress or waves or hosts:
             await self._record_progress(changed_progress, waves, hosts)
         else:
@@ -240,7 +268,7 @@
                 self._pollers[upstream_id].ends_recorded.set()
         for job_id in self._scheduler.remove_ended_jobs():
             self._ended_jobs.add(job_id, now)
-        await self._job_deleter.delete_due(now)
+        self._round_watch.enter("orders")
         for start in starts:
             self._start_task(self._order_sender.send_start(start))
         self._set_account_metrics(now)
@@ -260,28 +288,31 @@
         hosts: dict[str, Host],
     ) -> None:
         values: dict[str, bytes | None] = {}
+        # What is published is what the records say: jobs and waves may go on while
+        # they are written.
+        state_by_id: dict[str, JobState] = {}
+        is_complete_by_wave: dict[int, bool] = {}
         for job_id, progress in progress_by_job.items():
             try:
                 values[job_id] = encode_progress(progress, self._max_progress_bytes)
-            except JobLimitError as error:
+                state_by_id[job_id] = progress.state
+            except Exception as error:
+                # All other records can be stored.
                 self._scheduler.state.set_apart(job_id, error)
-        progress_by_wave = self._instance_manager.progress_by_wave
         for number in waves:
+            wave_progress = self._instance_manager.progress_by_wave[number]
+            is_complete_by_wave[number] = wave_progress.is_complete
             values[f"{WAVE_PROGRESS_PREFIX}{number}"] = encode_wave_progress(
-                progress_by_wave[number]
+                wave_progress
             )
         # After the progress: that an upstream crashed can be found out again only while
         # the record names it as the latest of its instance.
         for instance, host in hosts.items():
             values[f"{HOST_PREFIX}{instance}"] = encode_host(host)
         await self._writer.write(values)
-        self._writer.states.publish(
-            {job_id: progress.state for job_id, progress in progress_by_job.items()}
-        )
-        for number in waves:
-            await self._writer.write_wave_status(
-                number, progress_by_wave[number].is_complete
-            )
+        self._writer.states.publish(state_by_id)
+        for number, is_complete in is_complete_by_wave.items():
+            self._writer.wave_statuses.publish(number, is_complete)
 
     def _recorded_states(self) -> dict[str, JobState]:
         return {
@@ -296,8 +327,6 @@
         except TimeoutError:
             pass
         self._wake.clear()
-        if self._failure.done():
-            self._failure.result()
 
     def _apply_changes(self) -> None:
         self._apply_configuration()
@@ -400,7 +429,6 @@
         if isinstance(error, OWNERSHIP_ERRORS):
             if not self._failure.done():
                 self._failure.set_exception(error)
-                self._wake.set()
         elif isinstance(error, Exception):
             # An order is repeated when its response is overdue.
             self._log.error("order-failed", error)
