--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -19,19 +19,23 @@
 STEP = Step(1, Resources(1000, 0, 0), 100)
 JOB = Job(JOB_ID, "q", "pool", "a", "spec", (STEP,), 0)
 QUEUE = SimpleNamespace(name="q", host="q.example", path_prefix="/q/", is_public=True)
+REQUEST_BODY = b'{"spec":"s","steps":[{"count":1,"cpu":1000,"estimatedMs":100}]}'
 CONFIGURATION = SimpleNamespace(find_queue=lambda host, path: QUEUE)
 
 
 class Caller:
     """Send requests to one entry instance."""
 
-    def __init__(self, follows_progress):
-        """Build the instance; `run_instance` starts it."""
+    def __init__(self, follows_progress, store=None, reads_configuration=False):
+        """Build the instance; `run_instance` starts it.
+
+        Without `reads_configuration`, every request is one to the public queue.
+        """
         self.output = io.BytesIO()
         # The seconds of the latest response's Age header, or None without one.
         self.shown_age = None
         log = self.log = DecisionLog("entry-0", self.output)
-        self.store = ScriptedStore()
+        self.store = store or ScriptedStore()
         self.views = Views(self.store, log, follows_progress)
         self.job_writer = JobWriter(self.store)
         self.views.on_job_read = self.job_writer.confirm_stored
@@ -41,7 +45,9 @@
         self._app = make_platform_app(
             CallerActions(
                 actions.is_ready,
-                lambda target, checks_keys, accepts_job: CONFIGURATION,
+                actions.configuration
+                if reads_configuration
+                else lambda target, checks_keys, accepts_job: CONFIGURATION,
                 actions.deny,
                 actions.submit,
                 actions.state,
@@ -51,23 +57,39 @@
             )
         )
 
-    async def call(self, method, patience_ms=3000, job_id=JOB_ID):
+    async def call(
+        self,
+        method,
+        patience_ms=3000,
+        job_id=JOB_ID,
+        path_prefix=QUEUE.path_prefix,
+        key=None,
+    ):
         """Return the status, the body and the seconds that a request takes."""
+        headers = [
+            (b"host", QUEUE.host.encode()),
+            (b"baobablane-deadline-ms", str(patience_ms).encode()),
+        ]
+        if key is not None:
+            headers.append((b"authorization", f"Bearer {key}".encode()))
         scope = {
             "type": "http",
             "method": method,
-            "path": QUEUE.path_prefix + job_id,
+            "path": path_prefix + job_id,
             "query_string": b"",
-            "headers": [(b"baobablane-deadline-ms", str(patience_ms).encode())],
+            "headers": headers,
         }
         messages = []
 
+        async def receive():
+            return {"type": "http.request", "body": REQUEST_BODY}
+
         async def send(message):
             messages.append(message)
 
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        await self._app(scope, None, send)
+        await self._app(scope, receive, send)
         headers = dict(messages[0]["headers"])
         self.shown_age = int(headers[b"age"]) if b"age" in headers else None
         body = json.loads(messages[1]["body"] or b"{}")
@@ -100,6 +122,13 @@
     caller = Caller(follows_progress)
     if has_job:
         caller.accept_elsewhere()
+    async with run_caller(caller):
+        yield caller
+
+
+@asynccontextmanager
+async def run_caller(caller):
+    """Run the instance of a caller from the time at which it has read everything."""
     tasks = [
         asyncio.create_task(caller.views.run()),
         asyncio.create_task(caller.job_writer.run()),
@@ -108,7 +137,7 @@
         await caller.views.operator_tail.catch_up()
         await caller.views.jobs_tail.catch_up()
         await caller.views.state_view.catch_up()
-        yield caller
+        yield
     finally:
         for task in tasks:
             task.cancel()
