Deny a request only by the newest stored configuration

What callers saw: while a change reaches one instance after the other, an instance that has not read it answers 404 to a new path and 401 to a new key, although its neighbour serves both, and just accepted a job with them. A caller that got either doesn't ask again. In the test of two instances, that held for a queue that is renamed, for an account's last key that is replaced, for both, for a queue that no longer needs a key, and for one that is added below the path of another; on queries, counts, cancellations, new jobs and repeated ones.

Cause: a denial was given by any view that was up to 1.3 s old, and a missing key was denied without even that.

Change: the function that denies is replaced by one that decides. Before a denial, it reads the operators' topic to its end within the query's share of the caller's wait, and decides again; if that can't be read, the answer is 503 (208), as for an old view before. No read is needed if the view was confirmed by one that was sent after the request arrived. All requests share the reads, of which one begins every 0.1 s at most, and a response that is arriving is waited for, not requested again. A path whose queue was dropped stays 404, whatever job it names. `platform/` finds what a configuration allows; the daemon decides what a denial needs.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -78,7 +78,7 @@
         CallerActions(
             actions.is_ready,
             actions.configuration,
-            actions.deny,
+            actions.authorize,
             actions.submit,
             actions.state,
             actions.cancel,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
 from baobablane.jobs import Job, JobState, ShownState, encode_job
 from baobablane_platform import (
+    CallerAccess,
     CallerWait,
     KeyedRecord,
     ProcessSettings,
@@ -17,12 +19,12 @@
 from ..decision_log import Decision, DecisionLog
 from ._append_forecast import MAX_ACCEPT_SECONDS
 from ._clock import boot_seconds
+from ._denials import MAX_LOGGED_CHARACTERS, Denials
 from ._job_queries import JobQueries
 from ._job_writer import JobWriter
 from ._load_rejection import LoadRejection
 from ._view_limits import (
     MAX_SILENCE_SECONDS,
-    MAX_VIEW_AGE_SECONDS,
     RETRY_AFTER_SECONDS,
 )
 from ._views import CANCEL_PREFIX, Views
@@ -34,8 +36,6 @@
 # Replaces MAX_SILENCE_SECONDS once an append had no response in time: a read usually
 # takes 0.7 s at most.
 MAX_SILENCE_AFTER_TIMEOUT_SECONDS = 0.9
-# Callers choose host and path, so the part of them that is logged is limited.
-MAX_LOGGED_CHARACTERS = 200
 # The share of a caller's wait after which an append is no longer waited for. It is
 # longer than that of a query: an append that is given up early is repeated at another
 # instance, and waits there for the same partition.
@@ -70,6 +70,7 @@
         self._log = log
         self._load_rejection = LoadRejection(views, job_writer, log)
         self._queries = JobQueries(views, log)
+        self._denials = Denials(views, log)
         self.is_stopping = False
 
     def is_ready(self) -> bool:
@@ -93,45 +94,28 @@
         """
         configuration = self._views.configuration
         if configuration is None:
-            raise self._make_denial(ResultCode.NOT_READY, target, math.inf)
+            raise self._denials.make_not_ready(target)
         max_age_seconds = min(
             self._max_key_view_age_seconds if checks_keys else math.inf,
             self._max_configuration_age_seconds if accepts_job else math.inf,
         )
-        age = self._views.operator_tail.age()
-        if age > max_age_seconds:
-            raise self._make_denial(ResultCode.VIEW_NOT_CONFIRMED, target, age)
+        if self._views.operator_tail.age() > max_age_seconds:
+            raise self._denials.make_unsure(target)
         return configuration
 
-    def deny(self, code: ResultCode, target: str) -> RejectedError:
-        """Return the error for a request that the configuration doesn't allow.
-
-        A newer configuration may allow it. So unless the view was confirmed recently,
-        the error is VIEW_NOT_CONFIRMED, after which callers try again. `target`, the
-        host and path of the request, is logged.
+    async def authorize(
+        self,
+        find: Callable[[], CallerAccess | RejectedError],
+        target: str,
+        wait: CallerWait,
+    ) -> CallerAccess:
+        """Return what the configuration allows a request, or raise RejectedError.
+
+        `find` returns that by the configuration in force, or the error with which it
+        denies the request; a denial counts only by what was stored when the request
+        arrived, or later. `target`, the host and path of the request, is logged.
         """
-        age = self._views.operator_tail.age()
-        if age > MAX_VIEW_AGE_SECONDS:
-            code = ResultCode.VIEW_NOT_CONFIRMED
-        return self._make_denial(code, target, age)
-
-    def _make_denial(self, code: ResultCode, target: str, age: float) -> RejectedError:
-        configuration = self._views.configuration
-        version = configuration.version if configuration else None
-        self._log.write(
-            Decision(
-                "request-denied",
-                reason=f"{target[:MAX_LOGGED_CHARACTERS]}, version {version}",
-                result=int(code),
-                seconds=age,
-            )
-        )
-        if code is ResultCode.VIEW_NOT_CONFIRMED:
-            detail = f"the configuration's view is {age:.1f} s old"
-            return RejectedError(code, detail, RETRY_AFTER_SECONDS)
-        if code is ResultCode.NOT_READY:
-            return RejectedError(code, "", RETRY_AFTER_SECONDS)
-        return RejectedError(code, target)
+        return await self._denials.decide(find, target, wait)
 
     async def submit(self, job: Job, queue: Queue, wait: CallerWait) -> None:
         """Store a job unless it is already known, or raise RejectedError.
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
@@ -8,6 +8,7 @@
 from baobablane_platform import CallerWait, StoreError, StoreRejectedError
 
 from ..decision_log import Decision, DecisionLog
+from ._paced_reads import PacedReads
 from ._topic_tail import TopicTail
 from ._view_limits import (
     MAX_SILENCE_SECONDS,
@@ -70,7 +71,7 @@
     async def _read_jobs(self, job_id: str, deadline: float) -> None:
         tail = self._views.jobs_tail
         try:
-            await _catch_up(tail, deadline)
+            await catch_up_until(tail, deadline)
         except (StoreError, TimeoutError) as error:
             if self._views.job_table.state(job_id) is not None:
                 # The read goes on, and a part of it was enough.
@@ -92,7 +93,7 @@
             read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
             deadline = min(read_until, deadline)
         try:
-            await _catch_up(view, deadline)
+            await catch_up_until(view, deadline)
         except (StoreError, TimeoutError) as error:
             decision = Decision(
                 "state-read-skipped", request=job_id, reason=repr(error)
@@ -138,7 +139,7 @@
         return RejectedError(code, detail, RETRY_AFTER_SECONDS)
 
 
-async def _catch_up(tail: TopicTail, deadline: float) -> None:
+async def catch_up_until(tail: TopicTail | PacedReads, deadline: float) -> None:
     """Read a topic to its end, or raise a StoreError or TimeoutError.
 
     Raise StoreRejectedError at once if the store is known to be unreachable.
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -76,6 +76,9 @@
         self._failed_at = float("-inf")
         # When a part of a successful response last arrived; -inf before the first.
         self._data_at = float("-inf")
+        # Set unless a part of a response has arrived whose read has not ended.
+        self._has_nothing_arriving = asyncio.Event()
+        self._has_nothing_arriving.set()
         # When the latest read was sent that reached the end or returned the newest
         # records; -inf before the first.
         self.confirmed_at = float("-inf")
@@ -131,6 +134,10 @@
                     raise
             ignores_failure = False
 
+    async def finish_arriving(self) -> None:
+        """Wait until a response that has begun to arrive is read or has failed."""
+        await self._has_nothing_arriving.wait()
+
     async def _follow(self) -> None:
         try:
             if self._is_behind():
@@ -169,6 +176,8 @@
             # The view gets old, and then rejects what it can't answer.
             self._log.error("read-failed", error, topic=self._topic)
             raise StoreUnknownOutcomeError(f"unexpected error: {error!r}") from error
+        finally:
+            self._has_nothing_arriving.set()
 
     async def _read_page(self, wait_ms: int) -> int:
         async with self._newest_lock:
@@ -268,6 +277,7 @@
 
     def _note_data(self) -> None:
         self._data_at = boot_seconds()
+        self._has_nothing_arriving.clear()
 
     def _count_read(self, requested_at: float, size_bytes: int) -> None:
         metrics = self._log.metrics
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -48,7 +48,7 @@
                 actions.configuration
                 if reads_configuration
                 else lambda target, checks_keys, accepts_job: CONFIGURATION,
-                actions.deny,
+                actions.authorize,
                 actions.submit,
                 actions.state,
                 actions.cancel,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/operators.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/operators.py
@@ -11,11 +11,17 @@
 KEY = "key-1"
 
 
-def put_configuration(store, version, keys=(KEY,), keyed_prefix=KEYED_PREFIX):
-    """Write a version with a queue that takes the keys, and a public queue."""
+def put_configuration(
+    store, version, keys=(KEY,), keyed_prefix=KEYED_PREFIX, checks_keys=True
+):
+    """Write a version with a queue that takes the keys, and a public queue.
+
+    Without `checks_keys`, both queues are public.
+    """
     common = {"host": QUEUE.host, "service": "pool"}
     routes = [
-        common | {"name": "keyed", "pathPrefix": keyed_prefix},
+        common
+        | {"name": "keyed", "pathPrefix": keyed_prefix, "public": not checks_keys},
         common | {"name": "public", "pathPrefix": PUBLIC_PREFIX, "public": True},
     ]
     configuration = {
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_store.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_store.py
@@ -1,7 +1,7 @@
 """Serve keyed topics from memory, with faults that the tests choose."""
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from baobablane_platform import (
     KeyedRecord,
@@ -28,6 +28,16 @@
     return fault
 
 
+def arrive_for(seconds):
+    """Return a fault by which the parts of a response arrive over some seconds."""
+
+    async def fault(stall_seconds, on_data):
+        on_data()
+        await asyncio.sleep(seconds)
+
+    return fault
+
+
 async def hang(stall_seconds, on_data):
     """Accept a call and never answer it."""
     await asyncio.sleep(stall_seconds)
@@ -61,6 +71,8 @@
         self.append_fault = answer_after(0.01)
         self.first_offset = 0
         self.append_count = 0
+        # Reads of records, without those of the newest ones.
+        self.read_count_by_topic = Counter()
 
     def put(self, topic, key, value):
         """Append a record, as another instance does."""
@@ -73,6 +85,7 @@
 
     async def read(self, topic, partition, start, wait_ms, on_data):
         """Return the records from an offset on, after the wait if there are none."""
+        self.read_count_by_topic[topic] += 1
         await self.fault_by_topic[topic](READ_STALL_SECONDS, on_data)
         if start < self.first_offset:
             raise StoreExpiredError(f"expired from offset {start}")
