Reject a body as too large only by the newest stored configuration

What callers saw: 413 for a job from an instance that has not read a raised limit of bodies, while its neighbour accepts the job.

The limit was that of the configuration by which the request's key was checked, and a body beyond it was rejected without a look at a newer one.

Both cases of TestBodyLimit failed before: with a limit that is raised far enough (413 where the neighbour gives 200), and with one that is raised too little (the old limit was named).

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -64,6 +64,7 @@
         job_id=JOB_ID,
         path_prefix=QUEUE.path_prefix,
         key=None,
+        request_body=REQUEST_BODY,
     ):
         """Return the status, the body and the seconds that a request takes."""
         headers = [
@@ -82,7 +83,7 @@
         messages = []
 
         async def receive():
-            return {"type": "http.request", "body": REQUEST_BODY}
+            return {"type": "http.request", "body": request_body}
 
         async def send(message):
             messages.append(message)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/operators.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/operators.py
@@ -12,7 +12,12 @@
 
 
 def put_configuration(
-    store, version, keys=(KEY,), keyed_prefix=KEYED_PREFIX, checks_keys=True
+    store,
+    version,
+    keys=(KEY,),
+    keyed_prefix=KEYED_PREFIX,
+    checks_keys=True,
+    max_body_bytes=262_144,
 ):
     """Write a version with a queue that takes the keys, and a public queue.
 
@@ -28,6 +33,7 @@
         "version": version,
         "routes": routes,
         "services": [{"name": "pool"}],
+        "limits": {"maxBodyBytes": max_body_bytes},
         "tenants": [{"name": "a", "apiKeys": list(keys)}],
     }
     value = json.dumps(configuration).encode()
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_denials.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_denials.py
@@ -13,7 +13,7 @@
 
 from baobablane_daemon.jobs import JOBS_TOPIC
 
-from .caller import JOB_ID, Caller, run_caller
+from .caller import JOB_ID, REQUEST_BODY, Caller, run_caller
 from .operators import KEY, KEYED_PREFIX, PUBLIC_PREFIX, put_configuration
 from .scripted_store import (
     ScriptedStore,
@@ -42,13 +42,14 @@
 
 
 @asynccontextmanager
-async def run_neighbours(**change):
+async def run_neighbours(first_max_body_bytes=262_144, **change):
     """Run two instances with a job that is accepted, of which one reads a change.
 
-    Yield the instance that has not read it, and the one that has.
+    Before it, bodies are limited to `first_max_body_bytes`. Yield the instance that
+    has not read the change, and the one that has.
     """
     behind = Caller(follows_progress=True, reads_configuration=True)
-    put_configuration(behind.store, 1)
+    put_configuration(behind.store, 1, max_body_bytes=first_max_body_bytes)
     store = ScriptedStore()
     store.records_by_topic = behind.store.records_by_topic
     ahead = Caller(follows_progress=True, store=store, reads_configuration=True)
@@ -213,6 +214,36 @@
         run_in_virtual_time(scenario())
 
 
+class TestBodyLimit:
+    """Test a job whose body is larger than one of two versions allows."""
+
+    LARGE_BODY = REQUEST_BODY + b" " * 100
+
+    @pytest.mark.parametrize("extra_bytes, expected", [(100, 200), (99, 413)])
+    def test_newest_limit_counts_at_both_instances(self, extra_bytes, expected):
+        limit = len(REQUEST_BODY)
+        raised_limit = limit + extra_bytes
+
+        async def scenario():
+            neighbours = run_neighbours(limit, max_body_bytes=raised_limit)
+            async with neighbours as instances:
+                for instance in instances:
+                    status, body, seconds = await instance.call(
+                        "POST",
+                        job_id=NEW_JOB_ID,
+                        path_prefix=KEYED_PREFIX,
+                        key=KEY,
+                        request_body=self.LARGE_BODY,
+                    )
+                    assert status == expected
+                    assert seconds <= BOUND_SECONDS
+                    if status == 413:
+                        detail = f"the body has more than {raised_limit} bytes"
+                        assert body == {"error": detail, "code": 215}
+
+        run_in_virtual_time(scenario())
+
+
 class TestLog:
     """Test the lines that tell denials apart."""
 
