Judge what arrives from the store by its rate, not by its presence

What callers saw: while the store, or the connection to it, sent some bytes of each response and ended none, every query for a job that had not ended was rejected by all instances, for as long as that lasted; instances stayed ready meanwhile.

Cause: any byte ended the silence that readiness, acceptance and dated states go by, and no read had a bound but its time without data. A head of which bytes arrive had none at all.

As a repeated read begins from the first byte, its data count only beyond what a failed one had received; a response that is begun and stops halfway, again and again, was no silence either.

In virtual time, 20 s of four kinds of trickle: from 6 s on each query for an open job is answered with its age, and 2.5 s after the end with none. A page of 262 KB and one of 1.3 MB of newest records at 87,000 bytes a second arrive without a silence of 1.3 s, also with stalls of 0.8 s.

test_old_view_is_not_shown_as_a_new_one required rejections under a trickle, which was the fault; it now requires the state with its age, as for a silent store. The scripted trickle goes through the client's own receiving code. The callback of reads gets the number of bytes, so two tests pass on another argument.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -1,10 +1,13 @@
 """Follow one partition of a keyed topic."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from baobablane_platform import (
     KeyedRecord,
+    NewestPage,
+    RecordPage,
     StoreClient,
     StoreError,
     StoreExpiredError,
@@ -15,13 +18,15 @@
 from ..decision_log import DecisionLog
 from ._clock import boot_seconds, loggable_age
 
+P = TypeVar("P", RecordPage, NewestPage)
+
 # The store responds to a read that finds no records after this time, which confirms the
 # view. A lost connection is detected within this time plus the timeout of the read.
 READ_WAIT_MS = 400
 READ_RETRY_SECONDS = 0.1
 # Longer than a read and its repetition take to fail. A failure from before that says
 # nothing about the store now, since the process was stopped in the meantime.
-MAX_FAILURE_AGE_SECONDS = 4.1
+MAX_FAILURE_AGE_SECONDS = 4.5
 # With fewer unread records, reading them is cheaper than reading the newest records.
 MIN_SKIPPED_RECORDS = 2
 
@@ -74,8 +79,10 @@
         self._failed_reads = 0
         # When the latest read failed; -inf before the first.
         self._failed_at = float("-inf")
-        # When a part of a successful response last arrived; -inf before the first.
+        # When a response last ended or arrived fast enough; -inf before the first.
         self._data_at = float("-inf")
+        # The most that a failed read has received since a read last ended.
+        self._wasted_bytes = 0
         # When the latest read was sent that reached the end or returned the newest
         # records; -inf before the first.
         self.confirmed_at = float("-inf")
@@ -94,9 +101,12 @@
         return boot_seconds() - self.confirmed_at
 
     def silence(self) -> float:
-        """Return the seconds since the store last sent a part of a response.
+        """Return the seconds since the store last sent something of use.
 
-        It is less than `age` while a large response arrives.
+        That is the end of a response, or data that arrive fast enough, unless a failed
+        read had received as much: a repeated read begins from the first byte. So the
+        silence is less than `age` while a large response arrives, but not while a
+        response trickles or stops halfway again and again.
         """
         return boot_seconds() - self._data_at
 
@@ -179,8 +189,10 @@
             return 0
         requested_at = boot_seconds()
         try:
-            page = await self._store.read(
-                self._topic, 0, start, wait_ms, self._note_data
+            page = await self._receive(
+                lambda on_data: self._store.read(
+                    self._topic, 0, start, wait_ms, on_data
+                )
             )
         except StoreExpiredError:
             self._log.info("topic-read-anew", topic=self._topic, offset=start)
@@ -204,8 +216,10 @@
         # low-bandwidth shared link, all of them may take longer than one call.
         while True:
             requested_at = boot_seconds()
-            page = await self._store.read_newest(
-                self._topic, 0, self._newest_last_key, self._note_data
+            page = await self._receive(
+                lambda on_data: self._store.read_newest(
+                    self._topic, 0, self._newest_last_key, on_data
+                )
             )
             self._count_read(requested_at, page.size_bytes)
             self._end_offset = page.end_offset
@@ -266,8 +280,26 @@
     def _log_skipped(self, key: str, reason: str) -> None:
         self._log.info("record-skipped", topic=self._topic, key=key, reason=reason)
 
-    def _note_data(self) -> None:
+    async def _receive(
+        self, read: Callable[[Callable[[int], None]], Awaitable[P]]
+    ) -> P:
+        """Read one page, and note when data of use arrive."""
+        most_received = 0
+
+        def note_data(received_bytes: int) -> None:
+            nonlocal most_received
+            most_received = received_bytes
+            if received_bytes > self._wasted_bytes:
+                self._data_at = boot_seconds()
+
+        try:
+            page = await read(note_data)
+        except StoreError:
+            self._wasted_bytes = max(self._wasted_bytes, most_received)
+            raise
         self._data_at = boot_seconds()
+        self._wasted_bytes = 0
+        return page
 
     def _count_read(self, requested_at: float, size_bytes: int) -> None:
         metrics = self._log.metrics
--- a/packages/baobablane-daemon/baobablane_daemon/tasks/_instance_list.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tasks/_instance_list.py
@@ -5,10 +5,12 @@
 
 import aiohttp
 import msgspec
-from baobablane_platform import stall_timeout
+from baobablane_platform import receive_response, stall_timeout
 
 POLL_INTERVAL_SECONDS = 0.5
 TIMEOUT_SECONDS = 2.0
+# Maximum time in which too little of the list arrives, from the call on.
+SLOW_SECONDS = 2 * TIMEOUT_SECONDS
 STATUS_OK = 200
 
 
@@ -49,10 +51,9 @@
         self, session: aiohttp.ClientSession
     ) -> UnavailableInstances | None:
         try:
-            async with session.get(self._url) as response:
-                if response.status != STATUS_OK:
-                    return None
-                body = await response.read()
+            status, body = await receive_response(session.get(self._url), SLOW_SECONDS)
+            if status != STATUS_OK:
+                return None
             instances = msgspec.json.decode(body, type=list[ListedInstance])
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
             return None
