--- a/packages/baobablane-standin/baobablane_standin/platform/_partition.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_partition.py
@@ -32,6 +32,8 @@
         self.records: list[bytes] = []
         # The offset and the value of the newest record of each key.
         self.newest: dict[str, tuple[int, bytes]] = {}
+        # The keys of these in order, or None after a change.
+        self._sorted_keys: list[str] | None = None
         self._is_keyed = is_keyed
         self._producers: dict[str, _Producer] = {}
         self._changed = asyncio.Event()
@@ -85,6 +87,12 @@
         self._changed = asyncio.Event()
         return response
 
+    def sorted_keys(self) -> list[str]:
+        """Return the keys of the newest records in order."""
+        if self._sorted_keys is None:
+            self._sorted_keys = sorted(self.newest)
+        return self._sorted_keys
+
     def drop_before(self, offset: int) -> None:
         """Drop the records before an offset, but keep the newest record of each key."""
         count = max(0, min(offset, self.end_offset) - self.first_offset)
@@ -117,6 +125,8 @@
     def _update_newest(self, record: bytes) -> None:
         end = 1 + record[0]
         key, value = record[1:end].decode(), record[end:]
+        if (key in self.newest) != bool(value):
+            self._sorted_keys = None
         if value:
             self.newest[key] = (self.end_offset, value)
         else:
--- a/packages/baobablane-standin/baobablane_standin/platform/_server.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import bisect
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
@@ -91,6 +92,8 @@
         body = await request.body()
         self.append_count += 1
         switches = self.store.switches
+        if switches.is_silent:
+            return await _await_disconnect(request)
         await asyncio.sleep(switches.delay_seconds)
         is_rejected = (
             switches.rejects_every and not self.append_count % switches.rejects_every
@@ -127,6 +130,8 @@
         return JSONResponse(response)
 
     async def _read(self, request: Request) -> Response:
+        if self.store.switches.is_silent:
+            return await _await_disconnect(request)
         await asyncio.sleep(self.store.switches.delay_seconds)
         if not self._is_readable(request):
             return Response(status_code=503)
@@ -136,6 +141,8 @@
         if start < partition.first_offset:
             return JSONResponse({"first": partition.first_offset}, 410)
         await partition.wait_for_record(start, wait_seconds)
+        if self.store.switches.is_silent:
+            return await _await_disconnect(request)
         if not self._is_readable(request):
             return Response(status_code=503)
         header = partition.end_offset.to_bytes(OFFSET_BYTES, "big")
@@ -147,21 +154,25 @@
         return self._send_page(header + b"".join(frames))
 
     async def _read_newest(self, request: Request) -> Response:
+        if self.store.switches.is_silent:
+            return await _await_disconnect(request)
         if not self._is_readable(request):
             return Response(status_code=503)
         partition = self._partition(request)
         after = request.query_params.get("after", "")
-        unread = sorted(item for item in partition.newest.items() if item[0] > after)
-        taken = _take_page(
-            unread[:MAX_NEWEST_ITEMS], MAX_NEWEST_BYTES, lambda item: len(item[1][1])
-        )
+        keys = partition.sorted_keys()
+        unread_keys = keys[bisect.bisect_right(keys, after) :]
+        unread = [
+            (key, partition.newest[key]) for key in unread_keys[:MAX_NEWEST_ITEMS]
+        ]
+        taken = _take_page(unread, MAX_NEWEST_BYTES, lambda item: len(item[1][1]))
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in taken
         ]
         page = {
             "items": items,
-            "hasMore": len(taken) < len(unread),
+            "hasMore": len(taken) < len(unread_keys),
             "end": partition.end_offset,
         }
         return self._send_page(msgspec.json.encode(page))
@@ -253,6 +264,13 @@
         return self.store.partition(query["topic"], int(query["part"]))
 
 
+async def _await_disconnect(request: Request) -> Response:
+    """Return a response that nobody receives, once the client has given up."""
+    while not await request.is_disconnected():
+        await asyncio.sleep(CHUNK_INTERVAL_SECONDS)
+    return Response(status_code=504)
+
+
 async def _serve_order(
     upstream: StandinUpstream,
     request: Request,
--- a/packages/baobablane-standin/baobablane_standin/platform/_store.py
+++ b/packages/baobablane-standin/baobablane_standin/platform/_store.py
@@ -12,6 +12,8 @@
     """Store the failures that are switched on, and the bandwidth of reads."""
 
     is_down: bool = False
+    # Calls that arrive meanwhile get no response, also later.
+    is_silent: bool = False
     # Topics that can't be read.
     unreadable_topics: set[str] = field(default_factory=set)
     # Appends have no effect and get no response (simulated by status 504).
