--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -8,10 +8,17 @@
 
 from baobablane.deployment import PlatformLimits, Resources
 from baobablane.jobs import Job, Step, encode_job
-from baobablane_platform import CallerActions, make_platform_app
+from baobablane_platform import OPERATOR_TOPIC, CallerActions, make_platform_app
 
 from baobablane_daemon.decision_log import DecisionLog
-from baobablane_daemon.jobs import JOBS_TOPIC, JobActions, JobWriter, Views
+from baobablane_daemon.jobs import (
+    JOBS_TOPIC,
+    STATES_TOPIC,
+    JobActions,
+    JobWriter,
+    Views,
+    encode_owner_heartbeat,
+)
 
 from .scripted_store import ScriptedStore, hang
 
@@ -22,6 +29,24 @@
 CONFIGURATION = SimpleNamespace(find_queue=lambda host, path: QUEUE)
 
 
+CONFIGURATION_RECORD = b"""{
+    "version": 1,
+    "routes": [{
+        "name": "q", "host": "q.example", "pathPrefix": "/q/", "service": "pool",
+        "priority": 0
+    }],
+    "services": [{"name": "pool"}],
+    "tenants": [{"name": "a", "apiKeys": ["key"]}]
+}"""
+
+
+def put_deployment(store):
+    """Store a configuration and an owner's heartbeat, which readiness needs."""
+    store.put(OPERATOR_TOPIC, "config", CONFIGURATION_RECORD)
+    heartbeat = encode_owner_heartbeat(1, 1, "entry-1-1", is_large=True)
+    store.put(STATES_TOPIC, "owner", heartbeat)
+
+
 class Caller:
     """Send requests to one entry instance."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_link.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_link.py
@@ -71,6 +71,10 @@
     async def __aexit__(self, *error):
         """Close the connection."""
 
+    async def read(self):
+        """Return the body once all of it has arrived."""
+        return b"".join([chunk async for chunk in self.content.iter_any()])
+
 
 class LinkedStore(StoreClient):
     """Read the records of all topics from memory, over connections of some pace."""
@@ -83,6 +87,8 @@
         self.records_by_topic = defaultdict(list)
         self.pace = at_once
         self.head_seconds = CALL_SECONDS
+        # How long the store collects the newest records.
+        self.newest_seconds = CALL_SECONDS
         self.has_length = True
 
     def put(self, topic, key, value):
@@ -96,7 +102,7 @@
     def _respond(self, method, url, params, data, timeout):
         records = self.records_by_topic[params["topic"]]
         if "from" not in params:
-            return self._make_response(_newest_page(records), CALL_SECONDS)
+            return self._make_response(_newest_page(records), self.newest_seconds)
         start = int(params["from"])
         seconds = CALL_SECONDS
         if start == len(records):
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_store.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/scripted_store.py
@@ -80,6 +80,11 @@
         self.fault_by_topic = defaultdict(lambda: hang)
         self.append_fault = hang
 
+    def recover(self):
+        """Answer all calls from now on."""
+        self.fault_by_topic = defaultdict(lambda: answer_after(0.01))
+        self.append_fault = answer_after(0.01)
+
     async def read(self, topic, partition, start, wait_ms, on_data):
         """Return the records from an offset on, after the wait if there are none."""
         await self.fault_by_topic[topic](READ_STALL_SECONDS, on_data)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_trickling_store.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_trickling_store.py
@@ -15,7 +15,7 @@
 from baobablane_daemon.jobs import JOBS_TOPIC, PROGRESS_TOPIC, TopicTail
 from baobablane_daemon.jobs._view_limits import MAX_SILENCE_SECONDS
 
-from .caller import run_instance
+from .caller import put_deployment, run_instance
 from .scripted_link import LinkedStore, at_once, at_rate, stall, stop_after
 from .virtual_time import run_in_virtual_time
 
@@ -35,8 +35,10 @@
 async def run_linked_instance(follows_progress=True):
     """Run an instance over a scripted link; yield its caller and the store."""
     store = LinkedStore()
+    put_deployment(store)
     try:
         async with run_instance(follows_progress, True, store) as caller:
+            assert caller.actions.is_ready()
             yield caller, store
     finally:
         await store.close()
