Ask for states only once the store is heard

What callers saw: an instance with a narrow link that was started while the store was silent rejected new jobs for 2 s longer than its neighbours after the store's return.

Cause: it appends a record by which it asks the owner for states. Sent into the outage, this has no response, and jobs are rejected for as long as an append seems to take too long.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_state_reader.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_state_reader.py
@@ -6,6 +6,7 @@
 
 from ..decision_log import DecisionLog
 from ._job_writer import JobWriter
+from ._view_limits import MAX_SILENCE_SECONDS
 from ._views import STATE_READER_PREFIX, Views
 
 RETRY_SECONDS = 0.3
@@ -22,6 +23,10 @@
         return
     record = KeyedRecord(STATE_READER_PREFIX + instance, b"1")
     while True:
+        # An append that is sent while the store is away is without a response for
+        # seconds after its return, and jobs are rejected for as long.
+        while views.jobs_tail.silence() > MAX_SILENCE_SECONDS:
+            await asyncio.sleep(RETRY_SECONDS)
         try:
             await job_writer.write(record)
             return
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_starts.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_starts.py
@@ -105,6 +105,25 @@
         run_in_virtual_time(scenario())
 
 
+class TestReaderRegistration:
+    """Test the append by which an instance with a narrow link asks for states."""
+
+    def test_nothing_is_appended_to_a_silent_store(self):
+        """Guards against new jobs that are rejected for an append in the outage."""
+
+        async def scenario():
+            store = ScriptedStore()
+            store.hang_all()
+            async with start_instance(store, follows_progress=False) as caller:
+                await asyncio.sleep(5.0)
+                assert store.append_count == 0
+                store.recover()
+                await wait_until(lambda: caller.views.state_readers)
+                assert caller.actions._find_store_fault() == ""
+
+        run_in_virtual_time(scenario())
+
+
 class TestReadiness:
     """Test that an instance takes callers only once it knows what they ask for."""
 
