Watch the owner directly, and claim as soon as it is suspected to be lost

Callers saw most jobs of two seconds late whenever the owner was killed, froze, was cut off or was turned away by the store: its heartbeats had to time out for 1.5 s, and up to nine instances claimed at the same time.

Three instances, in an order that all compute alike, now subscribe to messages of the owner. A pure module judges them: no connection, failing writes, an old confirmation, silence. A suspicion only lets an instance claim sooner, after a read of the store that confirms it; the claim is the same conditional append as before. While the store is slow or away for all, nothing is suspected. Direct messages of another process or epoch are refused and logged.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import uvicorn
@@ -23,12 +24,22 @@
 from .jobs import (
     JobActions,
     JobWriter,
+    Peer,
     Views,
     boot_seconds,
     make_holder,
+    register_peer,
     register_state_reader,
 )
-from .owner import Candidacy, Owner, Ownership, has_wide_link, is_large
+from .owner import (
+    Candidacy,
+    Owner,
+    Ownership,
+    Succession,
+    has_wide_link,
+    is_large,
+    open_link,
+)
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # The balancer routes elsewhere after two failed checks of one second each.
@@ -65,12 +76,15 @@
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
     holder = make_holder(settings.instance, time.time_ns())
+    succession = _make_succession(settings, views, job_writer, log)
     candidacy = Candidacy(
         holder,
         is_large(settings),
         lambda: views.owner_heartbeat,
         views.state_view.age,
         boot_seconds(),
+        succession.line,
+        succession.suspicion,
     )
     ownership = Ownership(store, views, log, holder, is_large(settings), candidacy)
     actions = JobActions(settings, views, job_writer, log)
@@ -104,7 +118,8 @@
             log.run(),
             views.run(),
             job_writer.run(),
-            _run_owner(store, views, ownership, settings, log),
+            succession.run(),
+            _run_owner(store, views, ownership, settings, log, succession),
         )
     ]
     server_tasks = [loop.create_task(server.serve()) for server in servers]
@@ -133,19 +148,34 @@
         log.flush()
 
 
+def _make_succession(
+    settings: ProcessSettings, views: Views, job_writer: JobWriter, log: DecisionLog
+) -> Succession:
+    address = settings.feed_address if is_large(settings) else ""
+    return Succession(
+        partial(open_link, address, log) if address else None,
+        partial(register_peer, settings.instance, Peer(address), job_writer, log),
+        settings.instance,
+        views,
+        log,
+    )
+
+
 async def _run_owner(
     store: StoreClient,
     views: Views,
     ownership: Ownership,
     settings: ProcessSettings,
     log: DecisionLog,
+    succession: Succession,
 ) -> None:
     while True:
         changed = ownership.changed
         epoch = ownership.epoch
         if epoch is not None:
             try:
-                await Owner(store, views, ownership, log, settings, epoch).run()
+                send = succession.send
+                await Owner(store, views, ownership, log, settings, epoch, send).run()
             except Exception as error:
                 # Callers are still served, and another instance becomes the owner.
                 log.error("owner-failed", error, epoch=epoch)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from ._actions import JobActions
 from ._append_forecast import AppendForecast
-from ._clock import boot_seconds, unix_ms
+from ._clock import boot_seconds, loggable_age, unix_ms
 from ._job_writer import JobWriter
 from ._order_record import InstanceOrderRecord, encode_order_record
 from ._owner_heartbeat import (
@@ -13,8 +13,9 @@
     make_holder,
 )
 from ._owner_load import OwnerLoad
+from ._peer import Peer
+from ._registration import register_peer, register_state_reader
 from ._repeated_append import append_repeatedly
-from ._state_reader import register_state_reader
 from ._topic_tail import TopicTail
 from ._views import (
     BURST_STARTS_KEY,
@@ -39,6 +40,7 @@
     "LOAD_KEY",
     "INSTANCE_ORDER_PREFIX",
     "PROGRESS_TOPIC",
+    "Peer",
     "STATES_TOPIC",
     "STATE_READER_PREFIX",
     "OWNER_HEARTBEAT_KEY",
@@ -57,7 +59,9 @@
     "encode_order_record",
     "encode_owner_heartbeat",
     "holder_instance",
+    "loggable_age",
     "make_holder",
+    "register_peer",
     "register_state_reader",
     "unix_ms",
 ]
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_registration.py
@@ -0,0 +1,43 @@
+"""Register what other entry instances have to know of this one.
+
+The records are kept by the store, so that instances that start later know them.
+"""
+
+import asyncio
+
+from baobablane_platform import KeyedRecord, StoreError
+
+from ..decision_log import DecisionLog
+from ._job_writer import JobWriter
+from ._peer import Peer, encode_peer
+from ._views import PEER_PREFIX, STATE_READER_PREFIX, Views
+
+RETRY_SECONDS = 0.3
+
+
+async def register_state_reader(
+    instance: str, views: Views, job_writer: JobWriter, log: DecisionLog
+) -> None:
+    """Ask the owner to publish the states of jobs, if this instance follows them."""
+    if not views.follows_progress:
+        record = KeyedRecord(STATE_READER_PREFIX + instance, b"1")
+        await _store(record, job_writer, log)
+
+
+async def register_peer(
+    instance: str, peer: Peer, job_writer: JobWriter, log: DecisionLog
+) -> None:
+    """Tell other instances where to watch this one while it is the owner."""
+    await _store(
+        KeyedRecord(PEER_PREFIX + instance, encode_peer(peer)), job_writer, log
+    )
+
+
+async def _store(record: KeyedRecord, job_writer: JobWriter, log: DecisionLog) -> None:
+    while True:
+        try:
+            await job_writer.write(record)
+            return
+        except StoreError as error:
+            log.info("instance-unregistered", key=record.key, reason=str(error))
+            await asyncio.sleep(RETRY_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -28,6 +28,7 @@
 from ._order_record import InstanceOrderRecord, decode_order_record
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
 from ._owner_load import OwnerLoad
+from ._peer import Peer, decode_peer
 from ._topic_tail import TopicTail
 
 # Written by all entry instances: accepted jobs and cancellations.
@@ -50,6 +51,9 @@
 # Key prefix in the topic of jobs; the name of an entry instance that follows the topic
 # of states follows.
 STATE_READER_PREFIX = "reader/"
+# Key prefix in the topic of jobs; the name of an entry instance that can be the owner
+# of a full fleet follows.
+PEER_PREFIX = "peer/"
 # Keys in the topic of progress: prefixes that the number of a wave or the id of an
 # instance follows, and the key of burst starts. Progress of a job has the key `job.id`.
 WAVE_PROGRESS_PREFIX = "wave/"
@@ -77,6 +81,8 @@
         self.follows_progress = follows_progress
         # Entry instances that follow the states.
         self.state_readers: set[str] = set()
+        # Entry instances that can be the owner of a full fleet.
+        self.peer_by_instance: dict[str, Peer] = {}
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
         # Zones in which operators allow no starts, whether or not they are known.
@@ -209,6 +215,9 @@
             else:
                 self.state_readers.add(reader)
             return
+        if record.key.startswith(PEER_PREFIX):
+            self._on_peer_record(record)
+            return
         if record.key.startswith(CANCEL_PREFIX):
             job_id = record.key.removeprefix(CANCEL_PREFIX)
             if record.value is None:
@@ -227,6 +236,16 @@
         if self.job_table.accept(job):
             self.on_change(job.id)
 
+    def _on_peer_record(self, record: KeyedRecord) -> None:
+        instance = record.key.removeprefix(PEER_PREFIX)
+        if record.value is None:
+            self.peer_by_instance.pop(instance, None)
+            return
+        try:
+            self.peer_by_instance[instance] = decode_peer(record.value)
+        except msgspec.DecodeError as error:
+            self._log.info("record-skipped", key=record.key, reason=str(error))
+
     def _on_state_record(self, record: KeyedRecord) -> None:
         if record.value is None:
             self.job_table.remove_state(record.key)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
@@ -2,6 +2,16 @@
 
 from ._candidacy import Candidacy, has_wide_link, is_large
 from ._owner import Owner
+from ._owner_link import open_link
 from ._ownership import Ownership
+from ._succession import Succession
 
-__all__ = ["Candidacy", "Owner", "Ownership", "has_wide_link", "is_large"]
+__all__ = [
+    "Candidacy",
+    "Owner",
+    "Ownership",
+    "Succession",
+    "has_wide_link",
+    "is_large",
+    "open_link",
+]
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
@@ -8,6 +8,9 @@
 a low-bandwidth link, and the owner of a full fleet needs more than those have. A small
 instance claims only after a timeout that is longer than a large one needs to claim.
 
+Load pattern: the owner is lost in the peak of a burst. An instance that watches it
+directly claims as soon as it suspects that, in the order of succession.
+
 Load pattern: all entry instances restart at the same time, or lose the store for longer
 than an owner may go on without it. The latest owner claims again at once, since nobody
 else can be waiting for its heartbeats to time out.
@@ -16,6 +19,7 @@
 from collections.abc import Callable
 from zlib import crc32
 
+from baobablane.succession import MAX_WATCHERS, RANK_DELAY_SECONDS, Suspicion
 from baobablane_platform import ProcessSettings
 
 from ..jobs import OwnerHeartbeat, holder_instance
@@ -58,8 +62,18 @@
         heartbeat: Callable[[], OwnerHeartbeat | None],
         view_age: Callable[[], float],
         now: float,
+        line: Callable[[], tuple[str, ...]] = tuple,
+        find_suspicion: Callable[[float], Suspicion | None] = lambda now: None,
     ) -> None:
-        """Start without a view; times are in seconds of one monotonic clock."""
+        """Start without a view; times are in seconds of one monotonic clock.
+
+        `line` returns the instances that watch the owner, its successor first, and
+        `find_suspicion` why this instance suspects that the owner is lost, or None.
+        """
+        self._line = line
+        self._find_suspicion = find_suspicion
+        # When the current suspicion began; None without one.
+        self.suspected_at: float | None = None
         self._instance = holder_instance(holder)
         self._is_large = is_large
         self._heartbeat = heartbeat
@@ -67,7 +81,7 @@
         self._started_at = now
         # When the view was last found stale; None before the first fresh view.
         self._last_stale_at: float | None = None
-        self._claim_delay_seconds = (
+        self._random_delay_seconds = (
             crc32(holder.encode()) % 1000 / 1000 * MAX_CLAIM_DELAY_SECONDS
         )
 
@@ -86,6 +100,8 @@
         ):
             # The latest owner was this process, or the one that it replaces.
             return True
+        if self._is_suspicion_due(now):
+            return True
         if heartbeat is None or heartbeat.is_leaving:
             waiting_since = max(
                 self._started_at, heartbeat.received_at if heartbeat else 0.0
@@ -97,4 +113,20 @@
         if not self._is_large and (heartbeat is None or heartbeat.is_large):
             timeout_seconds = SMALL_HEARTBEAT_TIMEOUT_SECONDS
             waiting_since = max(waiting_since, self._started_at)
-        return now - waiting_since > timeout_seconds + self._claim_delay_seconds
+        return now - waiting_since > timeout_seconds + self._claim_delay()
+
+    def _is_suspicion_due(self, now: float) -> bool:
+        if self._find_suspicion(now) is None:
+            self.suspected_at = None
+            return False
+        if self.suspected_at is None:
+            self.suspected_at = now
+        return now - self.suspected_at >= self._claim_delay()
+
+    def _claim_delay(self) -> float:
+        """Return how long others may claim before this instance, in seconds."""
+        line = self._line()
+        if self._instance in line:
+            return line.index(self._instance) * RANK_DELAY_SECONDS
+        later = MAX_WATCHERS * RANK_DELAY_SECONDS if line else 0.0
+        return later + self._random_delay_seconds
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
@@ -9,9 +9,10 @@
     Producer,
     StoreClient,
     StoreRejectedError,
+    StoreUnknownOutcomeError,
 )
 
-from ..jobs import AppendForecast, append_repeatedly
+from ..jobs import AppendForecast, append_repeatedly, boot_seconds
 
 PRODUCER_NAME = "owner"
 APPEND_RETRY_SECONDS = 0.05
@@ -44,6 +45,15 @@
         self._on_stored = on_stored
         self._forecast = AppendForecast(is_only_writer=True)
         self._lock = asyncio.Lock()
+        # When the first attempt failed since an append was stored; None if none has.
+        self._failing_since: float | None = None
+
+    def failing_for(self, now: float) -> float:
+        """Return for how many seconds all attempts have failed; zero if none has.
+
+        An attempt without a response does not count as failed.
+        """
+        return 0.0 if self._failing_since is None else now - self._failing_since
 
     async def append(self, records: list[KeyedRecord]) -> None:
         """Store records, and retry until stored.
@@ -62,13 +72,18 @@
         self, records: list[KeyedRecord], producer: Producer
     ) -> None:
         async def send(seconds: float) -> None:
-            await self._store.append(
-                self._topic,
-                0,
-                records,
-                producer,
-                min(seconds, ATTEMPT_TIMEOUT_SECONDS),
-            )
+            try:
+                await self._store.append(
+                    self._topic,
+                    0,
+                    records,
+                    producer,
+                    min(seconds, ATTEMPT_TIMEOUT_SECONDS),
+                )
+            except (StoreRejectedError, StoreUnknownOutcomeError):
+                if self._failing_since is None:
+                    self._failing_since = boot_seconds()
+                raise
 
         while True:
             try:
@@ -78,5 +93,6 @@
             except StoreRejectedError:
                 await asyncio.sleep(APPEND_RETRY_SECONDS)
             else:
+                self._failing_since = None
                 self._on_stored(requested_at)
                 return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -42,6 +42,7 @@
 from ._job_deleter import JobDeleter
 from ._load_publisher import LoadPublisher
 from ._order_sender import OrderSender
+from ._owner_message import OwnerMessage
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
 from ._takeover_policy import make_policy
@@ -58,6 +59,8 @@
 # allowance of an account is full again after a few seconds without arrivals.
 SHARE_HISTORY_MS = 60_000
 METRICS_INTERVAL_SECONDS = 1.0
+# Others suspect an owner that has sent nothing for several times as long.
+MESSAGE_INTERVAL_SECONDS = 0.1
 
 
 class Owner:
@@ -71,13 +74,18 @@
         log: DecisionLog,
         settings: ProcessSettings,
         epoch: int,
+        send_message: Callable[[OwnerMessage], Awaitable[None]],
     ) -> None:
-        """Prepare to place tasks under `epoch`, the fencing token of all orders."""
+        """Prepare to place tasks under `epoch`, the fencing token of all orders.
+
+        `send_message` sends a direct message to the instances that watch this one.
+        """
         self._store = store
         self._views = views
         self._ownership = ownership
         self._log = log
         self._epoch = epoch
+        self._send_message = send_message
         self._scheduler = Scheduler(
             replace(
                 make_policy(ownership.last_renewal_age(boot_seconds())),
@@ -131,6 +139,7 @@
     async def run(self) -> None:
         """Place tasks until the ownership ends or a newer owner fences this one."""
         try:
+            self._start_task(self._report_to_watchers())
             await self._take_over()
             while self._ownership.epoch == self._epoch:
                 await self._run_round()
@@ -376,6 +385,18 @@
             self._evacuation_seconds,
         )
 
+    async def _report_to_watchers(self) -> None:
+        while self._ownership.epoch == self._epoch:
+            now = boot_seconds()
+            message = OwnerMessage(
+                self._epoch,
+                self._ownership.holder,
+                self._ownership.confirmation_age(now),
+                self._writer.failing_for(now),
+            )
+            await self._send_message(message)
+            await asyncio.sleep(MESSAGE_INTERVAL_SECONDS)
+
     def _may_order(self, seconds: float) -> bool:
         return self._ownership.holds(self._epoch, seconds)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -31,6 +31,11 @@
 CHECK_INTERVAL_SECONDS = 0.05
 # An append usually takes about 15 ms, and 0.4 s while the store takes 90 times as long.
 CLAIM_TIMEOUT_SECONDS = 0.8
+# While the store is well, it answers a read in 10 to 20 ms. A claim that is sent to a
+# store that is slow or away may be carried out when it is back.
+VIEW_CONFIRMATION_SECONDS = 0.2
+# Until the next such read, so that a store in trouble gets few of them.
+CONFIRMATION_RETRY_SECONDS = 0.3
 # An owner that can't reach the store renews leases for this long, but starts no tasks.
 # Together with the last lease, tasks thus survive a store outage of 7 s.
 MAX_UNCONFIRMED_SECONDS = 4.0
@@ -98,7 +103,7 @@
             ) is not None:
                 self._begin_ownership(epoch, now)
             elif now >= self._no_claim_until and self._candidacy.should_claim(now):
-                await self._claim(now)
+                await self._claim_if_confirmed(now)
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
     def confirm(self, requested_at: float) -> None:
@@ -126,6 +131,10 @@
         """
         return self.epoch == epoch and self.is_confirmed(seconds)
 
+    def confirmation_age(self, now: float) -> float:
+        """Return the seconds since the store confirmed the ownership."""
+        return now - self._confirmed_at
+
     def last_renewal_age(self, now: float) -> float | None:
         """Return for how many seconds no earlier owner has renewed any lease.
 
@@ -175,6 +184,21 @@
             return None
         return heartbeat.epoch
 
+    async def _claim_if_confirmed(self, now: float) -> None:
+        """Claim; if the owner is only suspected, read the store before that."""
+        if self._candidacy.suspected_at is not None:
+            try:
+                async with asyncio.timeout(VIEW_CONFIRMATION_SECONDS):
+                    await self._views.state_view.catch_up()
+            except (StoreError, TimeoutError) as error:
+                self._log.info("claim-waits", reason=repr(error))
+                self._no_claim_until = boot_seconds() + CONFIRMATION_RETRY_SECONDS
+                return
+            now = boot_seconds()
+            if not self._candidacy.should_claim(now):
+                return
+        await self._claim(now)
+
     async def _claim(self, now: float) -> None:
         if not self._views.follows_progress and not await self._read_progress(now):
             return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_candidacy.py
@@ -4,6 +4,7 @@
 
 import pytest
 from baobablane.deployment import PlatformLimits
+from baobablane.succession import RANK_DELAY_SECONDS, Suspicion
 from baobablane_platform import ProcessSettings
 
 from baobablane_daemon.jobs import OwnerHeartbeat, make_holder
@@ -117,6 +118,62 @@
         )
 
 
+class TestSuspicion:
+    """Test an instance that suspects the owner to be lost."""
+
+    def make(self, view, line, suspicions):
+        """Return a candidacy; `suspicions` is emptied when the suspicion ends."""
+        return Candidacy(
+            make_holder("entry-1", 2),
+            True,
+            lambda: view.heartbeat,
+            lambda: view.age,
+            STARTED_AT,
+            lambda: line,
+            lambda now: suspicions[0] if suspicions else None,
+        )
+
+    def test_first_successor_claims_at_once(self, view):
+        """Guards against 1.5 s without an owner whenever one is lost."""
+        view.receive_heartbeat(110.0)
+        candidacy = self.make(view, ("entry-1", "entry-2"), [Suspicion.REJECTED])
+        assert candidacy.should_claim(110.1)
+
+    def test_later_successors_give_earlier_ones_time(self, view):
+        """Guards against claims that stand in each other's line."""
+        view.receive_heartbeat(110.0)
+        line = ("entry-3", "entry-2", "entry-1")
+        candidacy = self.make(view, line, [Suspicion.DISCONNECTED])
+        assert not candidacy.should_claim(110.1)
+        assert not candidacy.should_claim(110.1 + 2 * RANK_DELAY_SECONDS - 0.01)
+        assert candidacy.should_claim(110.1 + 2 * RANK_DELAY_SECONDS + 0.01)
+
+    def test_suspicion_that_ended_begins_anew(self, view):
+        view.receive_heartbeat(110.0)
+        suspicions = [Suspicion.SILENT]
+        candidacy = self.make(view, ("entry-2", "entry-1"), suspicions)
+        assert not candidacy.should_claim(110.7)
+        suspicions.clear()
+        assert not candidacy.should_claim(110.75)
+        suspicions.append(Suspicion.SILENT)
+        assert not candidacy.should_claim(110.85)
+        assert candidacy.should_claim(110.85 + RANK_DELAY_SECONDS + 0.01)
+
+    def test_stale_view_allows_no_claim(self, view):
+        """Guards against claims sent to a store that is away for all."""
+        view.receive_heartbeat(110.0)
+        view.age = 2.0
+        candidacy = self.make(view, ("entry-1",), [Suspicion.CUT_OFF])
+        assert not candidacy.should_claim(112.0)
+
+    def test_successors_of_an_owner_that_leaves_go_by_the_line(self, view):
+        view.receive_heartbeat(110.0, is_leaving=True)
+        line = ("entry-2", "entry-1")
+        candidacy = self.make(view, line, [])
+        assert not candidacy.should_claim(110.0 + RANK_DELAY_SECONDS - 0.01)
+        assert candidacy.should_claim(110.0 + RANK_DELAY_SECONDS + 0.01)
+
+
 class TestLatestOwner:
     """Test the instance whose process was the latest owner.
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
@@ -67,11 +67,13 @@
 
 
 async def start_process(deployment, folder, name):
-    """Start an entry instance and wait until it is ready."""
+    """Start an entry instance that can be watched, and wait until it is ready."""
     address = f"{HOST}:{find_free_port()}"
     settings = {
         "node": name,
         "zone": "zone-a",
+        "ip": HOST,
+        "portRange": [find_free_port(), find_free_port()],
         "listenAddrs": {"front": address},
         "platform": {"address": deployment.platform.address},
         "cloud": {"address": deployment.platform.address},
@@ -186,6 +188,28 @@
             assert other.process.returncode is None
 
 
+class TestSuccession:
+    """Test instances that watch the owner over connections of their own."""
+
+    async def test_killed_owner_is_replaced_before_its_heartbeats_time_out(
+        self, tmp_path
+    ):
+        """Guards against 1.5 s in which nothing is placed."""
+        async with run_processes(tmp_path, 2) as (deployment, entries):
+            owner, other = await find_owner(deployment, entries)
+
+            async def is_watched():
+                return "owner-watched" in other.events()
+
+            await deployment.wait_for(is_watched)
+            await check_serves(deployment, other, JOB)
+            owner.process.send_signal(signal.SIGKILL)
+            await owner.process.wait()
+            await check_serves(deployment, other, "00000000000000a2")
+            events = other.events()
+            assert events.index("owner-suspected") < events.index("owner-begins")
+
+
 class TestSuspension:
     """Test an owner that is suspended while another one takes over."""
 
