--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
@@ -132,7 +132,13 @@
         target = "baobablane_daemon.owner._owner.UpstreamOrderClient"
         with mock.patch(target, lambda: self.upstream):
             self.owner = Owner(
-                self.store, self.views, self.ownership, self.log, settings, 1
+                self.store,
+                self.views,
+                self.ownership,
+                self.log,
+                settings,
+                1,
+                _send_to_nobody,
             )
         self.owner._instance_client.list_instances = _fail_to_list
 
@@ -186,3 +192,7 @@
         for task in (model.task, *background):
             task.cancel()
         await asyncio.gather(model.task, *background, return_exceptions=True)
+
+
+async def _send_to_nobody(message):
+    pass
