Let the model of races grant leases as the owner does

Seen: a random search of test_races broke no_task_runs_twice on the unchanged machine: an upstream is idle until its lease is over, a task starts there, the upstream becomes unreachable, and the task starts elsewhere at once.

Cause: the model, not the owner. The owner takes the deadline of a start from the upstream's LeaseTracker, which extends the known lease if less than 2.5 s are left (LeaseTracker.deadline_for_start, UpstreamPoller.start_deadline_ms). The model gave the start a deadline of its own and left the tracker as it was, so its owner took the lease to be over while the run went on.

Change: the model's starts ask the tracker, and none is sent while the upstream's clock is unknown. Its renewals extend the lease before the call, as UpstreamPoller._poll does, also if the call gets no response; the upstream may have heard such a call, which the search draws now. They also carry the epoch, and never shorten a lease. The invariants are as they were.

TestStartOnIdleUpstream has the example in two forms, a run that goes on and an order that arrives late. A test of the real poller shows that a start on an expired lease postpones the known expiry.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -11,6 +11,7 @@
 from baobablane.deployment import NO_RESOURCES
 from baobablane.jobs import Job, JobProgress, JobState, Step, Task, TaskId, TaskState
 from baobablane.scheduling import (
+    SLOWEST_CLOCK_RATE,
     LeaseTracker,
     PaceOrder,
     Scheduler,
@@ -27,7 +28,7 @@
 from baobablane_daemon.jobs import boot_seconds
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
-from baobablane_daemon.owner._upstream_poller import UpstreamPoller
+from baobablane_daemon.owner._upstream_poller import LEASE_SECONDS, UpstreamPoller
 
 TASK = TaskId("0" * 16, 0, 0, 0)
 
@@ -146,6 +147,18 @@
         deadline_ms = poller.start_deadline_ms(window)
         assert deadline_ms == pytest.approx(seconds * 1000, abs=300)
 
+    async def test_start_on_an_expired_lease_postpones_the_known_expiry(self, client):
+        """Guard against a second run while the first one's lease goes on."""
+        poller = await self.send_all(client, 0.1)
+        read_at = boot_seconds() - 6.0
+        lease = LeaseTracker(read_at, 0)
+        granted_ms = lease.extend(read_at, LEASE_SECONDS)
+        poller._scheduler.state.upstreams["u"].lease = lease
+        deadline_ms = poller.start_deadline_ms()
+        assert deadline_ms > granted_ms
+        slowest_seconds = deadline_ms / 1000 / SLOWEST_CLOCK_RATE
+        assert lease.latest_expiry() >= read_at + slowest_seconds
+
     async def test_no_order_is_sent_once_the_ownership_has_run_out(self, client):
         poller = await self.send_all(client, MAX_UNCONFIRMED_SECONDS)
         await poller._poll()
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -26,6 +26,8 @@
 )
 
 LEASE_SECONDS = 4.5
+# A start gets a longer lease only if less than this is left of the granted one.
+MIN_START_LEASE_SECONDS = 2.5
 CORE = 1000
 
 
@@ -134,6 +136,11 @@
         self.end_count, self.epoch, self.lease_expires_at = 0, 0, 0.0
         self.repeated_ends, self.lapsed_end = set(), 0
 
+    def renew(self, epoch: int, deadline: float) -> None:
+        """Extend the lease of all runs; it never shortens."""
+        self.epoch = max(self.epoch, epoch)
+        self.lease_expires_at = max(self.lease_expires_at, deadline)
+
     def report(self, acknowledged: int) -> RenewalReport:
         """Return the response to a renewal of the leases."""
         for end in self.done_ends():
@@ -194,6 +201,7 @@
         model = self.upstreams[name]
         self.now += 0.001
         requested_at = self.now
+        model.renew(self.epoch, self.grant_renewal(name))
         self.now += 0.01
         # The connection tells incarnations apart; the first call over it acknowledges
         # nothing.
@@ -204,8 +212,26 @@
         if known.lease is None:
             known.lease = LeaseTracker(self.now, round(self.now * 1000))
         known.lease.observe_clock(self.now, round(self.now * 1000))
-        known.lease.extend(self.now, LEASE_SECONDS)
-        model.lease_expires_at = self.now + LEASE_SECONDS
+
+    def grant_renewal(self, name):
+        """Return the deadline that the owner's next poll of an upstream grants."""
+        known = self.scheduler.state.upstreams[name]
+        if known.lease is None or not known.is_reachable:
+            return 0.0
+        return known.lease.extend(self.now, LEASE_SECONDS) / 1000
+
+    def grant_start(self, name):
+        """Return the lease deadline of the owner's next start on an upstream.
+
+        None while its clock is unknown: then the start is not sent.
+        """
+        lease = self.scheduler.state.upstreams[name].lease
+        if lease is None:
+            return None
+        deadline_ms = lease.deadline_for_start(
+            self.now, MIN_START_LEASE_SECONDS, LEASE_SECONDS
+        )
+        return deadline_ms / 1000
 
     def renew_all(self):
         """Renew the leases of all upstreams and apply their reports."""
@@ -227,9 +253,11 @@
 
     def send(self, order):
         """Send a start and apply the response."""
-        result = self.upstreams[order.upstream].start(
-            order, self.epoch, self.now + LEASE_SECONDS, self.now
-        )
+        result = StartResult.LATE
+        deadline = self.grant_start(order.upstream)
+        if deadline is not None:
+            model = self.upstreams[order.upstream]
+            result = model.start(order, self.epoch, deadline, self.now)
         self.scheduler.start_answered(order, result, self.now)
         return result
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_races.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_races.py
@@ -7,7 +7,7 @@
 from baobablane.jobs import JobState, TaskId
 from baobablane.scheduling import EndReason, StartResult
 
-from .fleet_model import CORE, LEASE_SECONDS, ModelFleet, make_job, make_step
+from .fleet_model import CORE, ModelFleet, make_job, make_step
 
 NAMES = ("u0", "u1", "u2")
 JOBS = ("1" * 16, "2" * 16)
@@ -76,8 +76,10 @@
             assert (order.task.job, key) not in self.recorded_done
             assert order.task.job not in self.cancelled
             outcome = losses[number] if number < len(losses) else "sent"
-            deadline = fleet.now + LEASE_SECONDS
-            if self.is_unreachable(order.upstream) or outcome == "lost":
+            deadline = fleet.grant_start(order.upstream)
+            if deadline is None:
+                result = StartResult.LATE
+            elif self.is_unreachable(order.upstream) or outcome == "lost":
                 self.late_orders.append((order, fleet.epoch, deadline, fleet.now))
                 result = StartResult.UNKNOWN
             else:
@@ -86,10 +88,16 @@
                     result = StartResult.UNKNOWN
             fleet.scheduler.start_answered(order, result, fleet.now)
 
-    @rule(name=st.sampled_from(NAMES))
-    def obtain_report(self, name):
-        """Renew the leases of an upstream, and apply its report if it is reachable."""
+    @rule(name=st.sampled_from(NAMES), is_heard=st.booleans())
+    def obtain_report(self, name, is_heard=False):
+        """Renew the leases of an upstream, and apply its report if it is reachable.
+
+        If not, the upstream may have heard the renewal.
+        """
         if self.is_unreachable(name):
+            deadline = self.fleet.grant_renewal(name)
+            if is_heard:
+                self.fleet.upstreams[name].renew(self.fleet.epoch, deadline)
             self.fleet.scheduler.renewal_failed(name, self.fleet.now)
         else:
             self.fleet.renew(name)
@@ -120,7 +128,10 @@
     @rule(data=st.data())
     def arrive_late(self, data):
         """Carry out an order that had no response."""
-        row = data.draw(st.sampled_from(self.late_orders))
+        self.carry_out(data.draw(st.sampled_from(self.late_orders)))
+
+    def carry_out(self, row):
+        """Carry out one of the orders that had no response."""
         self.late_orders.remove(row)
         order, epoch, deadline, _ = row
         # The order names the upstream by its id, which a restart does not change.
@@ -199,3 +210,33 @@
 
 TestOwnerMachine = OwnerMachine.TestCase
 TestOwnerMachine.settings = settings(stateful_step_count=40)
+
+
+class TestStartOnIdleUpstream:
+    """Test starts on upstreams whose leases had expired while they ran nothing."""
+
+    def start_and_cut_off(self, *, is_lost):
+        """Start all tasks on idle upstreams; the owner loses contact to one of them."""
+        machine = OwnerMachine()
+        # Then there is room for the other job without one upstream.
+        machine.cancel(JOBS[0])
+        machine.obtain_all_reports()
+        machine.wait(6.0)
+        if is_lost:
+            machine.disconnect("u0", 3.0)
+        machine.place(losses=[])
+        machine.disconnect("u0", 3.0)
+        machine.obtain_all_reports()
+        machine.place(losses=[])
+        return machine
+
+    def test_task_starts_nowhere_else_while_it_runs(self):
+        self.start_and_cut_off(is_lost=False).no_task_runs_twice()
+
+    def test_task_starts_nowhere_else_while_its_order_may_arrive(self):
+        machine = self.start_and_cut_off(is_lost=True)
+        late = list(machine.late_orders)
+        assert late
+        for row in late:
+            machine.carry_out(row)
+        machine.no_task_runs_twice()
--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -12,7 +12,7 @@
     START_TIMEOUT_SECONDS,
     CrashFleet,
 )
-from .fleet_model import LEASE_SECONDS, add, make_job, make_step
+from .fleet_model import add, make_job, make_step
 
 # An entry is removed after three heartbeat intervals of silence.
 ENTRY_SECONDS = 3.0
@@ -77,13 +77,14 @@
         if order.upstream in self.upstreams and (
             loss or self._is_silent(order.upstream)
         ):
+            deadline = self.grant_start(order.upstream)
+            if deadline is None:
+                return super().send(order)
             if loss == "late":
-                deadline = self.now + LEASE_SECONDS
                 self.late.append((self.now + LATE_SECONDS, order, self.epoch, deadline))
             elif loss == "unheard":
-                self.upstreams[order.upstream].start(
-                    order, self.epoch, self.now + LEASE_SECONDS, self.now
-                )
+                model = self.upstreams[order.upstream]
+                model.start(order, self.epoch, deadline, self.now)
             self._unanswered.append((self.now + START_TIMEOUT_SECONDS, order))
             return StartResult.UNKNOWN
         return super().send(order)
