Count a crash without a suspect as one, not as caused from outside

Seen: operators read cause="outside" in baobablane_upstream_crashes_total and `upstream-crashed` for each lone crash of an upstream without young runs, so a lone crash looked like a rack's loss of power, and "no suspect" was never told.

Cause: has_outside_cause looks for another upstream without a suspect that went down at the same time, and took the crashed one itself for that.

Change: an upstream does not explain its own crash.

TestLoneCrash failed before ('outside' == 'no suspect') and passes now, with the other tests of crashes, dark racks and false verdicts.

--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -80,7 +80,8 @@
     as the power of a rack.
     """
     return lost.was_seen and any(
-        other.is_down
+        other is not lost
+        and other.is_down
         and other.was_seen
         and not other.suspects
         and _may_be_simultaneous(lost, other)
--- a/packages/baobablane/baobablane/scheduling/tests/test_outside_causes.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_outside_causes.py
@@ -15,6 +15,18 @@
 MAX_STARTS = 5
 
 
+class TestLoneCrash:
+    """Test a crash of one upstream that had no young run."""
+
+    def test_crash_is_not_its_own_outside_cause(self):
+        fleet = CrashFleet()
+        fleet.crash("u1")
+        fleet.advance(VERDICT_SECONDS)
+        events = fleet.scheduler.pop_events()
+        (crash,) = [event for event in events if event.event == "upstream-crashed"]
+        assert crash.reason == "no suspect"
+
+
 class TestLateDiscovery:
     """Test crashes after an idle upstream has lost power."""
 
