Give up a task that crashes its upstreams seconds after its start

Seen: a task that crashes each upstream 1 s after its start was started without end (TestLateCrash, in KNOWN-RED.txt).

Cause: only runs that had not settled, for 0.25 s, were counted when their upstream crashed. A run that had settled was lost as if it had never run.

Change: a settled run that is lost within 10 s of its start is counted. Its task is no suspect and gets no trial. Five such crashes in a row fail its job (scheduling/_late_crashes.py), so it is started twice more after the third. With five losses of which one is not explained yet it waits for the news, at most 10, 20, 40, 60 s. Innocent tasks are lost in such crashes as well, so it takes more than the crashes themselves: - two of them on instances that share no label, - no other task that was lost in all of them, - nobody who is still suspected of one of them, - at the same time as none of them, no other upstream was lost, - fewer than half as many upstreams of the pool crashed in the last minute without such a task or a suspect. A run that ends by itself or outlives 10 s clears its task, and so do the news that withdraw a loss of a suspect. An owner counts only what it saw: another one does not know what else went down, so nothing is recorded, and the count begins anew with it.

Lines: `run-lost-late` and `late-loss-withdrawn`; `task-waits` names the hold.

Not given up: a task that crashes its upstream later than after 10 s, or only under one owner after the other.

--- a/packages/baobablane/baobablane/crashes/__init__.py
+++ b/packages/baobablane/baobablane/crashes/__init__.py
@@ -2,13 +2,15 @@
 
 from ._host import Host, decode_host, encode_host
 from ._host_table import HostChanges, HostTable
-from ._verdict import is_deadly
+from ._verdict import MIN_LATE_CRASHES, is_deadly, is_late_cause
 
 __all__ = [
+    "MIN_LATE_CRASHES",
     "Host",
     "HostChanges",
     "HostTable",
     "decode_host",
     "encode_host",
     "is_deadly",
+    "is_late_cause",
 ]
--- a/packages/baobablane/baobablane/crashes/_verdict.py
+++ b/packages/baobablane/baobablane/crashes/_verdict.py
@@ -16,6 +16,8 @@
 # The same if owners changed during the trials, so that it is unknown whether the task
 # had just been started. After three crashes, a task may be started twice more.
 MIN_UNSEEN_CRASHES = 5
+# The same of runs that had settled, beside which many others may have been the cause.
+MIN_LATE_CRASHES = 5
 
 
 def is_deadly(losses: Iterable[RunLoss]) -> bool:
@@ -36,6 +38,17 @@
     )
 
 
+def is_late_cause(losses: Iterable[RunLoss]) -> bool:
+    """Return whether lost runs that had settled show that their task crashes upstreams.
+
+    It says nothing of the tasks that were lost in the same crashes.
+    """
+    crashes = [loss for loss in losses if loss.is_crash]
+    return len(crashes) >= MIN_LATE_CRASHES and any(
+        _are_apart(first, second) for first, second in combinations(crashes, 2)
+    )
+
+
 def _are_apart(first: RunLoss, second: RunLoss) -> bool:
     """Return whether two crashes were on instances that share no label."""
     instances = {loss.instance or loss.upstream for loss in (first, second)}
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -9,7 +9,16 @@
 
 from ..crashes import is_deadly
 from ..jobs import JobState, RunLoss, Task, TaskId, TaskState
+from ._late_crashes import (
+    clear_outlived,
+    confirm_late_losses,
+    find_late_causes,
+    may_be_late_cause,
+    note_late_loss,
+    withdraw_late_losses,
+)
 from ._lost_upstream import RETENTION_SECONDS, LostUpstream, has_outside_cause
+from ._open_tasks import find_open_task
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Run, Upstream
@@ -68,14 +77,19 @@
         return
     step_run, task = found
     if (
-        run.task not in lost.suspects
-        or task.state is TaskState.DONE
+        task.state is TaskState.DONE
         # Its loss was noted before a later run began, which may have cleared the task.
         or task.run > run.number
         or any(loss.run == run.number for loss in task.losses)
         or _is_known_to_be_up(state, lost)
     ):
         return
+    instance = state.instance_by_upstream.get(upstream.id, "")
+    if run.task not in lost.suspects:
+        if may_be_late_cause(run, lost):
+            labels = place_labels(state, upstream)
+            note_late_loss(state, run, lost, instance, labels)
+        return
     unix_ms = round((now + state.unix_offset_seconds) * 1000)
     # Another owner may have seen it settle and not have recorded that.
     is_young = not run.is_restored or was_just_tried(task, unix_ms)
@@ -83,7 +97,7 @@
         run.number,
         lost.upstream,
         lost.incarnation,
-        state.instance_by_upstream.get(upstream.id, ""),
+        instance,
         _count_suspects(step_run, run.task, lost) if is_young else 0,
         is_started=run.was_seen and is_young,
         labels=place_labels(state, upstream),
@@ -136,8 +150,9 @@
     is_outside = has_outside_cause(lost, list(state.lost_upstreams.values()))
     lost.is_back = True
     state.log_crash(lost, is_outside)
+    confirm_late_losses(state, lost)
     for task_id in state.suspects.tasks_lost_with(upstream_id):
-        found = _find(state, task_id)
+        found = find_open_task(state, task_id)
         if found is None:
             state.suspects.remove(task_id)
         elif is_outside:
@@ -147,7 +162,16 @@
                 loss.is_crash |= loss.upstream == upstream_id
             state.dirty_jobs.add(task_id.job)
             if is_deadly(found.losses):
-                _give_up(state, task_id, found)
+                _give_up(state, task_id, found, found.losses)
+
+
+def give_up_late_causes(state: SchedulerState) -> None:
+    """Give up the tasks that are shown to crash upstreams after they have settled."""
+    for task_id in find_late_causes(state):
+        found = find_open_task(state, task_id)
+        if found is not None:
+            losses = state.late_losses.losses_by_task[task_id]
+            _give_up(state, task_id, found, losses)
 
 
 def mark_down(state: SchedulerState, upstream_id: str, now: float) -> None:
@@ -169,8 +193,9 @@
 
     With `incarnation`, drop only those with this one.
     """
+    withdraw_late_losses(state, upstream_id, reason, incarnation)
     for task_id in state.suspects.tasks_lost_with(upstream_id):
-        found = _find(state, task_id)
+        found = find_open_task(state, task_id)
         if found is None:
             state.suspects.remove(task_id)
         else:
@@ -181,14 +206,15 @@
     state: SchedulerState, task_id: TaskId, run: int, upstream_id: str
 ) -> None:
     """Drop the loss of a run that was never started on an upstream, if it is noted."""
-    found = _find(state, task_id) if task_id in state.suspects else None
+    found = find_open_task(state, task_id) if task_id in state.suspects else None
     if found is not None and any(loss.run == run for loss in found.losses):
         _drop_losses(state, task_id, found, upstream_id, "its run was never started")
 
 
 def withdraw_losses_of_listed(state: SchedulerState) -> None:
     """Drop the losses with upstreams that are still listed as up."""
-    for upstream_id in state.suspects.upstreams():
+    names = state.suspects.upstreams() + state.late_losses.upstreams()
+    for upstream_id in names:
         lost = state.lost_upstreams.get(upstream_id)
         if lost is not None and _is_known_to_be_up(state, lost):
             del state.lost_upstreams[upstream_id]
@@ -197,9 +223,10 @@
 
 def clear_settled(state: SchedulerState, upstream: Upstream) -> None:
     """Clear suspects whose latest run has settled on an upstream."""
+    clear_outlived(state, upstream)
     for task_id in list(state.suspects.held_until):
         run = upstream.runs.get(task_id)
-        found = _find(state, task_id)
+        found = find_open_task(state, task_id)
         if run is None or found is None or run.number != found.run:
             continue
         if upstream.is_settled(run):
@@ -223,14 +250,6 @@
             del state.lost_upstreams[upstream_id]
 
 
-def _find(state: SchedulerState, task_id: TaskId) -> Task | None:
-    job_run = state.jobs.get(task_id.job)
-    found = job_run.find_task(task_id) if job_run else None
-    if job_run is None or found is None or job_run.state.is_final():
-        return None
-    return found[1]
-
-
 def _is_known_to_be_up(state: SchedulerState, lost: LostUpstream) -> bool:
     return (
         lost.upstream in state.listed_up
@@ -272,8 +291,10 @@
     )
 
 
-def _give_up(state: SchedulerState, task_id: TaskId, task: Task) -> None:
-    crashes = [loss for loss in task.losses if loss.is_crash]
+def _give_up(
+    state: SchedulerState, task_id: TaskId, task: Task, losses: list[RunLoss]
+) -> None:
+    crashes = [loss for loss in losses if loss.is_crash]
     names = ", ".join(f"{loss.upstream} ({loss.incarnation})" for loss in crashes)
     reason = f"a task crashed upstreams {names}"
     state.log_decision("task-given-up", task_id, task.run, reason=reason)
@@ -281,6 +302,9 @@
     state.finish_job(state.jobs[task_id.job], JobState.FAILED, reason)
     # The other suspects of these crashes are not the cause.
     for loss in crashes:
+        lost = state.lost_upstreams.get(loss.upstream)
+        if lost is not None:
+            lost.is_explained = True
         withdraw_losses(state, loss.upstream, f"caused by a task of {task_id.job}")
 
 
--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -43,6 +43,8 @@
     seen_at: float = float("-inf")
     # It is known that it crashed, as its instance runs another upstream.
     is_back: bool = False
+    # It is known which task crashed it.
+    is_explained: bool = False
 
     def is_down_after_trial(self, now: float) -> bool:
         """Return whether it went down in a trial a short time ago."""
@@ -89,6 +91,13 @@
     )
 
 
+def is_lost_with_others(lost: LostUpstream, all_lost: Iterable[LostUpstream]) -> bool:
+    """Return whether another upstream may have gone down at the same time."""
+    return any(
+        other is not lost and _may_be_simultaneous(lost, other) for other in all_lost
+    )
+
+
 def _may_be_simultaneous(one: LostUpstream, other: LostUpstream) -> bool:
     # Each was lost between its last response and its discovery.
     return (
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -5,6 +5,7 @@
 from ._job_run import JobRun
 from ._last_resort import find_last_resort
 from ._lasting_room import reserve_upstream
+from ._late_crashes import held_indexes
 from ._orders import StartOrder
 from ._placement import choose_upstream
 from ._pressure import is_pressed, measure_pressure
@@ -79,7 +80,9 @@
         if candidates:
             pool = state.pool_of(job_run)
             candidates_by_pool.setdefault(pool, []).extend(candidates)
-        others = step_run.waiting.difference(*(c.indexes for c in candidates))
+        others = step_run.waiting.difference(
+            held_indexes(state, step_run, now), *(c.indexes for c in candidates)
+        )
         if others:
             orders += _plan_others(state, job_run, step_run, others, room, now)
     return orders
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -117,6 +117,7 @@
         return
     if ended.reason in (EndReason.DONE, EndReason.FAILED):
         clear_suspect(state, ended.task, task)
+        state.late_losses.remove(ended.task)
     step_run.note_checkpoint(task, ended.checkpoint)
     state.dirty_jobs.add(ended.task.job)
     if ended.reason is EndReason.DONE and not step_run.step.is_lasting:
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -11,6 +11,7 @@
     clear_settled,
     confirm_crash,
     forget_old_losses,
+    give_up_late_causes,
     mark_down,
     note_lost_run,
     withdraw_losses,
@@ -136,6 +137,7 @@
         for upstream_id in changes.ended:
             withdraw_losses(state, upstream_id, "its end was ordered or announced")
         withdraw_losses_of_listed(state)
+        give_up_late_causes(state)
         forget_old_losses(state, now)
 
     def draining_upstreams(self) -> set[str]:
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -12,6 +12,7 @@
 from ._job_apart import JobApart
 from ._job_retry import JobRetry
 from ._job_run import JobRun
+from ._late_loss_table import LateLossTable
 from ._lost_upstream import LostUpstream
 from ._placement import has_room
 from ._policy import SchedulingPolicy
@@ -82,6 +83,8 @@
         self.run_count_by_job: Counter[str] = Counter()
         # Tasks with lost runs; the runs themselves are part of their progress.
         self.suspects = SuspectTable()
+        # Tasks with lost runs that had settled.
+        self.late_losses = LateLossTable()
         # Long-running tasks that don't run, to tell in the log why.
         self.waits = WaitTable()
         self.lost_upstreams: dict[str, LostUpstream] = {}
@@ -284,6 +287,7 @@
         self.apart_by_id[job.id] = apart
         self.jobs.pop(job.id, None)
         self.suspects.remove_job(job.id)
+        self.late_losses.remove_job(job.id)
         for upstream in self.upstreams.values():
             for task, run in list(upstream.runs.items()):
                 if task.job == job.id and task in self.unsent_tasks:
@@ -309,6 +313,7 @@
             return
         job_run.state = state
         self.suspects.remove_job(job_run.job.id)
+        self.late_losses.remove_job(job_run.job.id)
         self._await_removal(job_run.job.id)
         self._log_final_state(job_run.job, state, reason, outcome)
 
--- a/packages/baobablane/baobablane/scheduling/_waits.py
+++ b/packages/baobablane/baobablane/scheduling/_waits.py
@@ -9,6 +9,7 @@
 from ..jobs import TaskId
 from ._event import SchedulingEvent
 from ._job_run import JobRun
+from ._late_crashes import held_indexes
 from ._placement import has_room, may_run
 from ._stalls import may_still_arrive
 from ._state import SchedulerState
@@ -102,6 +103,8 @@
             elif task in state.suspects:
                 is_task_held = is_held(state, step_run, index, now)
                 reason = HELD if is_task_held else AWAITS_TRIAL
+            elif index in held_indexes(state, step_run, now):
+                reason = HELD
             else:
                 shared_reason = shared_reason or _why_not_started(state, step_run, now)
                 reason = shared_reason
