Test that late losses are forgotten with their job

Without the removal at a job's end no test failed, as the verdict cleared its own losses; a cancelled job's would have stayed. The test fails without it.

--- a/packages/baobablane/baobablane/scheduling/tests/test_late_crashes.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_late_crashes.py
@@ -254,6 +254,14 @@
         fleet.scheduler.state.set_apart(JOB, ValueError("test"))
         assert not fleet.losses()
 
+    def test_job_that_ends_is_forgotten(self):
+        fleet = LateFleet(6)
+        self.start(fleet)
+        fleet.crash_under(TASK)
+        assert fleet.losses()
+        fleet.scheduler.cancel_job(JOB)
+        assert not fleet.losses()
+
     def test_upstreams_out_of_reach_are_no_crashes(self):
         fleet = LateFleet(6)
         self.start(fleet, make_step(may_run_twice=True))
