Cut lines of the log to what a pipe takes at once

Seen: a line over 4,096 bytes, from an operator's record, an exception or a caller's path, stopped the process for as long as nobody read the log, though it polls first: a pipe is writable while it has room for 4,096 bytes, and a longer write waits for the rest. No line and no metric told it.

Cause: only lines that are joined were bounded, not a line by itself.

A longer write than that is counted as unwritten, whoever makes it. The warnings of the HTTP server pass through the same bound.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -12,6 +12,7 @@
 import msgspec
 from pythonjsonlogger.json import JsonFormatter
 
+from ._bounded_line import MAX_LINE_BYTES, bound_line
 from ._line_output import LineOutput
 from ._process_metrics import ProcessMetrics
 
@@ -19,8 +20,6 @@
 # Writing more lines per flush would block the process; the rest are only counted.
 MAX_LINES_PER_FLUSH = 2_000
 FLUSH_INTERVAL_SECONDS = 0.1
-# A pipe writes up to PIPE_BUF bytes atomically; a larger write may split a line.
-MAX_WRITE_BYTES = 4_096
 
 
 class Decision(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -109,7 +108,9 @@
             self.metrics.unwritten_lines.inc(dropped)
             del self._unwritten[MAX_LINES_PER_FLUSH:]
             self._unwritten.append(Decision("lines-left-out", reason=str(dropped)))
-        lines = [self._encoder.encode(decision) for decision in self._unwritten]
+        lines = [
+            bound_line(self._encoder.encode(decision)) for decision in self._unwritten
+        ]
         self._unwritten = []
         for chunk in _batch_lines(lines):
             self._output.write(chunk)
@@ -151,17 +152,14 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record."""
-        self._output.write(self.format(record).encode() + b"\n")
+        self._output.write(bound_line(self.format(record).encode()) + b"\n")
 
 
 def _batch_lines(lines: Iterable[bytes]) -> Iterator[bytes]:
-    """Join whole lines into chunks that a pipe writes atomically.
-
-    Only a line that is too long by itself exceeds MAX_WRITE_BYTES.
-    """
+    """Join whole lines into chunks that a pipe takes at once."""
     chunk = bytearray()
     for line in lines:
-        if chunk and len(chunk) + len(line) >= MAX_WRITE_BYTES:
+        if chunk and len(chunk) + len(line) >= MAX_LINE_BYTES:
             yield bytes(chunk)
             chunk.clear()
         chunk += line
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_line_output.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_line_output.py
@@ -5,12 +5,14 @@
 
 from prometheus_client import Counter
 
+from ._bounded_line import MAX_LINE_BYTES
+
 
 class LineOutput:
     """Write lines, and count those that the stream takes no more.
 
-    A pipe is writable while it has room for PIPE_BUF bytes, so only a longer write may
-    wait for its reader.
+    A pipe is writable while it has room for PIPE_BUF bytes, so a longer write, which
+    might wait for its reader, is not made.
     """
 
     def __init__(self, stream: BinaryIO, unwritten_lines: Counter) -> None:
@@ -26,8 +28,8 @@
         self._poll.register(descriptor, select.POLLOUT)
 
     def write(self, lines: bytes) -> None:
-        """Write lines that end with a newline, or count them as unwritten."""
-        if self._is_writable():
+        """Write at most MAX_LINE_BYTES of whole lines, or count them as unwritten."""
+        if len(lines) <= MAX_LINE_BYTES and self._is_writable():
             self._stream.write(lines)
             self._stream.flush()
         else:
