--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/tests/test_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/tests/test_decision_log.py
@@ -232,3 +232,17 @@
             log = DecisionLog("i-1", stream)
             self.log_lines(log)
         assert log.metrics.unwritten_lines._value.get() == 2 * self.LINE_COUNT
+
+
+class TestFailedWrite:
+    """Test a standard output that takes nothing, as on a device that is full."""
+
+    LINE_COUNT = 10
+
+    def test_lines_are_counted_and_no_error_is_raised(self):
+        """Guards against an error of the log that ends the process's tasks."""
+        with open("/dev/full", "wb") as stream:
+            log = DecisionLog("i-1", stream)
+            for number in range(self.LINE_COUNT):
+                log.info("store-lost", topic=str(number))
+        assert log.metrics.unwritten_lines._value.get() == self.LINE_COUNT
