Never wait for the reader of standard error

Seen: a process whose standard error is a pipe that nobody reads stopped as soon as the pipe was full. The event loop, libraries, warnings and errors that nobody handles write there; the HTTP server alone had been moved to the log.

Cause: Python's own stream waits for its reader.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -19,7 +19,7 @@
 from starlette.types import ASGIApp
 
 from ._serving import make_server, wait_for_stop
-from .decision_log import DecisionLog
+from .decision_log import DecisionLog, guard_standard_error
 from .jobs import (
     JobActions,
     JobWriter,
@@ -42,6 +42,7 @@
     """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
     settings = read_process_settings(path)
     log = DecisionLog(settings.instance)
+    guard_standard_error(log.metrics)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -13,7 +13,7 @@
 )
 
 from ._serving import make_server, wait_for_stop
-from .decision_log import DecisionLog
+from .decision_log import DecisionLog, guard_standard_error
 from .edge import make_callers_app, make_operators_app
 from .engine import (
     AtMostOnce,
@@ -45,6 +45,7 @@
     """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
     instance = settings.instance
     decisions = DecisionLog(instance.id)
+    guard_standard_error(decisions.metrics)
     log = LogClient(str(settings.platform.log_url), instance.id)
     writer = LogWriterTask(log, settings.timing.commit_seconds)
     outbox: asyncio.Queue[OutgoingFrame] = asyncio.Queue()
--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/__init__.py
@@ -6,5 +6,6 @@
 
 from ._decision_log import Decision, DecisionLog
 from ._process_metrics import ProcessMetrics
+from ._standard_error import guard_standard_error
 
-__all__ = ["Decision", "DecisionLog", "ProcessMetrics"]
+__all__ = ["Decision", "DecisionLog", "ProcessMetrics", "guard_standard_error"]
