Bound the age of the number of pending jobs

Seen: an instance that had lost the store, or had been stopped for a while, told the number of a queue's pending jobs from a view of any age, as if it were new. Callers may be shown one that is 2 s old.

Cause: only a view of jobs that was never read was rejected. The age of the jobs' states, which the number needs too, was not looked at.

Change: if the view of the jobs or that of their states is older than 1.3 s, a query reads it first, within a third of its caller's wait. If that fails, the number is rejected (503), or shown with an age (`Age`, `count-dated`) once all reads have failed for 3.6 s, as for states: rejecting at every instance would leave callers without any answer.

Ruled out: reading at each query, which costs a read of the store for a number that may be 2 s old. A test holds that a recent view answers at once.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -5,7 +5,7 @@
 
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import Job, JobState, ShownState, encode_job
+from baobablane.jobs import Job, JobState, ShownCount, ShownState, encode_job
 from baobablane_platform import (
     CallerWait,
     KeyedRecord,
@@ -279,12 +279,13 @@
         except StoreRejectedError as error:
             raise earlier from error
 
-    def pending_count(self, queue: str) -> int:
+    async def pending_count(self, queue: str, wait: CallerWait) -> ShownCount:
         """Return how many of a queue's jobs are pending, except periodic ones.
 
-        Raise RejectedError if the jobs are unread.
+        The number has an age if the store has been unreachable for long. Raise
+        RejectedError if the jobs or their states are too old to tell.
         """
-        return self._queries.pending_count(queue)
+        return await self._queries.pending_count(queue, wait)
 
     def report_error(self, error: Exception, path: str) -> None:
         """Log an unexpected error in a request."""
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_queries.py
@@ -4,7 +4,7 @@
 import math
 
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import JobState, ShownState
+from baobablane.jobs import JobState, ShownCount, ShownState
 from baobablane_platform import CallerWait, StoreError, StoreRejectedError
 
 from ..decision_log import Decision, DecisionLog
@@ -53,19 +53,24 @@
             age = self._views.jobs_tail.age()
             self._log.write(Decision("job-unknown", request=job_id, seconds=age))
             return None
-        return ShownState(state, 0.0 if state.is_final() else self._age(job_id))
+        if state.is_final():
+            return ShownState(state)
+        return ShownState(state, self._shown_age(self._views.state_view.age(), job_id))
 
-    def pending_count(self, queue: str) -> int:
+    async def pending_count(self, queue: str, wait: CallerWait) -> ShownCount:
         """Return how many of a queue's jobs are pending, except periodic ones.
 
-        Raise RejectedError if the jobs are unread.
+        The number has an age if the store has been unreachable for long. Raise
+        RejectedError if the jobs or their states are too old to tell.
         """
-        age = self._views.jobs_tail.age()
-        if not math.isfinite(age):
-            detail = "the jobs are unread"
-            reason = f"{detail}, queue {queue}"
-            raise self._make_rejection("", detail, reason, age)
-        return self._views.job_table.pending_count(queue)
+        deadline = wait.until(QUERY_SHARE)
+        # The jobs show which ones exist, and their states which ones have begun.
+        tails = (self._views.jobs_tail, self._views.state_view)
+        for tail in tails:
+            if tail.age() > MAX_VIEW_AGE_SECONDS:
+                await self._catch_up_or_log(tail, deadline, queue=queue)
+        age = self._shown_age(max(tail.age() for tail in tails), queue=queue)
+        return ShownCount(self._views.job_table.pending_count(queue), age)
 
     async def _read_jobs(self, job_id: str, deadline: float) -> None:
         tail = self._views.jobs_tail
@@ -91,29 +96,38 @@
         if seconds_left > STATE_READ_TIMEOUT_SECONDS:
             read_until = asyncio.get_running_loop().time() + STATE_READ_TIMEOUT_SECONDS
             deadline = min(read_until, deadline)
+        await self._catch_up_or_log(view, deadline, job_id)
+        return self._views.job_table.state(job_id)
+
+    async def _catch_up_or_log(
+        self, tail: TopicTail, deadline: float, job_id: str = "", queue: str = ""
+    ) -> None:
+        """Read a topic to its end, unless that fails or takes until the deadline."""
         try:
-            await _catch_up(view, deadline)
+            await _catch_up(tail, deadline)
         except (StoreError, TimeoutError) as error:
-            decision = Decision(
-                "state-read-skipped", request=job_id, reason=repr(error)
+            self._log.write(
+                Decision(
+                    "state-read-skipped",
+                    request=job_id,
+                    queue=queue,
+                    reason=repr(error),
+                )
             )
-            self._log.write(decision)
-        return self._views.job_table.state(job_id)
 
-    def _age(self, job_id: str) -> float:
-        """Return the age to show with a state that may change, in seconds.
+    def _shown_age(self, age: float, job_id: str = "", queue: str = "") -> float:
+        """Return the age to show with what a view of that age tells, in seconds.
 
         Raise RejectedError if another instance may know more.
         """
-        view = self._views.state_view
-        age = view.age()
         if age <= MAX_VIEW_AGE_SECONDS:
             return 0.0
         if math.isfinite(age) and self._is_store_lost():
-            self._log.write(Decision("state-dated", request=job_id, seconds=age))
+            event = "state-dated" if job_id else "count-dated"
+            self._log.write(Decision(event, request=job_id, queue=queue, seconds=age))
             return age
         detail = f"the view of jobs is {age:.1f} s old"
-        raise self._make_rejection(job_id, detail, detail, age)
+        raise self._make_rejection(job_id, detail, detail, age, queue)
 
     def _is_store_lost(self) -> bool:
         """Return whether this instance has long ceased to be ready."""
@@ -122,7 +136,7 @@
         return all(tail.is_lost(DATED_AFTER_SILENCE_SECONDS) for tail in tails)
 
     def _make_rejection(
-        self, job_id: str, detail: str, reason: str, age: float
+        self, job_id: str, detail: str, reason: str, age: float, queue: str = ""
     ) -> RejectedError:
         """Log why a query is rejected; return the error with the detail for callers."""
         code = ResultCode.VIEW_NOT_CONFIRMED
@@ -130,6 +144,7 @@
             Decision(
                 "query-rejected",
                 request=job_id,
+                queue=queue,
                 reason=reason,
                 result=int(code),
                 seconds=age,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_query_bounds.py
@@ -211,11 +211,89 @@
     def test_read_jobs_are_counted(self):
         async def scenario():
             async with run_instance(has_job=True) as caller:
-                status, body, _ = await caller.call("GET", job_id="")
+                status, body, seconds = await caller.call("GET", job_id="")
                 assert (status, body) == (200, {"pendingCount": 1})
+                assert (seconds, caller.shown_age) == (0.0, None)
 
         run_in_virtual_time(scenario())
 
+    @pytest.mark.parametrize("follows_progress", [True, False])
+    def test_job_accepted_during_a_freeze_is_counted(self, follows_progress):
+        """Guards against a count from before the process was stopped."""
+
+        async def scenario():
+            async with run_instance(follows_progress) as caller:
+                asyncio.get_running_loop().freeze(20.0)
+                caller.accept_elsewhere()
+                status, body, seconds = await caller.call("GET", job_id="")
+                assert (status, body) == (200, {"pendingCount": 1})
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    @pytest.mark.parametrize("follows_progress", [True, False])
+    @pytest.mark.parametrize("fault", [hang, trickle])
+    def test_old_count_has_an_age(self, fault, follows_progress):
+        """Guards against a count without an end of its age, shown as a new one."""
+
+        async def scenario():
+            async with run_instance(follows_progress, has_job=True) as caller:
+                for topic in (
+                    OPERATOR_TOPIC,
+                    JOBS_TOPIC,
+                    PROGRESS_TOPIC,
+                    STATES_TOPIC,
+                ):
+                    caller.store.fault_by_topic[topic] = fault
+                cut_at = asyncio.get_running_loop().time()
+                statuses = []
+                for _ in range(60):
+                    status, _, seconds = await caller.call("GET", job_id="")
+                    statuses.append(status)
+                    assert seconds <= BOUND_SECONDS
+                    silence = asyncio.get_running_loop().time() - cut_at
+                    if status == 200 and silence > MAX_VIEW_AGE_SECONDS:
+                        assert caller.shown_age >= silence
+                    await asyncio.sleep(0.1)
+                assert set(statuses) == {200, 503}
+                # A store that sends something may be read in full by others.
+                assert (503 in statuses[-10:]) == (fault is trickle)
+                assert (b"count-dated" in self.lines(caller)) == (fault is hang)
+
+        run_in_virtual_time(scenario())
+
+    @pytest.mark.parametrize("topic", [JOBS_TOPIC, PROGRESS_TOPIC])
+    def test_count_that_others_know_better_is_rejected(self, topic):
+        """Guards against a count that lacks new jobs, or has those that began."""
+
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                caller.store.fault_by_topic[topic] = hang
+                await asyncio.sleep(10.0)
+                status, _, seconds = await caller.call("GET", job_id="")
+                assert status == 503
+                assert seconds <= BOUND_SECONDS
+                assert b"query-rejected" in self.lines(caller)
+
+        run_in_virtual_time(scenario())
+
+    def test_waits_for_jobs_and_states_share_one_bound(self):
+        async def scenario():
+            async with run_instance(has_job=True) as caller:
+                for topic in (JOBS_TOPIC, PROGRESS_TOPIC):
+                    caller.store.fault_by_topic[topic] = answer_after(0.85)
+                asyncio.get_running_loop().freeze(20.0)
+                status, _, seconds = await caller.call("GET", job_id="")
+                assert status in (200, 503)
+                assert seconds <= BOUND_SECONDS
+
+        run_in_virtual_time(scenario())
+
+    def lines(self, caller):
+        """Return the lines that the instance has logged."""
+        caller.log.flush()
+        return caller.output.getvalue()
+
 
 class TestUnexpectedError:
     """Test queries whose read fails by an error that is none of the store's."""
--- a/packages/baobablane/baobablane/jobs/__init__.py
+++ b/packages/baobablane/baobablane/jobs/__init__.py
@@ -7,6 +7,7 @@
 from ._job_table import JobTable
 from ._progress import JobProgress
 from ._run_loss import RunLoss
+from ._shown_count import ShownCount
 from ._shown_state import ShownState
 from ._step import Step
 from ._task import Task, TaskState
@@ -19,6 +20,7 @@
     "JobState",
     "JobTable",
     "RunLoss",
+    "ShownCount",
     "ShownState",
     "Step",
     "Task",
