Bound connections on which no whole request arrives

Seen: a connection without a request, with a part of a head, or with a body that stops after its response was sent held a descriptor for as long as the process ran; so did those of clients that lost power. An idle connection lost its limit of 600 s when the rest of an unread body arrived.

Cause: the server has a timer for idle connections after a response alone, and any byte stops it.

Change: 30 s for the first byte, 10 s for a head from its first byte (then 408) and for the rest of a body whose request is answered; the kernel probes clients that say nothing for 20 s. A connection is left alone while a request on it is being answered, and an idle one keeps its 600 s, so that no close meets a request. Each close is a line.

--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -0,0 +1,124 @@
+"""Bound the time for which a client's connection has no whole request."""
+
+import asyncio
+import socket
+from asyncio import TimerHandle
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+# Longer than clients keep a connection that they opened for a request and don't use.
+FIRST_REQUEST_SECONDS = 30.0
+# From the first byte of a request to the end of its head, and from a response to the
+# end of a body that it did not wait for. Longer than callers wait for a response.
+REQUEST_SECONDS = 10.0
+# Time after which the kernel gives up a connection whose client acknowledges nothing,
+# and the idle time after which it begins to ask. Longer than a network is interrupted
+# while its connections survive.
+UNACKNOWLEDGED_MS = 20_000
+PROBE_AFTER_SECONDS = 20
+PROBE_INTERVAL_SECONDS = 5
+SLOW_REQUEST_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
+
+
+class BoundedConnection(HttpToolsProtocol):
+    """Close a connection on which no request comes, or only a part of one.
+
+    One with a request that is being answered is left alone, and so is an idle one after
+    its first request: a close might meet the client's next request.
+    """
+
+    _timer: TimerHandle | None = None
+    # Whether a part of a request has arrived, and not yet its end.
+    _is_receiving = False
+    # Whether the head of the latest request has arrived.
+    _has_head = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Expect the first request."""
+        super().connection_made(transport)
+        _probe_client(transport.get_extra_info("socket"))
+        self._timer = self.loop.call_later(
+            FIRST_REQUEST_SECONDS, self._close, "no request came", b""
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the timers."""
+        self._stop_timer()
+        self._unset_keepalive_if_required()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Read a part of a request."""
+        super().data_received(data)
+        if not self.transport.is_closing():
+            self._watch()
+
+    def on_message_begin(self) -> None:
+        """Note that a request begins."""
+        if not self._is_receiving:
+            self._is_receiving = True
+            self._stop_timer()
+        self._has_head = False
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Note that the head has arrived."""
+        self._has_head = True
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Note that a request has arrived as a whole."""
+        self._is_receiving = False
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Expect the rest of the request, or the next one."""
+        super().on_response_complete()
+        if not self.transport.is_closing():
+            self._watch()
+
+    def _watch(self) -> None:
+        """Set the timer for what the connection waits for."""
+        if self._is_answering():
+            self._stop_timer()
+        elif self._is_receiving:
+            # Further parts don't begin its time anew.
+            if self._timer is None:
+                self._unset_keepalive_if_required()
+                self._timer = self.loop.call_later(REQUEST_SECONDS, self._give_up)
+        elif self.cycle is not None:
+            self._stop_timer()
+            if self.timeout_keep_alive_task is None:
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    self.timeout_keep_alive, self.timeout_keep_alive_handler
+                )
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _give_up(self) -> None:
+        # A request with a head has been answered, as it isn't being answered.
+        response = b"" if self._has_head else SLOW_REQUEST_RESPONSE
+        self._close("a request did not arrive as a whole", response)
+
+    def _close(self, reason: str, response: bytes) -> None:
+        self.logger.warning("Connection closed: %s", reason)
+        if response:
+            self.transport.write(response)
+        self.transport.close()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _probe_client(client: socket.socket) -> None:
+    """Let the kernel find out that a client is gone without a word."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    client.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
+    client.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    client.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -6,6 +6,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from ._bounded_connection import BoundedConnection
 from ._closing_connections import close_connections
 from ._embedded_server import EmbeddedServer
 
@@ -39,7 +40,7 @@
         host=host,
         port=port,
         loop="asyncio",
-        http="httptools",
+        http=BoundedConnection,
         ws="none",
         lifespan="off",
         log_config=None,
