Close the oldest idle connections before descriptors run out

Seen: clients that connect and say nothing, or keep idle connections, could hold all descriptors of an instance; the limit of 2,000 was told to clients in responses alone, which such a client never gets.

Change: the servers of a process (callers, readiness, metrics) share a limit of 2,500 open connections. One more closes the connection that has been idle for longest; one with a request that is being answered is never closed for it. An idle connection can lose a request that is on its way only at this limit.

Changed in the tests' deployment: an entry instance may be given an address for metrics.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -6,6 +6,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ._connection_limit import ConnectionLimit
+
 # Longer than clients keep a connection that they opened for a request and don't use.
 FIRST_REQUEST_SECONDS = 30.0
 # From the first byte of a request to the end of its head, and from a response to the
@@ -26,9 +28,12 @@
     """Close a connection on which no request comes, or only a part of one.
 
     One with a request that is being answered is left alone, and so is an idle one after
-    its first request: a close might meet the client's next request.
+    its first request, unless too many are open: a close might meet the client's next
+    request.
     """
 
+    # Shared by the connections of all servers of a process.
+    limit: ConnectionLimit
     _timer: TimerHandle | None = None
     # Whether a part of a request has arrived, and not yet its end.
     _is_receiving = False
@@ -39,6 +44,8 @@
         """Expect the first request."""
         super().connection_made(transport)
         _probe_client(transport.get_extra_info("socket"))
+        if self.limit.add(transport):
+            self.logger.warning("Connection closed: too many are open")
         self._timer = self.loop.call_later(
             FIRST_REQUEST_SECONDS, self._close, "no request came", b""
         )
@@ -47,6 +54,7 @@
         """Stop the timers."""
         self._stop_timer()
         self._unset_keepalive_if_required()
+        self.limit.remove(self.transport)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -83,7 +91,10 @@
         """Set the timer for what the connection waits for."""
         if self._is_answering():
             self._stop_timer()
-        elif self._is_receiving:
+            self.limit.note_busy(self.transport)
+            return
+        self.limit.note_idle(self.transport)
+        if self._is_receiving:
             # Further parts don't begin its time anew.
             if self._timer is None:
                 self._unset_keepalive_if_required()
@@ -115,6 +126,11 @@
             self._timer = None
 
 
+def limit_connections(limit: ConnectionLimit) -> type[BoundedConnection]:
+    """Return the class of the connections that share a limit."""
+    return type("LimitedConnection", (BoundedConnection,), {"limit": limit})
+
+
 def _probe_client(client: socket.socket) -> None:
     """Let the kernel find out that a client is gone without a word."""
     client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -18,6 +18,7 @@
 from prometheus_client import make_asgi_app
 from starlette.types import ASGIApp
 
+from ._connection_limit import ConnectionLimit
 from ._serving import make_server, wait_for_stop
 from .decision_log import DecisionLog, guard_standard_error
 from .jobs import (
@@ -93,10 +94,15 @@
         # The balancer routes new connections elsewhere, but open ones stay.
         return not actions.is_ready()
 
-    servers = [_make_server(app, address, is_leaving) for address in sorted(addresses)]
+    limit = ConnectionLimit()
+    servers = [
+        _make_server(app, address, is_leaving, limit) for address in sorted(addresses)
+    ]
     if settings.metrics_address:
         metrics = make_asgi_app(registry=log.metrics.registry)
-        servers.append(_make_server(metrics, settings.metrics_address, is_leaving))
+        servers.append(
+            _make_server(metrics, settings.metrics_address, is_leaving, limit)
+        )
     loop = asyncio.get_running_loop()
     ownership_task = loop.create_task(ownership.run())
     background_tasks = [
@@ -164,7 +170,12 @@
 
 
 def _make_server(
-    app: ASGIApp, address: str, is_leaving: Callable[[], bool]
+    app: ASGIApp,
+    address: str,
+    is_leaving: Callable[[], bool],
+    limit: ConnectionLimit,
 ) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
-    return make_server(app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving)
+    return make_server(
+        app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving, limit=limit
+    )
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -12,6 +12,7 @@
     LogClient,
 )
 
+from ._connection_limit import ConnectionLimit
 from ._serving import make_server, wait_for_stop
 from .decision_log import DecisionLog, guard_standard_error
 from .edge import make_callers_app, make_operators_app
@@ -78,10 +79,15 @@
     ]
     host, stop_seconds = str(instance.host), settings.timing.stop_seconds
     callers = make_callers_app(engine, caller_service)
+    limit = ConnectionLimit()
     servers = [
-        make_server(callers, host, instance.callers_port, stop_seconds),
+        make_server(callers, host, instance.callers_port, stop_seconds, limit=limit),
         make_server(
-            make_operators_app(engine), host, instance.operators_port, stop_seconds
+            make_operators_app(engine),
+            host,
+            instance.operators_port,
+            stop_seconds,
+            limit=limit,
         ),
     ]
     # Objects created during start-up live as long as the process, so the garbage
--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -6,8 +6,9 @@
 import uvicorn
 from starlette.types import ASGIApp
 
-from ._bounded_connection import BoundedConnection
+from ._bounded_connection import limit_connections
 from ._closing_connections import close_connections
+from ._connection_limit import ConnectionLimit
 from ._embedded_server import EmbeddedServer
 
 # A request that meets the end of its connection gets no response, so clients should be
@@ -25,11 +26,14 @@
     stop_seconds: float,
     is_leaving: Callable[[], bool] = lambda: False,
     max_connections: int = MAX_CONNECTIONS,
+    limit: ConnectionLimit | None = None,
 ) -> uvicorn.Server:
     """Return an HTTP server without signal handlers or access log.
 
     While `is_leaving`, or with more than `max_connections`, each response ends its
-    connection. The server waits up to `stop_seconds` for open requests when it stops.
+    connection. At the `limit`, which servers may share, new connections end those that
+    have been idle for longest. The server waits up to `stop_seconds` for open requests
+    when it stops.
     """
 
     def should_close() -> bool:
@@ -40,7 +44,7 @@
         host=host,
         port=port,
         loop="asyncio",
-        http=BoundedConnection,
+        http=limit_connections(limit or ConnectionLimit()),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
@@ -58,7 +58,7 @@
         self.session = session
         self.entries = []
 
-    async def start_entry(self, name, link_mbit=1000.0):
+    async def start_entry(self, name, link_mbit=1000.0, metrics_address=""):
         """Start an entry instance and wait until it is ready."""
         address = f"{HOST}:{find_free_port()}"
         store = self.platform.address
@@ -71,6 +71,7 @@
             store,
             "",
             self.limits,
+            metrics_address=metrics_address,
             link_mbit=link_mbit,
         )
         stop = asyncio.Event()
