Bound the body of a new job by its caller's wait

Seen: a body that stopped held its connection and its request without an end, and no line told it. A body that arrived late in its caller's wait was answered 504 at once, and one that took longer than 2.4 s always, however long its caller waits, without an attempt to store the job.

Cause: the body had no bound, and the append's deadline was counted from the arrival of the head and from 3 s at the most.

Change: a body of which nothing arrives for 3 s, or that takes longer than its caller waits (at most 60 s), is answered 408 (result 221, `body-too-slow`), its job is not stored and the connection ends. A slow body within the caller's wait is accepted; the append has the part of the wait that is left.

Open: the callers' interface outside the users' platform reads bodies without this bound.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -86,6 +86,7 @@
             actions.cancel,
             actions.pending_count,
             actions.report_error,
+            actions.reject_body,
         )
     )
     addresses = {settings.callers_address, settings.ready_address}
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -291,6 +291,22 @@
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
+    def reject_body(
+        self, target: str, size_bytes: int, seconds: float
+    ) -> RejectedError:
+        """Log that the body of a request did not arrive; return the error for it."""
+        code = ResultCode.BODY_TOO_SLOW
+        detail = f"{size_bytes} bytes of the body arrived in {seconds:.1f} s"
+        self._log.write(
+            Decision(
+                "body-too-slow",
+                reason=f"{detail}: {target[:MAX_LOGGED_CHARACTERS]}",
+                result=int(code),
+                seconds=seconds,
+            )
+        )
+        return RejectedError(code, detail)
+
     def _make_cancel_error(
         self, code: ResultCode, job_id: str, reason: str
     ) -> RejectedError:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -18,8 +18,12 @@
 JOB_ID = "0" * 16
 STEP = Step(1, Resources(1000, 0, 0), 100)
 JOB = Job(JOB_ID, "q", "pool", "a", "spec", (STEP,), 0)
-QUEUE = SimpleNamespace(name="q", host="q.example", path_prefix="/q/", is_public=True)
-CONFIGURATION = SimpleNamespace(find_queue=lambda host, path: QUEUE)
+QUEUE = SimpleNamespace(
+    name="q", pool="pool", host="q.example", path_prefix="/q/", is_public=True
+)
+CONFIGURATION = SimpleNamespace(
+    find_queue=lambda host, path: QUEUE, max_body_bytes=1_000_000
+)
 
 
 class Caller:
@@ -30,6 +34,8 @@
         self.output = io.BytesIO()
         # The seconds of the latest response's Age header, or None without one.
         self.shown_age = None
+        # Whether the latest response ends its connection.
+        self.is_closed = False
         log = self.log = DecisionLog("entry-0", self.output)
         self.store = ScriptedStore()
         self.views = Views(self.store, log, follows_progress)
@@ -48,10 +54,11 @@
                 actions.cancel,
                 actions.pending_count,
                 actions.report_error,
+                actions.reject_body,
             )
         )
 
-    async def call(self, method, patience_ms=3000, job_id=JOB_ID):
+    async def call(self, method, patience_ms=3000, job_id=JOB_ID, receive=None):
         """Return the status, the body and the seconds that a request takes."""
         scope = {
             "type": "http",
@@ -67,8 +74,9 @@
 
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        await self._app(scope, None, send)
+        await self._app(scope, receive, send)
         headers = dict(messages[0]["headers"])
+        self.is_closed = headers.get(b"connection") == b"close"
         self.shown_age = int(headers[b"age"]) if b"age" in headers else None
         body = json.loads(messages[1]["body"] or b"{}")
         return messages[0]["status"], body, loop.time() - started_at
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
@@ -14,6 +14,8 @@
 
 # Leaves time for one attempt at another instance.
 BOUND_SECONDS = 2.4
+# Of virtual time; longer than any request takes.
+HANG_SECONDS = 600.0
 
 
 async def submit(caller, patience_seconds=3.0):
@@ -98,3 +100,76 @@
             assert seconds <= BOUND_SECONDS
 
         run_in_virtual_time(scenario())
+
+
+class TestBody:
+    """Test bodies of new jobs that arrive slowly, or only in part."""
+
+    BODY = b'{"steps":[{"count":1,"cpu":1000,"estimatedMs":100}]}'
+
+    async def call(self, caller, pause_seconds, parts, patience_ms=3000):
+        """Send a body in as many parts, of which a late one may never come."""
+        size = -(-len(self.BODY) // parts)
+        chunks = [self.BODY[n * size : (n + 1) * size] for n in range(parts)]
+
+        async def receive():
+            await asyncio.sleep(pause_seconds)
+            chunk = chunks.pop(0)
+            return {"type": "http.request", "body": chunk, "more_body": bool(chunks)}
+
+        async with asyncio.timeout(HANG_SECONDS):
+            return await caller.call("POST", patience_ms, receive=receive)
+
+    def test_body_that_stops_is_rejected(self):
+        """Guards against a connection that is held by a body that never arrives."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                status, body, seconds = await self.call(caller, 10_000.0, 2)
+                assert (status, body["code"]) == (408, ResultCode.BODY_TOO_SLOW)
+                assert seconds == 3.0
+                assert caller.is_closed
+                caller.log.flush()
+                assert b"body-too-slow" in caller.output.getvalue()
+                assert caller.store.append_count == 0
+
+        run_in_virtual_time(scenario())
+
+    def test_body_that_trickles_is_rejected(self):
+        """Guards against a bound that each part begins anew."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                status, _, seconds = await self.call(caller, 2.0, 20, 10_000)
+                assert (status, seconds) == (408, 10.0)
+                assert caller.store.append_count == 0
+
+        run_in_virtual_time(scenario())
+
+    def test_body_that_stops_is_rejected_however_long_its_caller_waits(self):
+        async def scenario():
+            async with run_instance() as caller:
+                status, _, seconds = await self.call(caller, 5.0, 4, 60_000)
+                assert (status, seconds) == (408, 3.0)
+
+        run_in_virtual_time(scenario())
+
+    def test_slow_body_is_accepted_within_its_callers_wait(self):
+        """Guards against an unknown outcome, without an attempt to store the job."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                status, _, seconds = await self.call(caller, 2.0, 4, 10_000)
+                assert status == 200
+                assert 8.0 <= seconds <= 10.0
+
+        run_in_virtual_time(scenario())
+
+    def test_body_late_in_its_callers_wait_leaves_time_to_store_it(self):
+        async def scenario():
+            async with run_instance() as caller:
+                status, _, seconds = await self.call(caller, 1.4, 2)
+                assert status == 200
+                assert 2.8 <= seconds <= 3.0
+
+        run_in_virtual_time(scenario())
--- a/packages/baobablane/baobablane/errors/_result_code.py
+++ b/packages/baobablane/baobablane/errors/_result_code.py
@@ -34,6 +34,7 @@
     NOT_STARTED = 218
     KEY_REUSED = 219
     FIELD_OUT_OF_RANGE = 220
+    BODY_TOO_SLOW = 221
     CONNECTION_LOST = 300
     TIMEOUT = 301
     ANSWER_CROSSED = 302
@@ -105,6 +106,9 @@
     ResultCode.CANCELLED: ResultDescription(409, "cancelled before the start", False),
     ResultCode.STOPPING: ResultDescription(503, "this instance is stopping", True),
     ResultCode.BODY_TOO_LARGE: ResultDescription(413, "the body is too large", False),
+    ResultCode.BODY_TOO_SLOW: ResultDescription(
+        408, "the body did not arrive in time", True
+    ),
     ResultCode.UNKNOWN_REQUEST: ResultDescription(404, "no such request", False),
     ResultCode.DEFERRED_NOT_ALLOWED: ResultDescription(
         400, "this queue takes no deferred work", False
