--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -19,8 +19,9 @@
 from prometheus_client import make_asgi_app
 from starlette.types import ASGIApp
 
+from ._connection_limit import ConnectionLimit
 from ._serving import make_server, wait_for_stop
-from .decision_log import DecisionLog
+from .decision_log import DecisionLog, guard_standard_error
 from .jobs import (
     JobActions,
     JobWriter,
@@ -53,6 +54,7 @@
     """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
     settings = read_process_settings(path)
     log = DecisionLog(settings.instance)
+    guard_standard_error(log.metrics)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -98,6 +100,7 @@
             actions.cancel,
             actions.pending_count,
             actions.report_error,
+            actions.reject_body,
         )
     )
     addresses = {settings.callers_address, settings.ready_address}
@@ -106,10 +109,15 @@
         # The balancer routes new connections elsewhere, but open ones stay.
         return not actions.is_ready()
 
-    servers = [_make_server(app, address, is_leaving) for address in sorted(addresses)]
+    limit = ConnectionLimit()
+    servers = [
+        _make_server(app, address, is_leaving, limit) for address in sorted(addresses)
+    ]
     if settings.metrics_address:
         metrics = make_asgi_app(registry=log.metrics.registry)
-        servers.append(_make_server(metrics, settings.metrics_address, is_leaving))
+        servers.append(
+            _make_server(metrics, settings.metrics_address, is_leaving, limit)
+        )
     loop = asyncio.get_running_loop()
     ownership_task = loop.create_task(ownership.run())
     background_tasks = [
@@ -195,7 +203,12 @@
 
 
 def _make_server(
-    app: ASGIApp, address: str, is_leaving: Callable[[], bool]
+    app: ASGIApp,
+    address: str,
+    is_leaving: Callable[[], bool],
+    limit: ConnectionLimit,
 ) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
-    return make_server(app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving)
+    return make_server(
+        app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving, limit=limit
+    )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -6,7 +6,7 @@
 
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import Job, JobState, ShownState, encode_job
+from baobablane.jobs import Job, JobState, ShownCount, ShownState, encode_job
 from baobablane_platform import (
     CallerAccess,
     CallerWait,
@@ -263,17 +263,34 @@
         except StoreRejectedError as error:
             raise earlier from error
 
-    def pending_count(self, queue: str) -> int:
+    async def pending_count(self, queue: str, wait: CallerWait) -> ShownCount:
         """Return how many of a queue's jobs are pending, except periodic ones.
 
-        Raise RejectedError if the jobs are unread.
+        The number has an age if the store has been unreachable for long. Raise
+        RejectedError if the jobs or their states are too old to tell.
         """
-        return self._queries.pending_count(queue)
+        return await self._queries.pending_count(queue, wait)
 
     def report_error(self, error: Exception, path: str) -> None:
         """Log an unexpected error in a request."""
         self._log.error("request-failed", error, path=path[:MAX_LOGGED_CHARACTERS])
 
+    def reject_body(
+        self, target: str, size_bytes: int, seconds: float
+    ) -> RejectedError:
+        """Log that the body of a request did not arrive; return the error for it."""
+        code = ResultCode.BODY_TOO_SLOW
+        detail = f"{size_bytes} bytes of the body arrived in {seconds:.1f} s"
+        self._log.write(
+            Decision(
+                "body-too-slow",
+                reason=f"{detail}: {target[:MAX_LOGGED_CHARACTERS]}",
+                result=int(code),
+                seconds=seconds,
+            )
+        )
+        return RejectedError(code, detail)
+
     def _make_cancel_error(
         self, code: ResultCode, job_id: str, reason: str
     ) -> RejectedError:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -25,9 +25,13 @@
 JOB_ID = "0" * 16
 STEP = Step(1, Resources(1000, 0, 0), 100)
 JOB = Job(JOB_ID, "q", "pool", "a", "spec", (STEP,), 0)
-QUEUE = SimpleNamespace(name="q", host="q.example", path_prefix="/q/", is_public=True)
+QUEUE = SimpleNamespace(
+    name="q", pool="pool", host="q.example", path_prefix="/q/", is_public=True
+)
 REQUEST_BODY = b'{"spec":"s","steps":[{"count":1,"cpu":1000,"estimatedMs":100}]}'
-CONFIGURATION = SimpleNamespace(find_queue=lambda host, path: QUEUE)
+CONFIGURATION = SimpleNamespace(
+    find_queue=lambda host, path: QUEUE, max_body_bytes=1_000_000
+)
 
 
 CONFIGURATION_RECORD = b"""{
@@ -59,6 +63,8 @@
         self.output = io.BytesIO()
         # The seconds of the latest response's Age header, or None without one.
         self.shown_age = None
+        # Whether the latest response ends its connection.
+        self.is_closed = False
         log = self.log = DecisionLog("entry-0", self.output)
         self.store = store or ScriptedStore()
         self.views = Views(self.store, log, follows_progress)
@@ -79,6 +85,7 @@
                 actions.cancel,
                 actions.pending_count,
                 actions.report_error,
+                actions.reject_body,
             )
         )
 
@@ -90,6 +97,7 @@
         path_prefix=QUEUE.path_prefix,
         key=None,
         request_body=REQUEST_BODY,
+        receive=None,
     ):
         """Return the status, the body and the seconds that a request takes."""
         headers = [
@@ -107,7 +115,7 @@
         }
         messages = []
 
-        async def receive():
+        async def receive_body():
             return {"type": "http.request", "body": request_body}
 
         async def send(message):
@@ -115,8 +123,9 @@
 
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        await self._app(scope, receive, send)
+        await self._app(scope, receive or receive_body, send)
         headers = dict(messages[0]["headers"])
+        self.is_closed = headers.get(b"connection") == b"close"
         self.shown_age = int(headers[b"age"]) if b"age" in headers else None
         body = json.loads(messages[1]["body"] or b"{}")
         return messages[0]["status"], body, loop.time() - started_at
