Suspect no owner while the store rejects a part of all calls

Callers saw nothing yet: found by review. The owner reports that its writes have failed for 0.2 s, and a watcher whose own view was fresh claimed.

A failed read of the watcher now ends the time for which it has read the store well, and the suspicion needs 1 s of that. An owner that the store turns away alone is suspected as soon as before (test_hand_over).

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -78,7 +78,7 @@
         self._is_reachable = True
         self._failed_reads = 0
         # When the latest read failed; -inf before the first.
-        self._failed_at = float("-inf")
+        self.failed_at = float("-inf")
         # When a response last ended or arrived fast enough; -inf before the first.
         self._data_at = float("-inf")
         # Set unless a part of a response has arrived whose read has not ended.
@@ -115,7 +115,7 @@
 
     def is_lost(self, max_silence_seconds: float) -> bool:
         """Return whether the latest read failed and the silence has lasted longer."""
-        failure_age = boot_seconds() - self._failed_at
+        failure_age = boot_seconds() - self.failed_at
         return (
             not self._is_reachable
             and failure_age <= MAX_FAILURE_AGE_SECONDS
@@ -320,7 +320,7 @@
     def _log_failure(self, error: StoreError) -> None:
         self._log.metrics.store_read_failures.labels(self._topic).inc()
         self._failed_reads += 1
-        self._failed_at = boot_seconds()
+        self.failed_at = boot_seconds()
         if self._is_reachable:
             self._is_reachable = False
             self._log.info(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
@@ -42,7 +42,7 @@
         self._instance = instance
         self._views = views
         self._log = log
-        # When the store was last found to be away; -inf before the first time.
+        # When the store was last found to be away or a read failed; -inf before that.
         self._store_well_since = float("-inf")
         self._contact: OwnerContact | None = None
         self._task: asyncio.Task[None] | None = None
@@ -101,8 +101,11 @@
         return suspicion
 
     def _check_store(self, now: float) -> None:
-        if self._views.state_view.age() > MAX_WELL_VIEW_AGE_SECONDS:
+        view = self._views.state_view
+        if view.age() > MAX_WELL_VIEW_AGE_SECONDS:
             self._store_well_since = now
+        # A store that rejects a part of all calls keeps the view fresh.
+        self._store_well_since = max(self._store_well_since, view.failed_at)
 
     def _follow_owner(self) -> None:
         heartbeat = self._views.owner_heartbeat
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
@@ -161,7 +161,7 @@
         self.name = name
         self.link = Link()
         self.is_alive = False
-        self.ownership = self.writer = self._task = None
+        self.ownership = self.writer = self.store = self._task = None
         self.starts = 0
 
     def start(self):
@@ -169,7 +169,7 @@
         self.starts += 1
         self.is_alive = True
         log = DecisionLog(self.name)
-        store = StoreOf(self._deployment.partition_by_topic, self.link)
+        store = self.store = StoreOf(self._deployment.partition_by_topic, self.link)
         views = Views(store, log)
         holder = make_holder(self.name, self.starts)
         succession = Succession(
--- a/packages/baobablane/baobablane/succession/_owner_signs.py
+++ b/packages/baobablane/baobablane/succession/_owner_signs.py
@@ -10,7 +10,7 @@
     Direct messages are those that the owner sends to its watchers without the store.
     """
 
-    # For how long this instance has read the store without a gap.
+    # For how long this instance has read the store without a gap or a failed read.
     store_well_for: float
     # Since the owner's latest heartbeat was read from the store.
     heartbeat_age: float
--- a/packages/baobablane/baobablane/succession/_suspicion.py
+++ b/packages/baobablane/baobablane/succession/_suspicion.py
@@ -22,6 +22,9 @@
 # Several writes in a row are rejected within this time. Once the store is back, a write
 # is stored and reported sooner.
 MIN_FAILING_SECONDS = 0.2
+# A store that rejects a part of the calls of all instances rejects one of a watcher's
+# reads within this time.
+MIN_STORE_WELL_SECONDS = 1.0
 # Older messages don't show whether writes still fail.
 MAX_MESSAGE_AGE_SECONDS = 0.3
 # The owner's heartbeats confirm it every 0.4 s.
@@ -48,8 +51,7 @@
     if _is_disconnected(signs):
         return Suspicion.DISCONNECTED
     has_recent_message = signs.message_age <= MAX_MESSAGE_AGE_SECONDS
-    failing_for = min(signs.writes_failing_for, signs.store_well_for)
-    if has_recent_message and failing_for >= MIN_FAILING_SECONDS:
+    if has_recent_message and _is_rejected(signs):
         return Suspicion.REJECTED
     if signs.message_count < MIN_MESSAGES:
         return None
@@ -70,6 +72,13 @@
     )
 
 
+def _is_rejected(signs: OwnerSigns) -> bool:
+    return (
+        signs.writes_failing_for >= MIN_FAILING_SECONDS
+        and signs.store_well_for >= MIN_STORE_WELL_SECONDS
+    )
+
+
 def _is_cut_off(signs: OwnerSigns) -> bool:
     seconds = min(signs.unconfirmed_for, signs.heartbeat_age, signs.store_well_for)
     return seconds >= MIN_UNCONFIRMED_SECONDS
--- a/packages/baobablane/baobablane/succession/tests/test_suspicion.py
+++ b/packages/baobablane/baobablane/succession/tests/test_suspicion.py
@@ -41,6 +41,8 @@
             ({"writes_failing_for": 0.15}, None),
             # The store was away for all, and is back.
             ({"writes_failing_for": 3.0, "store_well_for": 0.1}, None),
+            # The store rejects a part of all calls: a read of the watcher failed.
+            ({"writes_failing_for": 0.3, "store_well_for": 0.5}, None),
             # Nothing is known of the present.
             ({"writes_failing_for": 0.3, "message_age": 0.4}, None),
             # It is cut off from the store.
