Count no write as failed that is still in the store's queue

Callers saw nothing yet: found by review. A store that is slow for all rejects an append while more than 2 s wait before it, the owner's own repetitions among them. One such rejection started the time for which all writes had failed, and it went on while an attempt that the store was to carry out was open. So an owner with a slow store reported 0.8 to 0.9 s of failed writes, and its watchers claimed, in the same queue.

The time now lasts from the first to the latest rejection, and a rejection counts only while no other attempt is open.

An owner that is turned away is reported as before.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_fenced_appender.py
@@ -45,15 +45,21 @@
         self._on_stored = on_stored
         self._forecast = AppendForecast(is_only_writer=True)
         self._lock = asyncio.Lock()
-        # When the first attempt failed since an append was stored; None if none has.
+        # When the first and the latest attempt failed since an append was stored, while
+        # no other was open; None if none has.
         self._failing_since: float | None = None
+        self._failed_at: float | None = None
+        self._open_attempts = 0
 
-    def failing_for(self, now: float) -> float:
+    def failing_for(self) -> float:
         """Return for how many seconds all attempts have failed; zero if none has.
 
-        An attempt without a response does not count as failed.
+        An attempt without a response does not count as failed, nor do repetitions of
+        it: a store with a long queue rejects those, and stores the attempt later.
         """
-        return 0.0 if self._failing_since is None else now - self._failing_since
+        if self._failing_since is None or self._failed_at is None:
+            return 0.0
+        return self._failed_at - self._failing_since
 
     async def append(self, records: list[KeyedRecord]) -> None:
         """Store records, and retry until stored.
@@ -72,6 +78,7 @@
         self, records: list[KeyedRecord], producer: Producer
     ) -> None:
         async def send(seconds: float) -> None:
+            self._open_attempts += 1
             try:
                 await self._store.append(
                     self._topic,
@@ -81,9 +88,13 @@
                     min(seconds, ATTEMPT_TIMEOUT_SECONDS),
                 )
             except (StoreRejectedError, StoreUnknownOutcomeError):
-                if self._failing_since is None:
-                    self._failing_since = boot_seconds()
+                if self._open_attempts == 1:
+                    self._failed_at = boot_seconds()
+                    if self._failing_since is None:
+                        self._failing_since = self._failed_at
                 raise
+            finally:
+                self._open_attempts -= 1
 
         while True:
             try:
@@ -93,6 +104,6 @@
             except StoreRejectedError:
                 await asyncio.sleep(APPEND_RETRY_SECONDS)
             else:
-                self._failing_since = None
+                self._failing_since = self._failed_at = None
                 self._on_stored(requested_at)
                 return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -421,7 +421,7 @@
                 self._epoch,
                 self._ownership.holder,
                 self._ownership.confirmation_age(now),
-                self._writer.failing_for(now),
+                self._writer.failing_for(),
             )
             await self._send_message(message)
             await asyncio.sleep(MESSAGE_INTERVAL_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -80,9 +80,9 @@
         self._waiting: list[_Write] = []
         self._turn = asyncio.Lock()
 
-    def failing_for(self, now: float) -> float:
+    def failing_for(self) -> float:
         """Return for how many seconds all writes have failed; zero if they don't."""
-        return self._progress.failing_for(now)
+        return self._progress.failing_for()
 
     async def write(self, values_by_key: Mapping[str, bytes | None]) -> None:
         """Store all records, and retry until stored.
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
@@ -264,4 +264,4 @@
         now = boot_seconds()
         if contact.is_of(ownership.epoch, ownership.holder) and writer is not None:
             age = ownership.confirmation_age(now)
-            contact.note_message(now, age, writer.failing_for(now))
+            contact.note_message(now, age, writer.failing_for())
