Count orders that may still arrive towards a wave's limit

Callers saw nothing yet: found by review. An order for an instance is sent up to 1.0 s after the last confirmation, and arrives up to 1.5 s after its record. The platform fences the orders of each instance apart, so the earlier owner's order for one instance is still carried out after the new owner's order for another one, and more instances were down than the wave allows.

A new owner now counts an instance whose latest order may still arrive as unavailable, for 2.0 s from the record. The comment on the age of a confirmation named the old bound.

test_order_that_may_arrive_counts_as_begun failed before (m2 was ordered).

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_instance_manager.py
@@ -80,6 +80,8 @@
         # Monotonic times in seconds until which an instance gets no order, since an
         # earlier owner's order for it may still be in force.
         self._reserved_until: dict[str, float] = {}
+        # Until when an earlier owner's latest order for an instance may still arrive.
+        self._may_arrive_until: dict[str, float] = {}
         self._instances: list[Instance] = []
         # Instance and wave of each maintenance order that still waits for its response.
         # These instances count as unavailable.
@@ -104,17 +106,29 @@
         now = boot_seconds()
         for instance, order in self._views.order_by_instance.items():
             self._ordered_ms[instance] = order.at_ms
-            seconds = MAX_ORDER_DELAY_SECONDS
+            arrives_within = MAX_ORDER_DELAY_SECONDS
+            lease_seconds = 0.0
             if order.sender != self._ownership.instance:
+                arrives_within += MAX_CLOCK_DIFFERENCE_SECONDS
                 # The platform's minimum applies between two holders of an instance.
-                seconds += self._order_lease_seconds + MAX_CLOCK_DIFFERENCE_SECONDS
+                lease_seconds = self._order_lease_seconds
             age = max(0.0, (unix_ms() - order.at_ms) / 1000)
-            self._reserved_until[instance] = now + seconds - age
+            self._may_arrive_until[instance] = now + arrives_within - age
+            self._reserved_until[instance] = now + arrives_within + lease_seconds - age
 
     def instances(self) -> list[Instance]:
         """Return the instances as last listed."""
         return self._instances
 
+    def _is_ordered(self, instance: str, wave: int) -> bool:
+        """Return whether an order may still be carried out for an instance.
+
+        An earlier owner may have sent its latest one for any wave.
+        """
+        return (instance, wave) in self._in_flight or (
+            boot_seconds() < self._may_arrive_until.get(instance, 0.0)
+        )
+
     def _is_reserved(self, instance: str) -> bool:
         return boot_seconds() < self._reserved_until.get(instance, 0.0)
 
@@ -161,7 +175,7 @@
             self._instances,
             self._scheduler.fleet,
             unix_ms(),
-            lambda instance, wave: (instance, wave) in self._in_flight,
+            self._is_ordered,
         )
         plan.orders = [o for o in plan.orders if not self._is_reserved(o.instance)]
         moves = self._plan_moves(plan)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -51,7 +51,8 @@
 # last heartbeat at its start knows its age from both.
 MAX_CLOCK_DIFFERENCE_SECONDS = 0.5
 # A start, or an order for an instance, is sent only if the ownership was confirmed
-# within this time. Its record was stored just before, and others claim after 1.5 s.
+# within this time. Its record was stored just before, so a newer owner that claimed in
+# the meantime knows of it.
 MAX_CONFIRMATION_AGE_SECONDS = 1.0
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_instance_manager.py
@@ -1,9 +1,10 @@
 """Test how the outcomes of maintenance orders are applied."""
 
-from types import SimpleNamespace
+from dataclasses import replace
+from types import MappingProxyType, SimpleNamespace
 
 import pytest
-from baobablane.deployment import Instance, InstanceState, Resources
+from baobablane.deployment import Instance, InstanceState, Resources, Wave
 from baobablane.maintenance import MaintenanceOrder, WaveProgress
 from baobablane_platform import InstanceListError, InstanceOrderResult
 
@@ -167,6 +168,9 @@
         self._events.append("plan")
         return {}
 
+    def upstream_view(self, upstream_id):
+        """Return that no upstream is known."""
+
     def cordon(self, upstream_ids):
         """Record that no more tasks start on the upstreams."""
         self._events.append("cordon")
@@ -222,3 +226,76 @@
         manager._sizing.forecast.record_burst("pool", 1.0)
         await manager._run_round()
         assert events == ["write", "plan", "cordon"]
+
+
+class WaveClient:
+    """List two instances that are up, and record the orders for them."""
+
+    unknown_states_by_instance = MappingProxyType({})
+
+    def __init__(self):
+        """Start without orders."""
+        self.ordered = []
+
+    async def list_instances(self):
+        """Return the instances `m1` and `m2`."""
+        first = make_instance(InstanceState.UP, "")
+        return [first, replace(first, id="m2")]
+
+    async def maintain(self, instance, wave, epoch):
+        """Record an order, and carry it out."""
+        self.ordered.append(instance)
+        return InstanceOrderResult.DONE
+
+
+class TestOrdersOfTheEarlierOwner:
+    """Test that orders which may still arrive count towards a wave's limit.
+
+    The platform fences orders for each instance apart, so an order of the earlier owner
+    for one instance is carried out after a newer owner's order for another one.
+    """
+
+    async def order_after(self, age_seconds):
+        """Return the instances ordered by a new owner; one may be unavailable."""
+
+        async def write(values_by_key):
+            pass
+
+        order = InstanceOrderRecord(unix_ms() - round(age_seconds * 1000), "entry-2")
+        views = SimpleNamespace(
+            waves={1: Wave(1, ("m2", "m1"), 60.0, 1)},
+            progress_by_wave={},
+            configuration=None,
+            evacuated_zones=frozenset(),
+            burst_starts=[],
+            order_by_instance={"m1": order},
+            host_by_instance={},
+        )
+        scheduler = SimpleNamespace(
+            fleet=RoundFleet([]),
+            draining_upstreams=lambda: set(),
+            instances_listed=lambda *arguments: None,
+            mark_ordered=lambda upstream, is_ordered: None,
+        )
+        client = WaveClient()
+        manager = InstanceManager(
+            client,
+            views,
+            scheduler,
+            SimpleNamespace(instance="entry-1", holds=lambda epoch, seconds: True),
+            DecisionLog("entry-1"),
+            2,
+            3.0,
+            SimpleNamespace(write=write),
+            lambda: None,
+        )
+        manager.take_over()
+        await manager._run_round()
+        return client.ordered
+
+    async def test_order_that_may_arrive_counts_as_begun(self):
+        """Guards against two instances down where one may be, after a quick claim."""
+        assert await self.order_after(0.3) == []
+
+    async def test_older_order_does_not_count(self):
+        assert await self.order_after(2.5) == ["m2"]
