Let watchers claim by the timeout of heartbeats while the store is slow

Callers saw nothing yet: found by review. A watcher that suspected the owner claimed only after a read of the store within 0.2 s, also when the heartbeats had timed out as well. While reads take longer than that, no watcher ever claimed. Where all large instances are watchers (up to four of them), nobody owned for as long as the store was slow: a wait without an end, taken by all at once.

The read is now needed only while nothing but the suspicion makes the claim due.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_candidacy.py
@@ -73,7 +73,10 @@
         self._line = line
         self._find_suspicion = find_suspicion
         # When the current suspicion began; None without one.
-        self.suspected_at: float | None = None
+        self._suspected_at: float | None = None
+        # Whether only a suspicion makes the claim due, so that the store has to be read
+        # before it.
+        self.needs_read = False
         self._instance = holder_instance(holder)
         self._is_large = is_large
         self._heartbeat = heartbeat
@@ -86,7 +89,8 @@
         )
 
     def should_claim(self, now: float) -> bool:
-        """Return whether to claim the ownership now."""
+        """Return whether to claim the ownership now, and set `needs_read`."""
+        self.needs_read = False
         if self._view_age() > MAX_VIEW_AGE_SECONDS:
             if self._last_stale_at is not None:
                 self._last_stale_at = now
@@ -100,15 +104,21 @@
         ):
             # The latest owner was this process, or the one that it replaces.
             return True
-        if self._is_suspicion_due(now):
+        if self._is_timeout_due(now, heartbeat):
             return True
+        self.needs_read = self._is_suspicion_due(now)
+        return self.needs_read
+
+    def _is_timeout_due(self, now: float, heartbeat: OwnerHeartbeat | None) -> bool:
+        stale_at = self._last_stale_at
+        last_stale_at = float("-inf") if stale_at is None else stale_at
         if heartbeat is None or heartbeat.is_leaving:
             waiting_since = max(
                 self._started_at, heartbeat.received_at if heartbeat else 0.0
             )
             timeout_seconds = 0.0
         else:
-            waiting_since = max(heartbeat.received_at, self._last_stale_at)
+            waiting_since = max(heartbeat.received_at, last_stale_at)
             timeout_seconds = HEARTBEAT_TIMEOUT_SECONDS
         if not self._is_large and (heartbeat is None or heartbeat.is_large):
             timeout_seconds = SMALL_HEARTBEAT_TIMEOUT_SECONDS
@@ -117,11 +127,11 @@
 
     def _is_suspicion_due(self, now: float) -> bool:
         if self._find_suspicion(now) is None:
-            self.suspected_at = None
+            self._suspected_at = None
             return False
-        if self.suspected_at is None:
-            self.suspected_at = now
-        return now - self.suspected_at >= self._claim_delay()
+        if self._suspected_at is None:
+            self._suspected_at = now
+        return now - self._suspected_at >= self._claim_delay()
 
     def _claim_delay(self) -> float:
         """Return how long others may claim before this instance, in seconds."""
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -192,7 +192,7 @@
 
     async def _claim_if_confirmed(self, now: float) -> None:
         """Claim; if the owner is only suspected, read the store before that."""
-        if self._candidacy.suspected_at is not None:
+        if self._candidacy.needs_read:
             try:
                 async with asyncio.timeout(VIEW_CONFIRMATION_SECONDS):
                     await self._views.state_view.catch_up()
