Store heartbeats while a new owner adds the jobs that it takes over

Callers saw nothing yet: found by review. A new owner added all jobs in one turn of the event loop, and stored no heartbeat before its first round was planned. Others claim 1.5 s after the claim, and have all jobs to add as well, so the ownership could go round while nothing is placed.

Jobs are now added in turns of 200, with a heartbeat whenever one is due. The progress of all jobs is taken before the first turn, since a tombstone may remove it from the table meanwhile.

The plan of a round is still one turn.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -55,6 +55,9 @@
 # Errors that show that another process owns the placement.
 OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
 TAKEOVER_RETRY_SECONDS = 0.1
+# A takeover adds so many jobs at a time: others wait for a heartbeat, and callers for
+# responses.
+JOBS_PER_TURN = 200
 # Ended jobs accepted within this time count towards the rates of their accounts. The
 # allowance of an account is full again after a few seconds without arrivals.
 SHARE_HISTORY_MS = 60_000
@@ -193,22 +196,7 @@
         self._views.on_change = self._on_change
         self._views.set_is_owner(True)
         self._apply_configuration()
-        now = boot_seconds()
-        job_table = self._views.job_table
-        # The rates of accounts are counted in the order of acceptance.
-        since_ms = unix_ms() - SHARE_HISTORY_MS
-        for job in sorted(
-            job_table.jobs_by_id.values(), key=lambda job: job.accepted_ms
-        ):
-            progress = job_table.progress_by_id.get(job.id)
-            if progress is not None and progress.state.is_final():
-                self._ended_jobs.add(job.id, now)
-                if job.accepted_ms >= since_ms:
-                    self._scheduler.note_past_job(job)
-                continue
-            self._scheduler.add_job(job, progress, now)
-            if job.id in job_table.cancelled:
-                self._scheduler.cancel_job(job.id)
+        await self._take_over_jobs()
         self._log.info(
             "taken-over",
             epoch=self._epoch,
@@ -223,6 +211,33 @@
         self._start_task(self._load_publisher.run())
         self._start_task(self._job_deleter.run())
 
+    async def _take_over_jobs(self) -> None:
+        """Add all jobs that were read, and store heartbeats meanwhile."""
+        now = boot_seconds()
+        job_table = self._views.job_table
+        # The rates of accounts are counted in the order of acceptance.
+        since_ms = unix_ms() - SHARE_HISTORY_MS
+        # The tables may change at each turn; changed jobs are added by the next round.
+        jobs = [
+            (job, job_table.progress_by_id.get(job.id))
+            for job in sorted(
+                job_table.jobs_by_id.values(), key=lambda job: job.accepted_ms
+            )
+        ]
+        for position, (job, progress) in enumerate(jobs):
+            if position % JOBS_PER_TURN == 0:
+                await self._writer.write_heartbeat()
+                await asyncio.sleep(0.0)
+            if progress is not None and progress.state.is_final():
+                self._ended_jobs.add(job.id, now)
+                if job.accepted_ms >= since_ms:
+                    self._scheduler.note_past_job(job)
+                continue
+            self._scheduler.add_job(job, progress, now)
+            if job.id in job_table.cancelled:
+                self._scheduler.cancel_job(job.id)
+        await self._writer.write_heartbeat()
+
     async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
         while True:
             try:
