--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_long_takeover.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_long_takeover.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+from baobablane_platform import UPSTREAM_TOPIC
+
 from baobablane_daemon.jobs import OWNER_HEARTBEAT_KEY, boot_seconds
 from baobablane_daemon.owner._candidacy import HEARTBEAT_TIMEOUT_SECONDS
 
+from ...jobs.tests.scripted_store import answer_after, hang
 from ...jobs.tests.virtual_time import run_in_virtual_time
 from .owner_model import run_owner
 
@@ -50,3 +53,28 @@
                 assert model.ownership.epoch == 1
 
         run_in_virtual_time(scenario())
+
+    def test_lost_answer_does_not_outlast_the_first_heartbeat(self):
+        """Guards against another claim while the takeover reads once more."""
+
+        def lose_first_answer(model):
+            calls = []
+
+            async def fault(stall_seconds, on_data):
+                calls.append(None)
+                answer = hang if len(calls) == 1 else answer_after(0.01)
+                await answer(stall_seconds, on_data)
+
+            model.store.fault_by_topic[UPSTREAM_TOPIC] = fault
+
+        async def scenario():
+            async with run_owner(lose_first_answer) as model:
+                await asyncio.sleep(2.0)
+                first = min(
+                    at
+                    for at, _, key, _ in model.store.stored
+                    if key == OWNER_HEARTBEAT_KEY
+                )
+                assert first - model.began_at < HEARTBEAT_TIMEOUT_SECONDS
+
+        run_in_virtual_time(scenario())
