--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
@@ -10,14 +10,12 @@
     NewestPage,
     RecordPage,
     StoreFencedError,
-    StoreOffsetMismatchError,
     StoreRejectedError,
     StoreSequenceError,
     StoreUnknownOutcomeError,
 )
-from baobablane_platform._keyed_record import decode_record, encode_records
-from baobablane_standin.platform._partition import AppendRejectedError, Partition
-from baobablane_standin.platform._server import _split_records
+from baobablane_platform._keyed_record import decode_record
+from baobablane_standin.platform._partition import Partition
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import (
@@ -30,6 +28,8 @@
 from baobablane_daemon.owner import Candidacy, Ownership, Succession
 from baobablane_daemon.owner._progress_writer import ProgressWriter
 
+from ...tests.store_model import append_to_partition
+
 # The progress of this job shows the epoch of the owner that recorded it.
 JOB = "00000000000000a1"
 CALL_SECONDS = 0.007
@@ -115,20 +115,11 @@
     ):
         """Append as the store does."""
         await self._link.pass_through(timeout_seconds)
-        fields = producer and (producer.name, producer.epoch, producer.sequence)
-        raw_records = _split_records(encode_records(records))
-        try:
-            answer = self._partition_by_topic[topic].append(
-                raw_records, fields, expected_end
-            )
-        except AppendRejectedError as error:
-            if error.status == 412:
-                raise StoreOffsetMismatchError(str(error)) from error
-            if error.response["reason"] == "seq":
-                raise StoreSequenceError(error.response["sequence"]) from error
-            raise StoreFencedError(str(error)) from error
+        new_end = append_to_partition(
+            self._partition_by_topic[topic], records, producer, expected_end
+        )
         await self._link.pass_through(timeout_seconds)
-        return answer["end"]
+        return new_end
 
 
 class LinkOf:
--- a/packages/baobablane-daemon/baobablane_daemon/tests/store_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/store_model.py
@@ -85,17 +85,23 @@
     def _execute(self, key, records, producer, expected_end):
         partition = self._partitions.setdefault(key, Partition(True))
         end = partition.end_offset
-        fields = producer and (producer.name, producer.epoch, producer.sequence)
-        raw_records = _split_records(encode_records(records))
-        try:
-            response = partition.append(raw_records, fields, expected_end)
-        except AppendRejectedError as error:
-            if error.status == 412:
-                raise StoreOffsetMismatchError(str(error)) from error
-            if error.response["reason"] == "seq":
-                raise StoreSequenceError(error.response["sequence"]) from error
-            raise StoreFencedError(str(error)) from error
+        new_end = append_to_partition(partition, records, producer, expected_end)
         if partition.end_offset > end:
             now = asyncio.get_running_loop().time()
             self.stored.append((now, key[0], records))
-        return response["end"]
+        return new_end
+
+
+def append_to_partition(partition, records, producer, expected_end):
+    """Append as the store does; return the new end, or raise the client's errors."""
+    fields = producer and (producer.name, producer.epoch, producer.sequence)
+    raw_records = _split_records(encode_records(records))
+    try:
+        response = partition.append(raw_records, fields, expected_end)
+    except AppendRejectedError as error:
+        if error.status == 412:
+            raise StoreOffsetMismatchError(str(error)) from error
+        if error.response["reason"] == "seq":
+            raise StoreSequenceError(error.response["sequence"]) from error
+        raise StoreFencedError(str(error)) from error
+    return response["end"]
