Let instances of the soak watch the owner

Their settings named no ports, so nobody watched, and the soak could not show a fault of the succession.

--- a/soak/_entry_process.py
+++ b/soak/_entry_process.py
@@ -25,9 +25,11 @@
     """Own the process of one entry instance."""
 
     def __init__(self, name: str, folder: Path, link_mbit: float) -> None:
-        """Choose a port; `run` must be called next."""
+        """Choose ports; `run` must be called next."""
         self.name = name
         self.address = f"{HOST}:{_find_free_port()}"
+        # The first is for metrics, the last for those that watch the instance.
+        self._ports = [_find_free_port(), _find_free_port()]
         self.log_path = folder / f"{name}.log"
         # How the process ended though nobody had ended it.
         self.unexpected_ends: list[int] = []
@@ -48,6 +50,8 @@
         settings = {
             "node": self.name,
             "zone": "zone-a",
+            "ip": HOST,
+            "portRange": self._ports,
             "listenAddrs": {"front": self.address},
             "platform": {"address": store},
             "cloud": {"address": instance_list},
