--- a/bench/store_return.py
+++ b/bench/store_return.py
@@ -22,6 +22,7 @@
     encode_job,
     encode_progress,
 )
+from baobablane_platform import SETTINGS_VARIABLE
 from baobablane_standin.platform import PlatformStandin
 from baobablane_standin.platform._deployment import (
     API_KEY,
@@ -119,7 +120,7 @@
                     process = await asyncio.create_subprocess_exec(
                         sys.executable,
                         str(ENTRY_POINT),
-                        env={**os.environ, "BAOBABLANE_BOOT": str(path)},
+                        env={**os.environ, SETTINGS_VARIABLE: str(path)},
                         stdout=log,
                         stderr=log,
                     )
