Log how the run of a waiting task was lost, and since when its bound counts

Cause: of a long-running task that nothing ran, the log had only the reason. Three hypotheses of the incident (a lease that each owner awaits anew, a hold of a suspect, both) give the same reason.

Change: task-waits has the new field wait: age of the latest run when it was lost, whether an earlier owner started it, losses of young and of settled runs, silence of its upstream towards this owner, when the bound ends and from which event it counts. What this owner can't know is null. run-lost has the same, with the time for which the task is held from then on. No existing field has changed. A lost run of a long-running task is kept until the task starts again, so there is at most one for each of them; the number of lines is as before.

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_decision_log.py
@@ -5,7 +5,7 @@
 import sys
 import traceback
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from time import time
 from typing import BinaryIO
 
@@ -55,6 +55,8 @@
     predicted_seconds: float = 0.0
     load_version: int = 0
     retry_after_seconds: int = 0
+    # Of a waiting task: its latest run, and the bound that holds it.
+    wait: Mapping[str, object] | None = None
     # Unix time in seconds.
     at: float = msgspec.field(default_factory=time)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_event_log.py
@@ -1,6 +1,7 @@
 """Write the scheduler's events to the decision log."""
 
 from collections.abc import Iterable
+from dataclasses import asdict
 
 from baobablane.scheduling import CRASH_EVENT, SchedulingEvent
 
@@ -27,6 +28,7 @@
                 position=event.position,
                 predicted_ms=event.predicted_ms,
                 outcome=event.outcome,
+                wait=asdict(event.wait) if event.wait else None,
             )
         )
         if event.outcome:
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -21,7 +21,10 @@
 from ._open_tasks import find_open_task
 from ._state import SchedulerState
 from ._step_run import StepRun
+from ._trials import is_held
 from ._upstream import Run, Upstream
+from ._wait_bound import WaitBound
+from ._wait_evidence import describe_wait, keep_lost_run
 
 # The list of instances may show an upstream as up for this long after it has crashed.
 LISTING_LAG_SECONDS = 1.0
@@ -68,6 +71,7 @@
     state: SchedulerState, upstream: Upstream, run: Run, now: float
 ) -> None:
     """Count a lost run against its task if it may have crashed its upstream."""
+    keep_lost_run(state, upstream, run, now)
     if upstream.entry.is_draining or upstream.has_order:
         return
     job_run = state.jobs.get(run.task.job)
@@ -107,6 +111,9 @@
         run.task, upstream.id, lost.lost_at, len(task.losses), run.is_lasting
     )
     state.dirty_jobs.add(run.task.job)
+    bound = None
+    if is_held(state, step_run, run.task.position, now):
+        bound = WaitBound(state.suspects.held_until[run.task], "loss")
     state.log_decision(
         "run-lost",
         run.task,
@@ -115,6 +122,7 @@
         incarnation=lost.incarnation,
         reason=f"suspects: {loss.suspects}",
         beside=lost.runs,
+        wait=describe_wait(state, run.task, task, bound, now),
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/_event.py
+++ b/packages/baobablane/baobablane/scheduling/_event.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ._wait_inputs import WaitInputs
+
 CRASH_EVENT = "upstream-crashed"
 
 
@@ -35,3 +37,5 @@
     predicted_ms: int = 0
     # Of a completed job: in time, late or useless.
     outcome: str = ""
+    # Of a task that waits, and of a lost run for which its task may be held.
+    wait: WaitInputs | None = None
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_wait_bound.py
@@ -0,0 +1,10 @@
+"""Define the bound that ends a wait."""
+
+from typing import NamedTuple
+
+
+class WaitBound(NamedTuple):
+    """Hold when a wait ends at the latest, and the event from which that counts."""
+
+    ends_at: float
+    since: str
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/_wait_bounds.py
@@ -0,0 +1,80 @@
+"""Find the bound that holds a long-running task, and from when on it counts."""
+
+from ..jobs import TaskId
+from ._late_crashes import held_indexes
+from ._stalls import may_still_arrive
+from ._state import SchedulerState
+from ._step_run import StepRun
+from ._suspects import SuspectTable
+from ._trials import is_held
+from ._upstream import Run, Upstream
+from ._wait_bound import WaitBound
+from ._wait_evidence import was_lost_before_takeover
+
+# The events from which bounds count.
+TAKEOVER = "takeover"
+RENEWAL = "last renewal"
+RESTART = "restart"
+START = "start"
+MESSAGE_LOSS = "lost message"
+LOSS = "loss"
+
+
+def find_bound(
+    state: SchedulerState, step_run: StepRun, index: int, now: float
+) -> WaitBound | None:
+    """Return the bound that holds a task that nothing runs, or None."""
+    task_id = step_run.task_id(index)
+    if index not in step_run.waiting:
+        upstream = state.upstreams.get(step_run.task(index).upstream)
+        run = upstream.runs.get(task_id) if upstream else None
+        if upstream is None or run is None:
+            return None
+        if may_still_arrive(state, run, now):
+            return _bound_of_start(state, run)
+        return _bound_of_lease(state, upstream)
+    if task_id in state.suspects:
+        if not is_held(state, step_run, index, now):
+            return None
+        return _bound_of_hold(state, state.suspects, step_run, [index])
+    held = held_indexes(state, step_run, now)
+    if index not in held:
+        return None
+    # A member of a gang waits for the others.
+    return _bound_of_hold(state, state.late_losses, step_run, sorted(held))
+
+
+def _bound_of_start(state: SchedulerState, run: Run) -> WaitBound:
+    # Both have to be recent, so the wait is over with the first of them.
+    begin = min(run.started_at, state.last_message_loss_at)
+    if begin < run.started_at:
+        since = MESSAGE_LOSS
+    else:
+        since = TAKEOVER if run.is_restored else START
+    return WaitBound(begin + state.policy.late_order_seconds, since)
+
+
+def _bound_of_lease(state: SchedulerState, upstream: Upstream) -> WaitBound:
+    ends_at = upstream.latest_lease_expiry(state.policy.unknown_lease_seconds)
+    if ends_at == upstream.earlier_lease_until:
+        since = RESTART
+    else:
+        since = TAKEOVER if upstream.lease is None else RENEWAL
+    return WaitBound(ends_at, since)
+
+
+def _bound_of_hold(
+    state: SchedulerState, table: SuspectTable, step_run: StepRun, indexes: list[int]
+) -> WaitBound | None:
+    held_until_by_id: dict[TaskId, float] = {
+        task_id: table.held_until[task_id]
+        for task_id in map(step_run.task_id, indexes)
+        if task_id in table.held_until
+    }
+    if not held_until_by_id:
+        return None
+    latest = max(held_until_by_id, key=lambda task_id: held_until_by_id[task_id])
+    is_earlier = table is state.suspects and was_lost_before_takeover(
+        state, latest, step_run.task(latest.position)
+    )
+    return WaitBound(held_until_by_id[latest], TAKEOVER if is_earlier else LOSS)
--- a/packages/baobablane/baobablane/scheduling/_wait_table.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_table.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..jobs import TaskId
+from ._lost_run import LostRun
 
 
 @dataclass(slots=True)
@@ -19,6 +20,8 @@
     """Hold the long-running tasks that don't run, as of the latest check."""
 
     wait_by_task: dict[TaskId, Wait] = field(default_factory=dict)
+    # Each is kept until its task starts again.
+    lost_run_by_task: dict[TaskId, LostRun] = field(default_factory=dict)
     checked_at: float = float("-inf")
     # When it was last logged that a check raised an error.
     error_logged_at: float = float("-inf")
--- a/packages/baobablane/baobablane/scheduling/_waits.py
+++ b/packages/baobablane/baobablane/scheduling/_waits.py
@@ -16,6 +16,8 @@
 from ._step_run import StepRun
 from ._trials import is_held
 from ._upstream import Upstream
+from ._wait_bounds import find_bound
+from ._wait_evidence import describe_wait, forget_replaced_runs
 from ._wait_table import Wait
 
 # A task that has waited for this long is logged, and again at this interval, or as soon
@@ -56,28 +58,41 @@
                 if lines < MAX_LINES and _is_due(wait, reason, now):
                     lines += 1
                     wait.reason, wait.logged_at = reason, now
-                    _log_wait(state, job_run, task, reason, now - wait.since)
+                    _log_wait(state, job_run, task, wait, now)
         except Exception as error:
             # It only tells why the job's tasks wait, so work on the job goes on.
-            if now - waits.error_logged_at >= REPEAT_SECONDS:
-                waits.error_logged_at = now
-                state.events.append(
-                    SchedulingEvent("waits-not-known", job_id, reason=repr(error))
-                )
+            _log_error(state, job_id, error, now)
+    try:
+        forget_replaced_runs(state)
+    except Exception as error:
+        _log_error(state, "", error, now)
+
+
+def _log_error(
+    state: SchedulerState, job_id: str, error: Exception, now: float
+) -> None:
+    if now - state.waits.error_logged_at >= REPEAT_SECONDS:
+        state.waits.error_logged_at = now
+        state.events.append(
+            SchedulingEvent("waits-not-known", job_id, reason=repr(error))
+        )
 
 
 def _log_wait(
-    state: SchedulerState, job_run: JobRun, task: TaskId, reason: str, seconds: float
+    state: SchedulerState, job_run: JobRun, task: TaskId, wait: Wait, now: float
 ) -> None:
+    step_run = job_run.steps[(task.occurrence, task.step)]
     # A task that was never started has no progress, and must get none from this.
-    progress = job_run.steps[(task.occurrence, task.step)].tasks.get(task.position)
+    progress = step_run.tasks.get(task.position)
+    bound = find_bound(state, step_run, task.position, now) if progress else None
     state.log_decision(
         "task-waits",
         task,
         progress.run if progress else 0,
         upstream=progress.upstream if progress else "",
-        reason=reason,
-        age_seconds=seconds,
+        reason=wait.reason,
+        age_seconds=now - wait.since,
+        wait=describe_wait(state, task, progress, bound, now),
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_waits.py
@@ -6,7 +6,8 @@
 import pytest
 
 from baobablane.deployment import Resources
-from baobablane.jobs import JobState, TaskId
+from baobablane.jobs import JobState, TaskId, TaskState
+from baobablane.scheduling._wait_inputs import WaitInputs
 
 from .fleet_model import CORE, ModelFleet, add, make_configuration, make_job, make_step
 from .waiting_model import WaitingFleet
@@ -91,6 +92,174 @@
         assert line[0] == "held for the news whether its upstreams crashed"
 
 
+class TestInputs:
+    """Test what a line tells of the latest run and of the bound that holds the task.
+
+    A task waited after several changes of owner, and the reason alone did not tell
+    which of three hypotheses was the case.
+    """
+
+    def start(self, count=6):
+        """Return a fleet that runs the task for a second, and its progress."""
+        fleet = WaitingFleet(count)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.advance(1.0)
+        return fleet, self.find_task(fleet)
+
+    def find_task(self, fleet):
+        """Return the progress of the task as the present owner has it."""
+        return fleet.scheduler.state.jobs[JOB].find_task(TASK)[1]
+
+    def lose_upstream(self, fleet):
+        """Take the upstream of the latest run away for good, and await the next run."""
+        run = self.find_task(fleet).run
+        fleet.remove(self.find_task(fleet).upstream)
+        while self.find_task(fleet).run == run:
+            fleet.advance(0.25)
+
+    def pop_line(self, fleet, event="task-waits"):
+        """Return the latest line of an event on the task."""
+        return [e for e in fleet.scheduler.pop_events() if e.event == event][-1]
+
+    def test_lease_that_this_owner_renewed(self):
+        fleet, task = self.start()
+        fleet.silence(task.upstream, 9.0)
+        fleet.advance(4.5)
+        line = self.pop_line(fleet)
+        assert (line.wait.is_restored, line.wait.since) == (False, "last renewal")
+        assert 0.0 < line.wait.run_seconds < 3.0
+        assert line.wait.silent_seconds >= line.age_seconds
+        assert 0.0 < line.wait.ends_in_seconds < 4.5
+
+    def test_lease_that_an_earlier_owner_renewed(self):
+        fleet, task = self.start()
+        fleet.silence(task.upstream, 20.0)
+        fleet.replace_owner()
+        fleet.advance(4.5)
+        wait = self.pop_line(fleet).wait
+        assert (wait.is_restored, wait.since) == (True, "takeover")
+        # Its age and the latest response are not known to this owner.
+        assert (wait.run_seconds, wait.silent_seconds) == (None, None)
+        lease = fleet.scheduler.state.upstreams[task.upstream]
+        bound = fleet.scheduler.state.policy.unknown_lease_seconds
+        assert wait.ends_in_seconds <= lease.latest_lease_expiry(bound) - 100.0
+
+    def test_bound_ends_when_the_task_is_free_to_start(self):
+        fleet, task = self.start()
+        fleet.silence(task.upstream, 20.0)
+        fleet.replace_owner()
+        ends_at = None
+        while self.find_task(fleet).run == 1:
+            fleet.advance(0.25)
+            for event in fleet.scheduler.pop_events():
+                if event.event == "task-waits":
+                    ends_at = fleet.now + event.wait.ends_in_seconds
+        # The model renews the leases of the others within a step.
+        assert abs(fleet.now - ends_at) <= 0.5
+
+    def test_start_that_may_still_be_carried_out(self):
+        fleet = WaitingFleet()
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.lose_answers(["lost"])
+        fleet.advance(0.25)
+        fleet.silence(self.find_task(fleet).upstream, 30.0)
+        fleet.scheduler.state.last_message_loss_at = fleet.now
+        fleet.advance(4.0)
+        wait = self.pop_line(fleet).wait
+        assert (wait.since, wait.is_restored) == ("start", False)
+        assert 8.0 < wait.ends_in_seconds < 11.0
+
+    def test_restart_under_the_same_id(self):
+        fleet, task = self.start()
+        fleet.restart(task.upstream)
+        fleet.scheduler.upstream_listed(fleet.upstreams[task.upstream].entry, fleet.now)
+        fleet.silence(task.upstream, 30.0)
+        fleet.advance(4.5)
+        wait = self.pop_line(fleet).wait
+        assert (wait.since, wait.is_restored) == ("restart", False)
+        assert 0.5 < wait.run_seconds < 1.5
+        assert 4.5 < wait.ends_in_seconds < 8.5
+        assert wait.silent_seconds is None
+
+    def test_hold_tells_the_losses_and_the_age_of_the_run(self):
+        fleet = WaitingFleet()
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.place()
+        self.lose_upstream(fleet)
+        fleet.crash(self.find_task(fleet).upstream)
+        fleet.advance(4.0)
+        wait = self.pop_line(fleet).wait
+        assert (wait.losses, wait.late_losses) == (2, 0)
+        assert (wait.since, wait.is_restored) == ("loss", False)
+        assert wait.run_seconds < 0.5
+        assert 0.0 < wait.ends_in_seconds < 3.0
+        assert wait.silent_seconds is not None
+
+    def test_hold_of_an_earlier_owner(self):
+        fleet = WaitingFleet()
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.place()
+        self.lose_upstream(fleet)
+        fleet.remove(self.find_task(fleet).upstream)
+        while self.find_task(fleet).state is not TaskState.WAITING:
+            fleet.advance(0.25)
+        fleet.replace_owner()
+        fleet.advance(3.5)
+        wait = self.pop_line(fleet).wait
+        assert (wait.losses, wait.is_restored) == (2, True)
+        assert (wait.run_seconds, wait.silent_seconds) == (None, None)
+        assert wait.since == "takeover"
+
+    def test_begin_of_a_hold(self):
+        fleet = WaitingFleet()
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.place()
+        self.lose_upstream(fleet)
+        first = self.pop_line(fleet, "run-lost").wait
+        # A task is held from its second loss on.
+        assert (first.losses, first.ends_in_seconds, first.since) == (1, None, None)
+        fleet.crash(self.find_task(fleet).upstream)
+        fleet.advance(1.0)
+        second = self.pop_line(fleet, "run-lost").wait
+        assert (second.losses, second.since) == (2, "loss")
+        assert second.run_seconds < 0.5
+        assert 4.0 < second.ends_in_seconds <= 5.0
+
+    def test_hold_after_late_losses(self):
+        fleet = WaitingFleet(12)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.place()
+        for _ in range(4):
+            fleet.advance(2.0)
+            self.lose_upstream(fleet)
+        fleet.advance(2.0)
+        fleet.remove(self.find_task(fleet).upstream)
+        while self.find_task(fleet).state is not TaskState.WAITING:
+            fleet.advance(0.25)
+        fleet.advance(3.5)
+        line = self.pop_line(fleet)
+        assert line.reason == "held for the news whether its upstreams crashed"
+        assert (line.wait.losses, line.wait.late_losses) == (0, 5)
+        assert line.wait.since == "loss"
+        assert 4.0 < line.wait.ends_in_seconds < 10.0
+
+    def test_wait_without_a_bound(self, fleet):
+        fill(fleet)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        for _ in range(6):
+            fleet.now += 0.5
+            fleet.renew_all()
+            fleet.place()
+        assert self.pop_line(fleet).wait == WaitInputs()
+
+    def test_lost_run_is_forgotten_once_its_task_runs_again(self):
+        fleet, task = self.start()
+        fleet.remove(task.upstream)
+        fleet.advance(9.0)
+        assert self.find_task(fleet).run == 2
+        assert fleet.scheduler.state.waits.lost_run_by_task == {}
+
+
 class TestVolume:
     """Test how many lines are written."""
 
@@ -174,3 +343,16 @@
         monkeypatch.setattr("baobablane.scheduling._waits._log_wait", raise_error)
         assert run_rounds(fleet, 3.0) == []
         assert JOB in fleet.scheduler.state.jobs
+
+    def test_error_as_lost_runs_are_forgotten_does_not_stop_the_round(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.undo()
+
+        def raise_error(*args):
+            raise KeyError("run")
+
+        monkeypatch.setattr(
+            "baobablane.scheduling._waits.forget_replaced_runs", raise_error
+        )
+        assert [reason for reason, _ in run_rounds(fleet, 3.0)] == ["no room"]
