Log with a late loss for how long its task is held

Cause: run-lost tells when a hold begins, run-lost-late did not, though the fifth such loss begins one of 10 s and more. Change: the line has the field wait as well.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -92,7 +92,7 @@
     if run.task not in lost.suspects:
         if may_be_late_cause(run, lost):
             labels = place_labels(state, upstream)
-            note_late_loss(state, run, lost, instance, labels)
+            note_late_loss(state, run, lost, instance, labels, now)
         return
     unix_ms = round((now + state.unix_offset_seconds) * 1000)
     # Another owner may have seen it settle and not have recorded that.
--- a/packages/baobablane/baobablane/scheduling/_late_crashes.py
+++ b/packages/baobablane/baobablane/scheduling/_late_crashes.py
@@ -17,6 +17,8 @@
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Run, Upstream
+from ._wait_bound import WaitBound
+from ._wait_evidence import describe_wait
 
 # A task that has run for this long does not crash its upstream by its start.
 LATE_CRASH_SECONDS = 10.0
@@ -40,6 +42,7 @@
     lost: LostUpstream,
     instance: str,
     labels: tuple[str, ...],
+    now: float,
 ) -> None:
     """Count a lost run against its task; the first call for a run decides."""
     losses = state.late_losses.losses_by_task.get(run.task, [])
@@ -58,6 +61,10 @@
     # The first hold is as long as that after two losses of runs that had just started.
     count = len(losses) - MIN_LATE_CRASHES + 2
     state.late_losses.add(run.task, lost.upstream, lost.lost_at, count, False)
+    bound = None
+    if _is_held(state, run.task, now):
+        bound = WaitBound(state.late_losses.held_until[run.task], "loss")
+    task = find_open_task(state, run.task)
     state.log_decision(
         "run-lost-late",
         run.task,
@@ -66,6 +73,7 @@
         incarnation=lost.incarnation,
         age_seconds=lost.lost_at - run.started_at,
         beside=lost.runs,
+        wait=describe_wait(state, run.task, task, bound, now),
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/tests/test_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_waits.py
@@ -225,6 +225,21 @@
         assert second.run_seconds < 0.5
         assert 4.0 < second.ends_in_seconds <= 5.0
 
+    def test_begin_of_a_hold_after_late_losses(self):
+        fleet = WaitingFleet(12)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.place()
+        for _ in range(4):
+            fleet.advance(2.0)
+            self.lose_upstream(fleet)
+        fourth = self.pop_line(fleet, "run-lost-late").wait
+        assert (fourth.late_losses, fourth.ends_in_seconds) == (4, None)
+        fleet.advance(2.0)
+        self.lose_upstream(fleet)
+        fifth = self.pop_line(fleet, "run-lost-late").wait
+        assert (fifth.late_losses, fifth.since) == (5, "loss")
+        assert 5.0 < fifth.ends_in_seconds <= 10.0
+
     def test_hold_after_late_losses(self):
         fleet = WaitingFleet(12)
         add(fleet, make_job(make_step(is_lasting=True), name=JOB))
