Count the leases of an unreachable upstream from the last owner that reached it

Cause: a new owner bounded the leases of an upstream that it could not reach by the last heartbeat of the owner before it. That owner may have renewed none there, having never reached the upstream either, so each takeover put the bound off by up to 7.5 s. The class: a bound that is counted from the takeover instead of from what it bounds. Change: heartbeats name the upstreams with tasks that the owner does not reach, with the time that is left of their leases; the claim stands for all upstreams. The next owner hands that on. No lease is granted while a heartbeat that names its upstream may be the newest. An owner that leaves, or whose process was replaced, grants none afterwards, which counts now. A first response without a lease of its own no longer ends the bound on leases of earlier owners, and a heartbeat that another topic brings late is not taken for the newest.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -4,6 +4,7 @@
 from ._append_forecast import AppendForecast
 from ._clock import boot_seconds, loggable_age, unix_ms
 from ._job_writer import JobWriter
+from ._lease_bounds import LeaseBounds, UpstreamBound
 from ._order_record import InstanceOrderRecord, encode_order_record
 from ._owner_heartbeat import (
     OwnerHeartbeat,
@@ -38,6 +39,7 @@
     "HOST_PREFIX",
     "JOBS_TOPIC",
     "LOAD_KEY",
+    "LeaseBounds",
     "INSTANCE_ORDER_PREFIX",
     "PROGRESS_TOPIC",
     "Peer",
@@ -52,6 +54,7 @@
     "OwnerHeartbeat",
     "OwnerLoad",
     "TopicTail",
+    "UpstreamBound",
     "Views",
     "append_repeatedly",
     "boot_seconds",
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
@@ -1,9 +1,14 @@
 """Encode and decode the heartbeats of the owner."""
 
+import math
 from dataclasses import dataclass
 
 import msgspec
 
+from ._lease_bounds import LeaseBounds, UpstreamBound
+
+NO_BOUNDS = LeaseBounds()
+
 
 @dataclass(frozen=True, slots=True)
 class OwnerHeartbeat:
@@ -21,6 +26,18 @@
     is_large: bool
     # Whether the owner has stopped placing tasks and gives up the ownership.
     is_leaving: bool = False
+    # Counted from 0 in each epoch.
+    number: int = 0
+    lease_bounds: LeaseBounds = NO_BOUNDS
+    # `received_at` is by the timestamp: the clocks of two instances may differ.
+    is_dated_by_clock: bool = False
+
+    def is_older_than(self, other: "OwnerHeartbeat") -> bool:
+        """Return whether `other` was sent later.
+
+        Two topics have heartbeats, and either may be behind.
+        """
+        return (self.epoch, self.number) < (other.epoch, other.number)
 
 
 def make_holder(instance: str, started_ns: int) -> str:
@@ -36,20 +53,39 @@
     return holder.rpartition("-")[0]
 
 
-class _HeartbeatRecord(msgspec.Struct):
+class _HeartbeatRecord(msgspec.Struct, omit_defaults=True):
     at_ms: int
     epoch: int
     holder: str
     is_large: bool
     is_leaving: bool = False
+    number: int = 0
+    lease_bounds: dict[str, UpstreamBound] = {}
+    renewal_age_ms: int | None = None
 
 
 def encode_owner_heartbeat(
-    at_ms: int, epoch: int, holder: str, is_large: bool, is_leaving: bool = False
+    at_ms: int,
+    epoch: int,
+    holder: str,
+    is_large: bool,
+    is_leaving: bool = False,
+    number: int = 0,
+    lease_bounds: LeaseBounds = NO_BOUNDS,
 ) -> bytes:
     """Return the record of a heartbeat; `at_ms` is in Unix milliseconds."""
+    renewal_age = lease_bounds.renewal_age
     return msgspec.json.encode(
-        _HeartbeatRecord(at_ms, epoch, holder, is_large, is_leaving)
+        _HeartbeatRecord(
+            at_ms,
+            epoch,
+            holder,
+            is_large,
+            is_leaving,
+            number,
+            dict(lease_bounds.by_upstream),
+            None if renewal_age is None else math.floor(renewal_age * 1000),
+        )
     )
 
 
@@ -65,12 +101,15 @@
     if previous is None:
         # It may come from an owner that was lost before this process started.
         received_at = now - max(0.0, (unix_ms - heartbeat.at_ms) / 1000)
+        is_dated_by_clock = True
     elif (heartbeat.epoch, heartbeat.at_ms) == (previous.epoch, previous.at_ms):
         # The topic was read again from the start.
         received_at = previous.received_at
+        is_dated_by_clock = previous.is_dated_by_clock
     else:
         # The owner's clock may differ from this one, so the time of arrival is used.
-        received_at = now
+        received_at, is_dated_by_clock = now, False
+    renewal_age_ms = heartbeat.renewal_age_ms
     return OwnerHeartbeat(
         received_at,
         heartbeat.at_ms,
@@ -78,4 +117,10 @@
         heartbeat.holder,
         heartbeat.is_large,
         heartbeat.is_leaving,
+        heartbeat.number,
+        LeaseBounds(
+            heartbeat.lease_bounds,
+            None if renewal_age_ms is None else renewal_age_ms / 1000,
+        ),
+        is_dated_by_clock,
     )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -265,10 +265,8 @@
         heartbeat = decode_owner_heartbeat(
             value, self.owner_heartbeat, unix_ms(), boot_seconds()
         )
-        # The topics of states and of progress both have heartbeats, and either may be
-        # behind.
         known = self.owner_heartbeat
-        if known is None or heartbeat.epoch >= known.epoch:
+        if known is None or not heartbeat.is_older_than(known):
             self.owner_heartbeat = heartbeat
 
     def _apply_load(self, value: bytes) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
@@ -3,7 +3,9 @@
 import pytest
 
 from baobablane_daemon.jobs import (
+    LeaseBounds,
     OwnerHeartbeat,
+    UpstreamBound,
     decode_owner_heartbeat,
     encode_owner_heartbeat,
 )
@@ -42,3 +44,34 @@
         assert heartbeat.is_leaving
         assert not heartbeat.is_large
         assert (heartbeat.epoch, heartbeat.holder) == (3, "a")
+
+
+class TestLeaseBounds:
+    """Test what the next owner reads of leases that an owner does not renew."""
+
+    BOUNDS = LeaseBounds({"u0": UpstreamBound(7, 1_250, 3)}, -0.25)
+
+    def test_bounds_are_decoded_as_recorded(self):
+        record = encode_owner_heartbeat(
+            UNIX_MS, 4, "a", True, number=5, lease_bounds=self.BOUNDS
+        )
+        heartbeat = decode_owner_heartbeat(record, None, UNIX_MS, 50.0)
+        assert heartbeat.lease_bounds == self.BOUNDS
+        assert heartbeat.is_dated_by_clock
+
+    def test_record_without_bounds_allows_leases_everywhere(self):
+        record = b'{"at_ms":1,"epoch":1,"holder":"a","is_large":true}'
+        heartbeat = decode_owner_heartbeat(record, None, UNIX_MS, 50.0)
+        assert heartbeat.lease_bounds == LeaseBounds()
+        assert heartbeat.lease_bounds.renewal_age is None
+
+    @pytest.mark.parametrize(("epoch", "number"), [(4, 4), (3, 9)])
+    def test_older_heartbeat_of_another_topic_is_told(self, epoch, number):
+        """Guards against bounds from before leases were granted again."""
+
+        def decode(epoch, number):
+            record = encode_owner_heartbeat(1, epoch, "a", True, number=number)
+            return decode_owner_heartbeat(record, None, UNIX_MS, 50.0)
+
+        assert decode(epoch, number).is_older_than(decode(4, 5))
+        assert not decode(4, 5).is_older_than(decode(epoch, number))
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -39,6 +39,7 @@
 from ._event_log import log_events
 from ._instance_manager import InstanceManager
 from ._job_deleter import JobDeleter
+from ._lease_record import LeaseRecord
 from ._load_publisher import LoadPublisher
 from ._order_sender import OrderSender
 from ._owner_message import OwnerMessage
@@ -89,15 +90,25 @@
         self._log = log
         self._epoch = epoch
         self._send_message = send_message
+        inherited_leases = ownership.inherited_leases()
         self._scheduler = Scheduler(
             replace(
                 make_policy(ownership.last_renewal_age(boot_seconds())),
                 divides_by_account=settings.divides_by_account,
                 max_lease_seconds=settings.limits.max_lease_seconds,
-            )
+            ),
+            inherited_leases,
+        )
+        self._lease_record = LeaseRecord(
+            self._scheduler, epoch, inherited_leases, ownership.last_renewal_age
         )
         self._writer = ProgressWriter(
-            store, epoch, ownership.holder, is_large(settings), ownership.confirm
+            store,
+            epoch,
+            ownership.holder,
+            is_large(settings),
+            ownership.confirm,
+            self._lease_record,
         )
         self._orders = UpstreamOrderClient()
         self._pollers: dict[str, UpstreamPoller] = {}
@@ -197,13 +208,17 @@
         self._views.set_is_owner(True)
         self._apply_configuration()
         await self._take_over_jobs()
+        self._lease_record.complete()
         self._log.info(
             "taken-over",
             epoch=self._epoch,
             jobs=len(self._scheduler.state.jobs),
             upstreams=len(self._scheduler.state.upstreams),
+            unknown_lease_seconds=self._scheduler.state.policy.unknown_lease_seconds,
+            inherited_leases=len(self._scheduler.state.inherited_by_upstream),
         )
         self._instance_manager.take_over()
+        self._start_task(self._update_lease_record())
         self._start_task(tail.run())
         self._start_task(self._writer.states.run())
         self._start_task(self._writer.wave_statuses.run())
@@ -417,6 +432,7 @@
             self._log,
             self._wake.set,
             self._may_order,
+            self._lease_record,
         )
         self._pollers[upstream_id] = poller
         self._start_task(self._run_poller(poller, upstream_id))
@@ -441,6 +457,13 @@
             await self._send_message(message)
             await asyncio.sleep(MESSAGE_INTERVAL_SECONDS)
 
+    async def _update_lease_record(self) -> None:
+        """Store heartbeats at once by which leases may be granted again."""
+        while True:
+            await self._lease_record.is_wanted.wait()
+            self._lease_record.is_wanted.clear()
+            await self._writer.write_heartbeat()
+
     def _may_order(self, seconds: float) -> bool:
         return self._ownership.holds(self._epoch, seconds)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from baobablane.scheduling import InheritedLease
 from baobablane_platform import (
     KeyedRecord,
     Producer,
@@ -16,6 +17,7 @@
 from ..jobs import (
     OWNER_HEARTBEAT_KEY,
     PROGRESS_TOPIC,
+    LeaseBounds,
     OwnerHeartbeat,
     Views,
     boot_seconds,
@@ -25,6 +27,7 @@
 )
 from ._candidacy import Candidacy
 from ._fenced_appender import PRODUCER_NAME
+from ._lease_record import decode_inherited, encode_inherited
 from ._progress_writer import HEARTBEAT_INTERVAL_SECONDS, first_sequence
 
 # Whether to claim is checked this often; the check makes no call.
@@ -82,6 +85,8 @@
         self._candidacy = candidacy
         self._last_epoch = 0
         self._no_claim_until = 0.0
+        # By then, the process that this one replaces had ended.
+        self._started_at = boot_seconds()
         # The heartbeat before this process's claim; None if it is unknown.
         self._previous_heartbeat: OwnerHeartbeat | None = None
         self._confirmed_at = float("-inf")
@@ -144,12 +149,16 @@
     def last_renewal_age(self, now: float) -> float | None:
         """Return for how many seconds no earlier owner has renewed any lease.
 
-        It is negative if the latest one may still do so, and None if it is unknown. All
-        records before the claim were read, and earlier owners end sooner.
+        Leases of `inherited_leases` are left out. It is negative if the latest owner
+        may still do so, and None if it is unknown. All records before the claim were
+        read, and earlier owners end sooner.
         """
         heartbeat = self._previous_heartbeat
         if heartbeat is None:
             return None
+        if heartbeat.lease_bounds.renewal_age is not None:
+            sent_at = _latest_sending(heartbeat)
+            return now - sent_at + heartbeat.lease_bounds.renewal_age
         latest_renewal = (
             heartbeat.received_at
             # Until the next heartbeat is due, other records confirm it too.
@@ -157,8 +166,20 @@
             + MAX_RENEWAL_SECONDS
             + MAX_CLOCK_DIFFERENCE_SECONDS
         )
+        if (
+            holder_instance(heartbeat.holder) == self.instance
+            and heartbeat.holder != self.holder
+        ):
+            latest_renewal = min(latest_renewal, self._started_at)
         return now - latest_renewal
 
+    def inherited_leases(self) -> dict[str, InheritedLease]:
+        """Return by when upstreams that earlier owners did not reach run nothing."""
+        heartbeat = self._previous_heartbeat
+        if heartbeat is None:
+            return {}
+        return decode_inherited(heartbeat.lease_bounds, _latest_sending(heartbeat))
+
     def end(self, reason: str, epoch: int | None = None) -> None:
         """End the ownership if this process has it; `reason` is logged.
 
@@ -213,7 +234,16 @@
             return
         heartbeat = self._previous_heartbeat = self._views.owner_heartbeat
         epoch = heartbeat.epoch + 1 if heartbeat else 1
-        value = encode_owner_heartbeat(unix_ms(), epoch, self.holder, self._is_large)
+        value = encode_owner_heartbeat(
+            unix_ms(),
+            epoch,
+            self.holder,
+            self._is_large,
+            lease_bounds=LeaseBounds(
+                encode_inherited(self.inherited_leases(), now),
+                self.last_renewal_age(now),
+            ),
+        )
         try:
             await self._store.append(
                 PROGRESS_TOPIC,
@@ -260,3 +290,10 @@
     def _notify_changed(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
+
+
+def _latest_sending(heartbeat: OwnerHeartbeat) -> float:
+    """Return the latest time at which a heartbeat was sent, on the monotonic clock."""
+    if heartbeat.is_dated_by_clock:
+        return heartbeat.received_at + MAX_CLOCK_DIFFERENCE_SECONDS
+    return heartbeat.received_at
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -15,6 +15,7 @@
     unix_ms,
 )
 from ._fenced_appender import FencedAppender
+from ._lease_record import LeaseRecord
 from ._state_publisher import StatePublisher
 from ._wave_status_publisher import WaveStatusPublisher
 
@@ -65,8 +66,12 @@
         holder: str,
         is_large: bool,
         on_stored: Callable[[float], None],
+        lease_record: LeaseRecord,
     ) -> None:
         """Write under an epoch whose claim was its first record."""
+        self._lease_record = lease_record
+        # Of the latest heartbeat; the claim was a heartbeat, too.
+        self._number = 0
         self._holder = holder
         self._is_large = is_large
         self._epoch = epoch
@@ -76,7 +81,6 @@
         )
         self.wave_statuses = WaveStatusPublisher(store, epoch)
         self.states = StatePublisher(store, epoch, sequence)
-        # The claim was a heartbeat.
         self._last_heartbeat_at = boot_seconds()
         self._waiting: list[_Write] = []
         self._turn = asyncio.Lock()
@@ -103,7 +107,7 @@
                 await self._append_waiting()
 
     async def write_heartbeat(self) -> None:
-        """Store a heartbeat unless one was sent within HEARTBEAT_INTERVAL_SECONDS."""
+        """Store a heartbeat if one is due."""
         await self.write({})
 
     async def announce_leaving(self) -> None:
@@ -141,11 +145,21 @@
         return [self._make_heartbeat()]
 
     def _is_heartbeat_due(self) -> bool:
-        return boot_seconds() - self._last_heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS
+        return (
+            boot_seconds() - self._last_heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS
+            or self._lease_record.is_outdated()
+        )
 
     def _make_heartbeat(self, is_leaving: bool = False) -> KeyedRecord:
+        self._number += 1
         value = encode_owner_heartbeat(
-            unix_ms(), self._epoch, self._holder, self._is_large, is_leaving
+            unix_ms(),
+            self._epoch,
+            self._holder,
+            self._is_large,
+            is_leaving,
+            self._number,
+            self._lease_record.make_bounds(boot_seconds(), is_leaving),
         )
         return KeyedRecord(OWNER_HEARTBEAT_KEY, value)
 
@@ -153,6 +167,7 @@
         await self._progress.append(records)
         for record in records:
             if record.key == OWNER_HEARTBEAT_KEY and record.value:
+                self._lease_record.note_stored()
                 self.states.publish_heartbeat(record.value)
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -19,6 +19,7 @@
 
 from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
+from ._lease_record import LeaseRecord
 from ._ownership import MAX_UNCONFIRMED_SECONDS
 
 # Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
@@ -53,12 +54,14 @@
         log: DecisionLog,
         on_report: Callable[[], None],
         may_order: Callable[[float], bool],
+        lease_record: LeaseRecord,
     ) -> None:
         """Prepare to poll; `on_report` is called after each response or failure.
 
         `may_order` returns whether the ownership was confirmed in the last seconds.
         """
         self._may_order = may_order
+        self._lease_record = lease_record
         self._id = upstream_id
         self._fencing_token = fencing_token
         self._scheduler = scheduler
@@ -108,10 +111,14 @@
         """Return a lease deadline for the next start, in ms of the upstream's clock.
 
         The start must not be carried out later than `max_seconds` from now. Return None
-        while that clock is unknown.
+        while that clock is unknown, or no lease may be granted.
         """
         upstream = self._scheduler.state.upstreams.get(self._id)
-        if upstream is None or upstream.lease is None:
+        if (
+            upstream is None
+            or upstream.lease is None
+            or not self._lease_record.may_grant(self._id)
+        ):
             return None
         now = boot_seconds()
         deadline_ms = upstream.lease.deadline_for_start(
@@ -125,6 +132,10 @@
 
     async def _poll(self) -> None:
         upstream = self._scheduler.state.upstreams[self._id]
+        may_grant = False
+        if upstream.is_reachable and upstream.lease is not None:
+            may_grant = await self._lease_record.wait_until_grantable(self._id)
+            upstream = self._scheduler.state.upstreams.get(self._id, upstream)
         entry = upstream.entry
         if not entry.address or not self._may_order(MAX_UNCONFIRMED_SECONDS):
             await asyncio.sleep(POLL_RETRY_SECONDS)
@@ -132,13 +143,13 @@
         has_unrecorded_ends = upstream.applied_end > upstream.recorded_end
         is_new_or_unreachable = upstream.lease is None or not upstream.is_reachable
         wait_ms = POLL_WAIT_MS if upstream.runs else IDLE_POLL_WAIT_MS
-        if has_unrecorded_ends or is_new_or_unreachable:
+        if has_unrecorded_ends or is_new_or_unreachable or not may_grant:
             wait_ms = 0
         requested_at = boot_seconds()
         # The lease of an upstream that does not respond is not extended, so that the
         # time by which all its leases have expired stays fixed.
         deadline_ms = None
-        if upstream.is_reachable and upstream.lease is not None:
+        if may_grant and upstream.is_reachable and upstream.lease is not None:
             deadline_ms = upstream.lease.extend(requested_at, LEASE_SECONDS)
         report = await self._orders.renew_leases(
             entry, self._fencing_token, deadline_ms, upstream.recorded_end, wait_ms
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/hand_over_model.py
@@ -29,6 +29,7 @@
 from baobablane_daemon.owner._progress_writer import ProgressWriter
 
 from ...tests.store_model import append_to_partition
+from .lease_records import make_lease_record
 
 # The progress of this job shows the epoch of the owner that recorded it.
 JOB = "00000000000000a1"
@@ -200,7 +201,12 @@
                 continue
             self._deployment.note_owner(self.name, epoch)
             self.writer = ProgressWriter(
-                store, epoch, self.ownership.holder, True, self.ownership.confirm
+                store,
+                epoch,
+                self.ownership.holder,
+                True,
+                self.ownership.confirm,
+                make_lease_record(),
             )
             progress = JobProgress(first_open=epoch)
             try:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
@@ -55,26 +55,33 @@
     NO_RESPONSES = "no responses"
     # Nothing arrives.
     DARK = "dark"
+    # Nothing arrives, and that is known at once.
+    RESET = "reset"
 
 
 class LeasedUpstream:
     """Run tasks until their common lease expires."""
 
-    def __init__(self, name, born=7):
+    def __init__(self, name, clock_rate=1.0):
         """Start without runs."""
         self.name = name
-        self.incarnation = born
+        self.incarnation = 7
+        self._clock_rate = clock_rate
         self.reach = Reach.WELL
         self.run_by_task = {}
-        self._lease_until = float("-inf")
+        self._deadline_ms = 0
         self._token = 0
 
     def running(self):
         """Return the runs by task, without those whose lease has expired."""
-        if boot_seconds() > self._lease_until:
+        if self.clock_ms() > self._deadline_ms:
             self.run_by_task.clear()
         return self.run_by_task
 
+    def clock_ms(self):
+        """Return what its clock shows."""
+        return round(1000 * boot_seconds() * self._clock_rate)
+
     def entry_record(self):
         """Return the entry by which it is listed."""
         return json.dumps({**UPSTREAM, "born": self.incarnation}).encode()
@@ -86,7 +93,7 @@
         self._token = token
         self.running()
         if deadline_ms is not None:
-            self._lease_until = max(self._lease_until, deadline_ms / 1000)
+            self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
 
 class OrderClient:
@@ -101,9 +108,10 @@
         upstream = self._chain.upstreams[entry.id]
         reach = self._reach_by_upstream.get(entry.id, upstream.reach)
         await asyncio.sleep(CALL_SECONDS / 2)
-        result = None if reach == Reach.DARK else await carry_out(upstream)
+        is_carried_out = reach in (Reach.WELL, Reach.NO_RESPONSES)
+        result = await carry_out(upstream) if is_carried_out else None
         if reach != Reach.WELL:
-            await asyncio.sleep(seconds)
+            await asyncio.sleep(CALL_SECONDS if reach == Reach.RESET else seconds)
             raise UpstreamUnreachableError(f"{entry.id}: no response")
         await asyncio.sleep(CALL_SECONDS / 2)
         return result
@@ -118,8 +126,9 @@
                 RunningTask(task, run, "", 100)
                 for task, run in upstream.running().items()
             ]
-            clock_ms = round(1000 * boot_seconds())
-            return RenewalReport(upstream.incarnation, clock_ms, tuple(running), ())
+            return RenewalReport(
+                upstream.incarnation, upstream.clock_ms(), tuple(running), ()
+            )
 
         return await self._call(entry, CALL_TIMEOUT_SECONDS, carry_out)
 
@@ -267,12 +276,12 @@
 class OwnerChain:
     """Hold a store, upstreams, and the processes that own one after the other."""
 
-    def __init__(self, upstream_count):
+    def __init__(self, upstream_count, clock_rate):
         """Start without an owner."""
         self.store = ScriptedStore()
         self.store.epoch_by_topic = defaultdict(int)
         self.upstreams = {
-            f"u{number}": LeasedUpstream(f"u{number}")
+            f"u{number}": LeasedUpstream(f"u{number}", clock_rate)
             for number in range(upstream_count)
         }
         for name, upstream in self.upstreams.items():
@@ -318,9 +327,9 @@
 
 
 @asynccontextmanager
-async def run_chain(upstream_count=2):
+async def run_chain(upstream_count=2, clock_rate=1.0):
     """Yield a chain; end all of its processes after that."""
-    chain = OwnerChain(upstream_count)
+    chain = OwnerChain(upstream_count, clock_rate)
     try:
         yield chain
     finally:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -11,8 +11,12 @@
 from baobablane.scheduling import SchedulingPolicy
 
 from baobablane_daemon.decision_log import DecisionLog
-from baobablane_daemon.jobs import OwnerHeartbeat
-from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
+from baobablane_daemon.jobs import LeaseBounds, OwnerHeartbeat
+from baobablane_daemon.owner._ownership import (
+    MAX_CLOCK_DIFFERENCE_SECONDS,
+    MAX_UNCONFIRMED_SECONDS,
+    Ownership,
+)
 from baobablane_daemon.owner._takeover_policy import (
     MIN_UNLISTED_GRACE_SECONDS,
     make_policy,
@@ -22,9 +26,9 @@
 NOW = 1_000.0
 
 
-def make_ownership(heartbeat_age, epoch=6):
+def make_ownership(heartbeat_age, epoch=6, holder="other-1", **fields):
     """Return an ownership of epoch 7 after a heartbeat of another owner."""
-    heartbeat = OwnerHeartbeat(NOW - heartbeat_age, 0, epoch, "other-1", True)
+    heartbeat = OwnerHeartbeat(NOW - heartbeat_age, 0, epoch, holder, True, **fields)
     views = SimpleNamespace(owner_heartbeat=heartbeat)
     ownership = Ownership(None, views, DecisionLog("i"), "i-1", True, None)
     ownership._previous_heartbeat = heartbeat
@@ -41,6 +45,31 @@
         # It may have been confirmed until the next heartbeat was due.
         assert age <= heartbeat_age - MAX_UNCONFIRMED_SECONDS - 0.4
 
+    def test_process_that_this_one_replaces_renews_nothing(self):
+        ownership = make_ownership(1.5, holder="i-0")
+        ownership._started_at = NOW - 0.5
+        assert ownership.last_renewal_age(NOW) == pytest.approx(0.5)
+
+    def test_own_earlier_ownership_may_have_renewed_until_it_ended(self):
+        ownership = make_ownership(1.5, holder="i-1")
+        ownership._started_at = NOW - 60.0
+        assert ownership.last_renewal_age(NOW) <= 1.5 - MAX_UNCONFIRMED_SECONDS
+
+    @pytest.mark.parametrize("renewal_age", [-3.0, 0.0, 2.0])
+    @pytest.mark.parametrize("is_dated_by_clock", [False, True])
+    def test_owner_that_granted_nothing_does_not_count(
+        self, renewal_age, is_dated_by_clock
+    ):
+        """Guards against a chain of owners, each of which adds the time of its own."""
+        ownership = make_ownership(
+            1.5,
+            lease_bounds=LeaseBounds({}, renewal_age),
+            is_dated_by_clock=is_dated_by_clock,
+        )
+        uncertainty = MAX_CLOCK_DIFFERENCE_SECONDS if is_dated_by_clock else 0.0
+        expected = renewal_age + 1.5 - uncertainty
+        assert ownership.last_renewal_age(NOW) == pytest.approx(expected)
+
     def test_skipped_epoch_is_unknown(self):
         assert make_ownership(1.5, epoch=5).last_renewal_age(NOW) is None
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
@@ -1,9 +1,11 @@
 """Test how long tasks of an upstream that nobody reaches wait while owners change."""
 
 import asyncio
+from random import Random
 
 import pytest
 from baobablane.jobs import TaskId
+from baobablane.scheduling import SLOWEST_CLOCK_RATE
 
 from .owner_chain_model import Reach, run_chain, run_with_clocks
 
@@ -35,7 +37,7 @@
 
     @pytest.mark.parametrize("is_killed", [True, False], ids=["killed", "stopped"])
     @pytest.mark.parametrize("instances", ["a", "b", "aaaa", "abca"])
-    @pytest.mark.parametrize("reach", [Reach.NO_RESPONSES, Reach.DARK])
+    @pytest.mark.parametrize("reach", [Reach.NO_RESPONSES, Reach.DARK, Reach.RESET])
     def test_each_owner_waits_anew(self, reach, instances, is_killed):
         """Guards against a task that nothing runs as long as owners change.
 
@@ -64,3 +66,80 @@
                 assert not chain.double_runs
 
         run_with_clocks(scenario())
+
+    def test_upstream_that_only_the_old_owner_regains(self):
+        """Guards against a lease beside a stored heartbeat that rules it out."""
+
+        async def scenario():
+            async with run_chain() as chain:
+                chain.put_long_running_job(JOB)
+                process = await chain.begin_owner("a")
+                name = await wait_for_run(chain)
+                chain.upstreams[name].reach = Reach.RESET
+                while process.owner._lease_record.may_grant(name):
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                process.store.is_cut = True
+                process.reach_by_upstream[name] = Reach.WELL
+                assert chain.place_of(TASK) == name
+                await asyncio.sleep(0.5)
+                await chain.begin_owner("b")
+                await asyncio.sleep(10.0)
+                assert len(chain.starts) > 1
+                assert not chain.double_runs
+
+        run_with_clocks(scenario())
+
+
+REACHES = (Reach.WELL, Reach.WELL, Reach.NO_RESPONSES, Reach.DARK, Reach.RESET)
+TASKS = [TaskId(JOB, 0, 0, position) for position in range(4)]
+
+
+class TestRandomOwners:
+    """Test owners that are killed, stopped or cut off from the store in turn.
+
+    Each reaches some upstreams, and their clocks are as slow as they may be.
+    """
+
+    @pytest.mark.parametrize("seed", range(25))
+    def test_no_task_runs_twice(self, seed):
+        """Guards against a bound that is over before the leases are."""
+        random = Random(seed)
+
+        async def end_owner(process):
+            kind = random.choice(("kill", "stop", "cut"))
+            if kind == "cut":
+                # It goes on renewing leases for a while.
+                process.store.is_cut = True
+            else:
+                await (process.kill() if kind == "kill" else process.stop())
+
+        async def change_reach(chain, process):
+            name = random.choice(list(chain.upstreams))
+            if random.random() < 0.5:
+                chain.upstreams[name].reach = random.choice(REACHES)
+            else:
+                process.reach_by_upstream[name] = random.choice(REACHES)
+
+        async def scenario():
+            async with run_chain(3, SLOWEST_CLOCK_RATE) as chain:
+                chain.put_long_running_job(JOB, len(TASKS))
+                process = await chain.begin_owner("a")
+                await wait_for_run(chain)
+                for _ in range(12):
+                    await asyncio.sleep(random.expovariate(1.0))
+                    await change_reach(chain, process)
+                    await asyncio.sleep(random.expovariate(0.7))
+                    if random.random() < 0.6:
+                        await end_owner(process)
+                        await asyncio.sleep(random.uniform(0.05, RESTART_SECONDS))
+                        process = await chain.begin_owner(random.choice("abc"))
+                assert not chain.double_runs
+                for upstream in chain.upstreams.values():
+                    upstream.reach = Reach.WELL
+                process.reach_by_upstream.clear()
+                await asyncio.sleep(MAX_SECONDS_WITHOUT_RUN)
+                assert all(chain.place_of(task) for task in TASKS)
+                assert not chain.double_runs
+
+        run_with_clocks(scenario())
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
@@ -12,6 +12,7 @@
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._upstream_poller import UpstreamPoller
 
+from .lease_records import make_lease_record
 from .test_stale_owner import TASK, RecordingClient, make_scheduler
 
 
@@ -26,7 +27,7 @@
         client, scheduler = RecordingClient(), make_scheduler()
         scheduler.state.upstreams["u"].is_over_capacity = lambda: is_over
         rest = (client, DecisionLog("entry-1"), lambda: None, lambda seconds: True)
-        poller = UpstreamPoller("u", 1, scheduler, *rest)
+        poller = UpstreamPoller("u", 1, scheduler, *rest, make_lease_record(scheduler))
         sender = OrderSender(
             scheduler,
             {"u": poller},
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -30,6 +30,8 @@
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
 from baobablane_daemon.owner._upstream_poller import LEASE_SECONDS, UpstreamPoller
 
+from .lease_records import make_lease_record
+
 TASK = TaskId("0" * 16, 0, 0, 0)
 
 
@@ -92,7 +94,16 @@
         def may_order(seconds):
             return age < seconds
 
-        poller = UpstreamPoller("u", 1, scheduler, client, log, lambda: None, may_order)
+        poller = UpstreamPoller(
+            "u",
+            1,
+            scheduler,
+            client,
+            log,
+            lambda: None,
+            may_order,
+            make_lease_record(scheduler),
+        )
         sender = OrderSender(
             scheduler,
             {"u": poller},
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_store_trouble.py
@@ -19,6 +19,7 @@
 from baobablane_daemon.owner._progress_writer import ProgressWriter
 
 from ..jobs.tests.virtual_time import run_in_virtual_time
+from ..owner.tests.lease_records import make_lease_record
 from .store_model import RESPONSE_SECONDS, StoreModel
 
 BEGIN_SECONDS = 2.0
@@ -35,7 +36,9 @@
     """Write progress as an owner does, at each event and after 0.1 s without one."""
     loop = asyncio.get_running_loop()
     chance = random.Random(seed)
-    writer = ProgressWriter(store, 1, "owner", True, lambda at: None)
+    writer = ProgressWriter(
+        store, 1, "owner", True, lambda at: None, make_lease_record()
+    )
     while loop.time() < RUN_SECONDS:
         values = {f"job-{chance.randrange(50)}": b"v" * 200}
         await writer.write(values if chance.random() < 0.7 else {})
@@ -140,7 +143,12 @@
             loop = asyncio.get_running_loop()
             stored_at = []
             writer = ProgressWriter(
-                store, 1, "owner", True, lambda at: stored_at.append(loop.time())
+                store,
+                1,
+                "owner",
+                True,
+                lambda at: stored_at.append(loop.time()),
+                make_lease_record(),
             )
             chance = random.Random(seed)
             while loop.time() < RUN_SECONDS:
@@ -165,7 +173,9 @@
 
         async def run(store):
             loop = asyncio.get_running_loop()
-            writer = ProgressWriter(store, 1, "owner", True, lambda at: None)
+            writer = ProgressWriter(
+                store, 1, "owner", True, lambda at: None, make_lease_record()
+            )
             chance = random.Random(0)
             delays = []
 
@@ -199,7 +209,9 @@
 
         async def run():
             store = StoreModel(0.0, 0.0)
-            writer = ProgressWriter(store, 1, "owner", True, lambda at: None)
+            writer = ProgressWriter(
+                store, 1, "owner", True, lambda at: None, make_lease_record()
+            )
             claim = FencedAppender(store, PROGRESS_TOPIC, 2, 900)
             await claim.append([KeyedRecord(OWNER_HEARTBEAT_KEY, b"claim")])
             writes = (writer.write({f"job-{n}": b"v"}) for n in range(3))
--- a/packages/baobablane/baobablane/scheduling/__init__.py
+++ b/packages/baobablane/baobablane/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from ._advice import AdviceRequest
 from ._event import CRASH_EVENT, SchedulingEvent
 from ._fleet_view import FleetView
+from ._inherited_lease import InheritedLease
 from ._job_run import JobRun
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE, LeaseTracker
 from ._movable_run import MovableRun
@@ -13,6 +14,7 @@
 from ._report import EndedRun, EndReason, RenewalReport, RunningTask
 from ._run_times import RunTimes
 from ._scheduler import Scheduler
+from ._upstream import Upstream
 from ._upstream_view import StepKey, UpstreamView
 from ._urgency import USELESS_MULTIPLE, objective_seconds
 
@@ -25,6 +27,7 @@
     "EndReason",
     "EndedRun",
     "FleetView",
+    "InheritedLease",
     "JobRun",
     "LeaseTracker",
     "MovableRun",
@@ -41,6 +44,7 @@
     "StartResult",
     "StepKey",
     "StopOrder",
+    "Upstream",
     "UpstreamView",
     "objective_seconds",
 ]
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -47,6 +47,11 @@
     )
     if not is_same_incarnation:
         _expect_earlier_lease(state, upstream, run, now)
+        if upstream.inherited_lease is not None:
+            # An earlier owner had seen the restart.
+            upstream.earlier_lease_until = min(
+                upstream.earlier_lease_until, upstream.inherited_lease.expires_at
+            )
     state.add_run(run, upstream, now)
     state.dirty_jobs.add(task_id.job)
 
@@ -91,7 +96,12 @@
         confirm_crash(state, previous.id, now)
     # The new incarnation may have carried out a start already, or may still do so.
     # Its first report therefore decides which of the runs exist.
-    replacement = Upstream(entry, now)
+    replacement = Upstream(
+        entry,
+        now,
+        began_after_contact=previous.lease is not None,
+        may_grant_lease=previous.may_grant_lease,
+    )
     for task in list(previous.runs):
         run = previous.remove(task)
         if run is not None:
@@ -120,6 +130,4 @@
     entry = UpstreamEntry(
         task.upstream, "", "", "", task.incarnation, NO_RESOURCES, frozenset(), False
     )
-    upstream = Upstream(entry, now, is_listed=False)
-    state.upstreams[task.upstream] = upstream
-    return upstream
+    return state.add_upstream(entry, now, is_listed=False)
--- a/packages/baobablane/baobablane/scheduling/_lease_tracker.py
+++ b/packages/baobablane/baobablane/scheduling/_lease_tracker.py
@@ -18,6 +18,11 @@
         self._clock_ms = clock_ms
         self._deadline_ms = 0
 
+    @property
+    def has_granted(self) -> bool:
+        """Return whether this owner has granted a lease."""
+        return self._deadline_ms > 0
+
     def observe_clock(self, read_at: float, clock_ms: int) -> None:
         """Update the reading of the upstream's clock; ignore one behind the latest."""
         if clock_ms >= self._clock_ms:
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -41,6 +41,9 @@
     # no entry. It may be silent to the store only, and run on under leases of the
     # previous owner. Entries are back 2 s after an outage of the store.
     unlisted_grace_seconds: float = 7.5
+    # The same if it is known that no lease is left: entries that expired during an
+    # outage of the store are back within 2 s.
+    entry_return_seconds: float = 2.5
     # An order without a response may be carried out up to this long after it was sent,
     # even by the upstream's next incarnation.
     late_order_seconds: float = 13.0
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import replace
+from types import MappingProxyType
 
 from ..crashes import HostChanges
 from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
@@ -20,6 +21,7 @@
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
 from ._incarnations import replace_incarnation
+from ._inherited_lease import InheritedLease
 from ._job_intake import resume_jobs, take_in
 from ._lost_upstream import unstable_pools
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
@@ -39,9 +41,16 @@
 class Scheduler:
     """Track the jobs and upstreams of the owner, and decide on the next orders."""
 
-    def __init__(self, policy: SchedulingPolicy) -> None:
-        """Start without jobs; all times are in seconds of one monotonic clock."""
-        self.state = SchedulerState(policy)
+    def __init__(
+        self,
+        policy: SchedulingPolicy,
+        inherited: Mapping[str, InheritedLease] = MappingProxyType({}),
+    ) -> None:
+        """Start without jobs; all times are in seconds of one monotonic clock.
+
+        `inherited` holds, by upstream, the leases of which earlier owners knew the end.
+        """
+        self.state = SchedulerState(policy, inherited)
         self.fleet = FleetView(self.state)
         self._pace_orders: list[PaceOrder] = []
 
@@ -86,7 +95,7 @@
         """Apply an upstream's entry; a newer incarnation replaces the known one."""
         current = self.state.upstreams.get(entry.id)
         if current is None:
-            self.state.upstreams[entry.id] = Upstream(entry, now)
+            self.state.add_upstream(entry, now)
             return
         if not entry.incarnation:
             # Entries of older versions don't tell the incarnation.
@@ -252,10 +261,8 @@
     def remove_unlisted(self, now: float) -> None:
         """Remove upstreams known only from job records that got no entry in time."""
         for upstream in list(self.state.upstreams.values()):
-            age_seconds = now - upstream.added_at
-            if (
-                not upstream.entry.address
-                and age_seconds > self.state.policy.unlisted_grace_seconds
+            if not upstream.entry.address and now > upstream.latest_return(
+                self.state.policy
             ):
                 self.remove_lost_upstream(upstream.id, "unlisted", now)
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -1,14 +1,16 @@
 """Hold the scheduler's state and the operations that change it."""
 
 from collections import Counter, defaultdict
+from collections.abc import Mapping
 
-from ..deployment import Configuration
+from ..deployment import Configuration, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState, TaskId, TaskState
 from ..routing import EjectionPolicy, EjectionTable
 from ._account_standings import AccountStandings
 from ._account_usage import AccountUsage
 from ._advice import AdviceTable
 from ._event import CRASH_EVENT, SchedulingEvent
+from ._inherited_lease import InheritedLease
 from ._job_apart import JobApart
 from ._job_retry import JobRetry
 from ._job_run import JobRun
@@ -34,9 +36,12 @@
 class SchedulerState:
     """Hold jobs, upstreams and usage; runs are added and removed only here."""
 
-    def __init__(self, policy: SchedulingPolicy) -> None:
-        """Start without jobs and upstreams."""
+    def __init__(
+        self, policy: SchedulingPolicy, inherited: Mapping[str, InheritedLease]
+    ) -> None:
+        """Start without jobs and upstreams; leases are `inherited` by upstream."""
         self.policy = policy
+        self.inherited_by_upstream = inherited
         self.configuration = Configuration(0)
         # Zones in which nothing may start, and whether anything may start at all.
         self.evacuated_zones: frozenset[str] = frozenset()
@@ -177,6 +182,17 @@
         objective_ms = objective_seconds(queue, critical_path_ms) * 1000
         return job_run.latest_due_ms() + objective_ms
 
+    def add_upstream(
+        self, entry: UpstreamEntry, now: float, is_listed: bool = True
+    ) -> Upstream:
+        """Track an upstream that is not tracked yet."""
+        upstream = Upstream(entry, now, is_listed=is_listed)
+        inherited = self.inherited_by_upstream.get(entry.id)
+        if inherited is not None and inherited.incarnation == entry.incarnation:
+            upstream.inherited_lease = inherited
+        self.upstreams[entry.id] = upstream
+        return upstream
+
     def add_run(self, run: Run, upstream: Upstream, now: float) -> None:
         """Add a run, and count its resources."""
         upstream.add(run)
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -4,7 +4,9 @@
 
 from ..deployment import NO_RESOURCES, Resources, UpstreamEntry
 from ..jobs import TaskId
+from ._inherited_lease import InheritedLease
 from ._lease_tracker import LeaseTracker
+from ._policy import SchedulingPolicy
 
 # An upstream responds to a start within about 20 ms. One that takes longer than this
 # may be unreachable, and gets no more starts until the outcome is known.
@@ -75,6 +77,13 @@
     runs: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     lease: LeaseTracker | None = None
+    # Of this incarnation, as recorded by earlier owners that did not reach it.
+    inherited_lease: InheritedLease | None = None
+    # This owner reached the incarnation before, so no earlier one granted leases here.
+    began_after_contact: bool = False
+    # Whether leases may be granted. Not as long as the next owner might read that
+    # there are none.
+    may_grant_lease: bool = True
     # Until when it may hold a lease of which the deadline is by an earlier clock.
     earlier_lease_until: float = float("-inf")
     # Number of the last end that was applied, and of the last one that is recorded.
@@ -138,6 +147,7 @@
         """Return whether new work may be placed on the upstream now."""
         return (
             self.is_usable()
+            and self.may_grant_lease
             and now >= self.no_starts_until
             and not self._has_overdue_start(now)
             and not self.has_trial()
@@ -212,12 +222,24 @@
 
     def latest_lease_expiry(self, unknown_lease_seconds: float) -> float:
         """Return when an upstream that stays unreachable certainly runs nothing."""
-        if self.lease is None:
-            expiry = self.added_at + unknown_lease_seconds
-        else:
+        if self.lease is not None and (
+            self.lease.has_granted or self.began_after_contact
+        ):
             expiry = self.lease.latest_expiry()
+        else:
+            expiry = self.added_at + unknown_lease_seconds
+            if self.inherited_lease is not None:
+                expiry = min(expiry, self.inherited_lease.expires_at)
         return max(expiry, self.earlier_lease_until)
 
+    def latest_return(self, policy: SchedulingPolicy) -> float:
+        """Return until when it is kept without an entry, as it may have runs."""
+        latest = self.added_at + policy.unlisted_grace_seconds
+        if self.inherited_lease is None:
+            return latest
+        expiry = self.latest_lease_expiry(policy.unknown_lease_seconds)
+        return min(latest, max(self.added_at + policy.entry_return_seconds, expiry))
+
 
 def _counted_resources(run: Run) -> Resources:
     if run.is_filler:
