Decide in the scheduler which leases the next owner inherits

Cause: which upstreams count as lost was decided beside the encoding of heartbeats, where the model of owners in turn can't reach it; that model still awaited missing entries anew. Change: scheduling/_inheritable_leases.py decides, owner/_lease_record.py encodes. The model hands the leases on.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
@@ -1,20 +1,13 @@
-"""Record on which upstreams an owner grants no leases.
-
-Load pattern: owners follow one another within seconds, while an upstream is unreachable
-for all of them. Its tasks start elsewhere once the leases of the last owner that
-reached it have expired, however many owners there were since.
-"""
+"""Record on which upstreams an owner grants no leases."""
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 
-from baobablane.scheduling import InheritedLease, Scheduler, Upstream
+from baobablane.scheduling import InheritedLease, Scheduler
 
 from ..jobs import LeaseBounds, UpstreamBound
 
-# Most upstreams that are lost for a moment are regained before this time. As long as
-# the heartbeats name an upstream, its leases can't be renewed.
-MIN_UNREACHABLE_SECONDS = 1.0
 # Bound on a wait for the heartbeat that allows leases.
 GRANT_WAIT_SECONDS = 0.3
 
@@ -62,19 +55,15 @@
             return LeaseBounds(
                 encode_inherited(self._inherited, now), self._renewal_age(now)
             )
-        upstreams = self._scheduler.state.upstreams
-        named = {u.id: u for u in upstreams.values() if _is_lost(u, now)}
-        self._sent = frozenset(named)
-        for name, upstream in upstreams.items():
-            upstream.may_grant_lease = self.may_grant(name)
-        bounds = {name: self._bound(upstream, now) for name, upstream in named.items()}
-        return LeaseBounds(bounds, 0.0 if is_leaving else None)
+        leases = self._scheduler.inheritable_leases(self._epoch, now)
+        self._sent = frozenset(leases)
+        self._scheduler.allow_leases(self.may_grant)
+        return LeaseBounds(encode_inherited(leases, now), 0.0 if is_leaving else None)
 
     def note_stored(self) -> None:
         """Take the heartbeat that was sent last for the newest one."""
         self._stored = self._sent
-        for name, upstream in self._scheduler.state.upstreams.items():
-            upstream.may_grant_lease = self.may_grant(name)
+        self._scheduler.allow_leases(self.may_grant)
         self._stored_event.set()
         self._stored_event = asyncio.Event()
 
@@ -109,25 +98,18 @@
             name in upstreams and upstreams[name].is_reachable for name in self._stored
         )
 
-    def _bound(self, upstream: Upstream, now: float) -> UpstreamBound:
-        policy = self._scheduler.state.policy
-        expires_at = upstream.latest_lease_expiry(policy.unknown_lease_seconds)
-        if _has_granted(upstream):
-            epoch = self._epoch
-        elif upstream.inherited_lease is not None:
-            epoch = upstream.inherited_lease.epoch
-        else:
-            epoch = self._epoch - 1
-        return _make_bound(upstream.entry.incarnation, expires_at - now, epoch)
-
 
 def encode_inherited(
-    inherited: Mapping[str, InheritedLease], now: float
+    leases: Mapping[str, InheritedLease], now: float
 ) -> dict[str, UpstreamBound]:
-    """Return what is left of the bounds that earlier owners recorded."""
+    """Return what a heartbeat that is sent now says of leases."""
     return {
-        name: _make_bound(lease.incarnation, lease.expires_at - now, lease.epoch)
-        for name, lease in inherited.items()
+        name: UpstreamBound(
+            lease.incarnation,
+            max(0, math.ceil((lease.expires_at - now) * 1000)),
+            lease.epoch,
+        )
+        for name, lease in leases.items()
     }
 
 
@@ -139,20 +121,3 @@
         )
         for name, bound in bounds.by_upstream.items()
     }
-
-
-def _is_lost(upstream: Upstream, now: float) -> bool:
-    if upstream.is_reachable or not upstream.runs:
-        return False
-    since = upstream.unreachable_since
-    return not _has_granted(upstream) or (
-        since is not None and now - since >= MIN_UNREACHABLE_SECONDS
-    )
-
-
-def _has_granted(upstream: Upstream) -> bool:
-    return upstream.lease is not None and upstream.lease.has_granted
-
-
-def _make_bound(incarnation: int, seconds: float, epoch: int) -> UpstreamBound:
-    return UpstreamBound(incarnation, max(0, round(seconds * 1000 + 0.5)), epoch)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
@@ -9,13 +9,10 @@
     Scheduler,
     SchedulingPolicy,
 )
+from baobablane.scheduling._inheritable_leases import MIN_UNREACHABLE_SECONDS
 from baobablane.scheduling._upstream import Run
 
-from baobablane_daemon.owner._lease_record import (
-    MIN_UNREACHABLE_SECONDS,
-    LeaseRecord,
-    decode_inherited,
-)
+from baobablane_daemon.owner._lease_record import LeaseRecord, decode_inherited
 
 EPOCH = 5
 NOW = 1_000.0
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -1,6 +1,6 @@
 """Make the owner's scheduling decisions, without any input or output."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from types import MappingProxyType
 
@@ -21,6 +21,7 @@
 from ._event import SchedulingEvent
 from ._fleet_view import FleetView
 from ._incarnations import replace_incarnation
+from ._inheritable_leases import find_inheritable
 from ._inherited_lease import InheritedLease
 from ._job_intake import resume_jobs, take_in
 from ._lost_upstream import unstable_pools
@@ -203,6 +204,19 @@
             )
         )
 
+    def inheritable_leases(self, epoch: int, now: float) -> dict[str, InheritedLease]:
+        """Return by when upstreams that the owner does not reach run nothing.
+
+        Include all that is known if the owner ends now. What is told to the next owner
+        has to stay true: no leases may be granted on these upstreams.
+        """
+        return find_inheritable(self.state, epoch, now)
+
+    def allow_leases(self, may_grant: Callable[[str], bool]) -> None:
+        """Start tasks only on the upstreams on which leases may be granted."""
+        for name, upstream in self.state.upstreams.items():
+            upstream.may_grant_lease = may_grant(name)
+
     def report_received(
         self, upstream_id: str, report: RenewalReport, requested_at: float, now: float
     ) -> None:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -220,6 +220,10 @@
         """Return whether more is counted than the capacity as last reported."""
         return not self.used.fits_in(self.entry.capacity)
 
+    def has_granted_lease(self) -> bool:
+        """Return whether this owner has granted a lease to this incarnation."""
+        return self.lease is not None and self.lease.has_granted
+
     def latest_lease_expiry(self, unknown_lease_seconds: float) -> float:
         """Return when an upstream that stays unreachable certainly runs nothing."""
         if self.lease is not None and (
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -1,6 +1,7 @@
 """Simulate upstreams, and an owner that drives the scheduler, in virtual time."""
 
 from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 
 from baobablane.deployment import (
     NO_RESOURCES,
@@ -187,9 +188,12 @@
         self.configuration = configuration or make_configuration()
         self.scheduler = self.make_scheduler()
 
-    def make_scheduler(self):
-        """Return the scheduler of an owner that has just taken over."""
-        scheduler = Scheduler(SchedulingPolicy())
+    def make_scheduler(self, inherited=MappingProxyType({})):
+        """Return the scheduler of an owner that has just taken over.
+
+        `inherited` is what the owner before it told of leases.
+        """
+        scheduler = Scheduler(SchedulingPolicy(), inherited)
         scheduler.set_configuration(self.configuration)
         for upstream in self.upstreams.values():
             scheduler.upstream_listed(upstream.entry, self.now)
--- a/packages/baobablane/baobablane/scheduling/tests/test_owner_chains.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_owner_chains.py
@@ -51,9 +51,10 @@
     def replace_owner(self):
         """Let another owner take over from what is recorded."""
         job_runs = list(self.scheduler.state.jobs.values())
+        inherited = self.scheduler.inheritable_leases(self.epoch, self.now)
         self.epoch += 1
         self.began_at = self.now
-        self.scheduler = self.make_scheduler()
+        self.scheduler = self.make_scheduler(inherited)
         for job_run in job_runs:
             self.scheduler.add_job(job_run.job, job_run.progress(), self.now)
 
