Log which owner may have renewed the lease that a task waits for

Cause: a bound that earlier owners recorded was logged as counted from the takeover. Change: since names the renewal by an earlier owner, renewed_in_epoch the owner.

--- a/packages/baobablane/baobablane/scheduling/_wait_bound.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_bound.py
@@ -8,3 +8,5 @@
 
     ends_at: float
     since: str
+    # The owner that may have renewed the lease last, if that was an earlier one.
+    epoch: int | None = None
--- a/packages/baobablane/baobablane/scheduling/_wait_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_bounds.py
@@ -14,6 +14,7 @@
 # The events from which bounds count.
 TAKEOVER = "takeover"
 RENEWAL = "last renewal"
+EARLIER_RENEWAL = "renewal by an earlier owner"
 RESTART = "restart"
 START = "start"
 MESSAGE_LOSS = "lost message"
@@ -59,7 +60,10 @@
     if ends_at == upstream.earlier_lease_until:
         since = RESTART
     else:
-        since = TAKEOVER if upstream.lease is None else RENEWAL
+        since = RENEWAL if upstream.has_granted_lease() else TAKEOVER
+    inherited = upstream.inherited_lease
+    if inherited is not None and ends_at == inherited.expires_at:
+        return WaitBound(ends_at, EARLIER_RENEWAL, inherited.epoch)
     return WaitBound(ends_at, since)
 
 
--- a/packages/baobablane/baobablane/scheduling/_wait_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_evidence.py
@@ -53,6 +53,7 @@
         silent_seconds=_rounded(None if seen_at is None else now - seen_at),
         ends_in_seconds=_rounded(bound.ends_at - now if bound else None),
         since=bound.since if bound else None,
+        renewed_in_epoch=bound.epoch if bound else None,
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/_wait_inputs.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_inputs.py
@@ -23,3 +23,5 @@
     # In how many seconds the bound ends, and from which event on it counts.
     ends_in_seconds: float | None = None
     since: str | None = None
+    # The epoch of the earlier owner that may have renewed the lease last.
+    renewed_in_epoch: int | None = None
--- a/packages/baobablane/baobablane/scheduling/tests/crash_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/crash_model.py
@@ -1,6 +1,7 @@
 """Simulate upstreams that crash, and the instance list that shows it."""
 
 from dataclasses import replace
+from types import MappingProxyType
 
 from baobablane.crashes import HostTable
 from baobablane.deployment import Instance, InstanceState
@@ -126,8 +127,11 @@
                 if task not in self.deadly:
                     self.finish(task)
 
-    def replace_owner(self):
-        """Let another owner take over from what is recorded."""
+    def replace_owner(self, inherited=MappingProxyType({})):
+        """Let another owner take over from what is recorded.
+
+        `inherited` is what the owner before it told of leases.
+        """
         records = {
             name: job_run.progress()
             for name, job_run in self.scheduler.state.jobs.items()
@@ -135,7 +139,7 @@
         jobs = [job_run.job for job_run in self.scheduler.state.jobs.values()]
         self.epoch += 1
         self.hosts = HostTable(self.hosts.host_by_instance)
-        self.scheduler = self.make_scheduler()
+        self.scheduler = self.make_scheduler(inherited)
         for entry in self._stale_entries:
             self.scheduler.upstream_listed(entry, self.now)
         for job in jobs:
--- a/packages/baobablane/baobablane/scheduling/tests/test_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_waits.py
@@ -7,6 +7,7 @@
 
 from baobablane.deployment import Resources
 from baobablane.jobs import JobState, TaskId, TaskState
+from baobablane.scheduling import InheritedLease
 from baobablane.scheduling._wait_inputs import WaitInputs
 
 from .fleet_model import CORE, ModelFleet, add, make_configuration, make_job, make_step
@@ -144,6 +145,17 @@
         bound = fleet.scheduler.state.policy.unknown_lease_seconds
         assert wait.ends_in_seconds <= lease.latest_lease_expiry(bound) - 100.0
 
+    def test_lease_that_no_owner_has_renewed_for_long(self):
+        fleet, task = self.start()
+        fleet.silence(task.upstream, 20.0)
+        lease = InheritedLease(task.incarnation, fleet.now + 4.0, epoch=fleet.epoch - 3)
+        fleet.replace_owner({task.upstream: lease})
+        fleet.advance(3.0)
+        wait = self.pop_line(fleet).wait
+        assert wait.since == "renewal by an earlier owner"
+        assert wait.renewed_in_epoch == lease.epoch
+        assert wait.ends_in_seconds <= 2.0
+
     def test_bound_ends_when_the_task_is_free_to_start(self):
         fleet, task = self.start()
         fleet.silence(task.upstream, 20.0)
--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -60,10 +60,10 @@
             if run.is_lasting:
                 self.scheduler.fleet.evict(StopOrder(run.task, run.number, name))
 
-    def replace_owner(self):
+    def replace_owner(self, *arguments):
         """Let another owner take over, and keep the decisions of this one."""
         self.past_events += self.scheduler.pop_events()
-        super().replace_owner()
+        super().replace_owner(*arguments)
 
     def add_short_jobs(self, count, tasks):
         """Add jobs of short tasks."""
