End each lease 7 s after the last confirmation of the ownership

Cause: an owner that is cut off from the store with an upstream renews leases for 4 s after its last confirmation, which lapse 7.9 s after it on a slow clock, and the upstream has 0.5 s to end its runs. A new owner that can't reach the upstream waited for 7.5 s from its claim, and since it claims on suspicion, that may be less than 0.5 s after that confirmation. Change: leases end 7 s after the last confirmation at the latest, and the bound from the claim is 7.65 s, which follows from that.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
@@ -25,12 +25,14 @@
         epoch: int,
         inherited: Mapping[str, InheritedLease],
         earlier_renewal_age: Callable[[float], float],
+        lease_seconds: Callable[[float, float], float],
     ) -> None:
         """Start from what the claim named, which earlier owners had recorded.
 
         `earlier_renewal_age` returns for how many seconds no earlier owner has renewed
-        a lease of any other upstream.
+        a lease of any other upstream, and `lease_seconds` how long a lease may last.
         """
+        self.lease_seconds = lease_seconds
         self._scheduler = scheduler
         self._epoch = epoch
         self._inherited = inherited
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -100,7 +100,11 @@
             inherited_leases,
         )
         self._lease_record = LeaseRecord(
-            self._scheduler, epoch, inherited_leases, ownership.earlier_renewal_age
+            self._scheduler,
+            epoch,
+            inherited_leases,
+            ownership.earlier_renewal_age,
+            ownership.lease_seconds,
         )
         self._writer = ProgressWriter(
             store,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -40,8 +40,11 @@
 # Until the next such read, so that a store in trouble gets few of them.
 CONFIRMATION_RETRY_SECONDS = 0.3
 # An owner that can't reach the store renews leases for this long, but starts no tasks.
-# Together with the last lease, tasks thus survive a store outage of 7 s.
 MAX_UNCONFIRMED_SECONDS = 4.0
+# No lease lasts for longer after the last confirmation, so that a new owner that does
+# not reach the upstream knows when it has expired. Tasks survive a store outage of
+# 6.5 s.
+MAX_LEASE_AFTER_CONFIRMATION_SECONDS = 7.0
 
 # After an unexpected error, others get this much time to become the owner: a heartbeat
 # has to time out and a small instance waits for longer.
@@ -148,6 +151,11 @@
         """Return the seconds since the store confirmed the ownership."""
         return now - self._confirmed_at
 
+    def lease_seconds(self, now: float, seconds: float) -> float:
+        """Return for how long a lease may be granted now, `seconds` at most."""
+        left = MAX_LEASE_AFTER_CONFIRMATION_SECONDS - self.confirmation_age(now)
+        return min(seconds, left)
+
     async def wait_for_end(self, epoch: int) -> None:
         """Wait until this process is not the owner under `epoch`."""
         while self.epoch == epoch:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -122,7 +122,9 @@
             return None
         now = boot_seconds()
         deadline_ms = upstream.lease.deadline_for_start(
-            now, MIN_START_LEASE_SECONDS, LEASE_SECONDS
+            now,
+            MIN_START_LEASE_SECONDS,
+            self._lease_record.lease_seconds(now, LEASE_SECONDS),
         )
         if math.isinf(max_seconds):
             return deadline_ms
@@ -152,7 +154,8 @@
         # time by which all its leases have expired stays fixed.
         deadline_ms = None
         if may_grant and upstream.is_reachable and upstream.lease is not None:
-            deadline_ms = upstream.lease.extend(requested_at, LEASE_SECONDS)
+            seconds = self._lease_record.lease_seconds(requested_at, LEASE_SECONDS)
+            deadline_ms = upstream.lease.extend(requested_at, seconds)
         report = await self._orders.renew_leases(
             entry, self._fencing_token, deadline_ms, upstream.recorded_end, wait_ms
         )
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
@@ -35,7 +35,11 @@
         self.upstream = self.scheduler.state.upstreams["u"]
         self.upstream.add(Run(TASK, 1, Resources(1, 1, 0), "a", True, False, NOW))
         self.record = LeaseRecord(
-            self.scheduler, EPOCH, inherited, lambda now: RENEWAL_AGE
+            self.scheduler,
+            EPOCH,
+            inherited,
+            lambda now: RENEWAL_AGE,
+            lambda now, seconds: seconds,
         )
 
     def store_heartbeat(self, now=NOW):
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -31,10 +31,10 @@
     # a normal start-up takes well under a second.
     lasting_start_seconds: float = 3.5
     # Bound on the leases of an upstream that has not reported to this owner yet, from
-    # the takeover on. The previous owner may have renewed them for 4 s without
-    # confirmation by the store, of which 1.5 s had passed; then a lease of 3.8 s on a
-    # slow clock has to expire.
-    unknown_lease_seconds: float = 7.5
+    # the takeover on. The previous owner may have granted some for 7 s from its last
+    # confirmation by the store, which was before the claim; then they have to expire on
+    # a slow clock.
+    unknown_lease_seconds: float = 7.65
     # The longest lease that an upstream grants, on its own clock.
     max_lease_seconds: float = 10.0
     # How long a new owner keeps an upstream that is recorded as running tasks but has
