Check in the soak that waiting tasks and jobs run in time

Cause: the soak can't see a long-running task that stays without a run. Its only promise on them is that they run within 180 s of the last fault.

Change: two promises, judged from events alone and, as nothing may happen meanwhile, 20 times a second. lasting-task-runs: a task of an accepted long-running job has had no run for 6 s, the last 7 s were calm, and there was room for it twice for 3 s, apart from tasks that end. job-with-room-runs: another accepted job has run nothing for 3 s, the last 7 s were calm, and under half of the cores were used for 3 s. What disturbs, and until when, is in Calm: entry instances until they are started again (the start is an event now), their links and the store while a fault lasts, crashes and the begin and end of an upstream's absence at their moment. Maintenance and the operator's other orders disturb nothing. Runs whose lease is over are ended at each tick, so that an absence isn't counted from a later order. The outcome tells the longest time without a run.

No existing check was changed.

--- a/soak/_entry_process.py
+++ b/soak/_entry_process.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 from baobablane_platform import SETTINGS_VARIABLE
@@ -33,6 +34,8 @@
         self.log_path = folder / f"{name}.log"
         # How the process ended though nobody had ended it.
         self.unexpected_ends: list[int] = []
+        # Called at each start.
+        self.on_start: Callable[[], None] = lambda: None
         self._settings_path = folder / f"{name}.yaml"
         self._link_mbit = link_mbit
         self._process: asyncio.subprocess.Process | None = None
@@ -87,6 +90,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.on_start()
         status = await self._process.wait()
         if not self._is_ending:
             self.unexpected_ends.append(status)
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -37,9 +37,11 @@
         self.events.append(event)
         row = {"at": round(event.at, 4), "event": name, **fields}
         self._file.write(json.dumps(row) + "\n")
-        for check in self._checks:
-            for breach in check(event):
-                self.add(breach)
+        self._check(event)
+
+    def tick(self) -> None:
+        """Check what is broken by now, though nothing happens."""
+        self._check(Event(self.now(), "tick", {}))
 
     def add(self, breach: Breach) -> None:
         """Collect a broken promise."""
@@ -49,3 +51,8 @@
     def close(self) -> None:
         """Close the file."""
         self._file.close()
+
+    def _check(self, event: Event) -> None:
+        for check in self._checks:
+            for breach in check(event):
+                self.add(breach)
--- a/soak/_outcome.py
+++ b/soak/_outcome.py
@@ -15,10 +15,13 @@
     starts: int
     faults_by_kind: dict[str, int]
     breaches: list[Breach]
+    # The longest time of a long-running task without a run.
+    longest_absence: str = "none"
 
     def __str__(self) -> str:
         return (
             f"seed {self.seed}: {sum(self.faults_by_kind.values())} faults,"
             f" {self.accepted_jobs} jobs accepted, {self.starts} starts in"
-            f" {self.seconds:.0f} s, {len(self.breaches)} promises broken"
+            f" {self.seconds:.0f} s, {len(self.breaches)} promises broken;"
+            f" longest without a run: {self.longest_absence}"
         )
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from typing import Self
 
@@ -57,6 +58,12 @@
         """Return the addresses at which callers reach the entry instances."""
         return [self.links[f"callers/{name}"].address for name in ENTRIES]
 
+    def end_due_runs(self) -> None:
+        """Record the runs that have ended by now, though no order has asked."""
+        for upstream in self.upstreams.values():
+            if not upstream.is_down:
+                upstream.end_due_runs()
+
     async def _start(self) -> None:
         await self._stack.enter_async_context(self.platform)
         find_client = make_client_finder(self._pids)
@@ -76,6 +83,9 @@
             instances = await self._add_link(f"list/{name}", self.platform.address)
             await self._add_link(f"callers/{name}", process.address)
             process.write_settings(store.address, instances.address)
+            process.on_start = partial(
+                self._history.record, "process-start", entry=name
+            )
             task = asyncio.ensure_future(process.run())
             self._stack.push_async_callback(_cancel, task)
 
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -17,14 +17,17 @@
 from ._callers import CALL_TIMEOUT_SECONDS, Callers
 from ._faults import Faults
 from ._history import History
+from ._lasting_check import LastingCheck
 from ._outcome import Outcome
 from ._plan import ENTRIES, Plan
 from ._run_check import RunCheck
 from ._site import Site
+from ._waiting_check import WaitingCheck
 
 # Far longer than any recovery takes, so only a hang reaches it.
 HANG_SECONDS = 180.0
 CONDITION_SECONDS = 0.1
+TICK_SECONDS = 0.05
 
 
 class Soak:
@@ -37,9 +40,17 @@
         jobs_by_id = {job.id: job for job in plan.jobs}
         self._runs = RunCheck(jobs_by_id)
         self._answers = AnswerCheck(jobs_by_id)
+        self._lasting = LastingCheck(jobs_by_id)
         self.history = History(
             folder / "events.jsonl",
-            [self._runs, self._answers, AllowanceCheck(jobs_by_id), BorderCheck()],
+            [
+                self._runs,
+                self._answers,
+                AllowanceCheck(jobs_by_id),
+                BorderCheck(),
+                self._lasting,
+                WaitingCheck(jobs_by_id),
+            ],
         )
         self._background: list[asyncio.Task[None]] = []
         # Errors of the soak itself, by which its verdict is worth nothing.
@@ -63,7 +74,7 @@
             callers = Callers(session, site.caller_addresses(), self.history)
             await self._wait("ready", lambda: self._are_ready(callers))
             faults = Faults(site, self.history)
-            self._play(callers, faults)
+            self._play(callers, faults, site)
             await asyncio.gather(*self._background[: len(self._plan.faults)])
             await self._recover(callers, faults, site)
             self._raise_errors()
@@ -74,9 +85,10 @@
             sum(event.name == "start" for event in self.history.events),
             dict(faults.injected),
             self.history.breaches,
+            str(self._lasting.longest() or "none"),
         )
 
-    def _play(self, callers: Callers, faults: Faults) -> None:
+    def _play(self, callers: Callers, faults: Faults, site: Site) -> None:
         self.history.restart_clock()
         for fault in self._plan.faults:
             self._background.append(asyncio.ensure_future(faults.play(fault)))
@@ -87,6 +99,13 @@
             lambda: [extra_path_prefix(n) for n in range(faults.queue_count)][-2:],
         )
         self._background.append(asyncio.ensure_future(trying))
+        self._background.append(asyncio.ensure_future(self._tick(site)))
+
+    async def _tick(self, site: Site) -> None:
+        while True:
+            site.end_due_runs()
+            self.history.tick()
+            await asyncio.sleep(TICK_SECONDS)
 
     async def _recover(self, callers: Callers, faults: Faults, site: Site) -> None:
         self.history.record("faults-over")
--- a/soak/tests/events.py
+++ b/soak/tests/events.py
@@ -50,3 +50,16 @@
 def broken(check, events):
     """Return the promises that events break, in their order."""
     return [breach.promise for event in events for breach in check(event)]
+
+
+def tick(at):
+    """Return the event by which time passes."""
+    return Event(at, "tick", {})
+
+
+def fault(at, kind, *targets, seconds=None):
+    """Return the event of a fault, or with its length those of its begin and end."""
+    fields = {"kind": kind, "targets": list(targets)}
+    if seconds is None:
+        return Event(at, "fault", fields)
+    return [Event(at, "fault", fields), Event(at + seconds, "fault-ends", fields)]
