Play by name what keeps long-running tasks without a run

Cause: no seed plays upstreams that stay behind a cut link while owners follow one another, or an upstream's crash at each start of one task.

In the cut plays three of six upstreams lose their responses to the end while the entry instances are killed or terminated; in the chase plays the upstream of one task crashes 0.02 s after each of its first starts and stays away for 60 s. Each goes on for 15 s after the last fault.

Not mended here.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from ._outcome import Outcome
 from ._plan import make_plan
+from ._plays import PLAYS, make_play
 from ._report import describe_breach
 from ._run_check import LATE_END_PROMISE
 from ._soak import Soak
@@ -28,10 +29,13 @@
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=time.time_ns() % 1_000_000)
     parser.add_argument("--seconds", type=float, default=25.0)
+    parser.add_argument("--play", choices=PLAYS, help="instead of a seed's plan")
     arguments = parser.parse_args()
     plan = make_plan(arguments.seed, arguments.seconds)
+    if arguments.play:
+        plan = make_play(arguments.play)
     print(plan, flush=True)
-    folder = FOLDER / f"seed-{plan.seed}-{time.time_ns()}"
+    folder = FOLDER / f"{plan.play or f'seed-{plan.seed}'}-{time.time_ns()}"
     folder.mkdir(parents=True)
     soak = Soak(plan, folder)
     soak.history.on_breach = lambda breach: print(f"broken: {breach}", flush=True)
--- a/soak/_history.py
+++ b/soak/_history.py
@@ -19,6 +19,7 @@
         self.events: list[Event] = []
         self.breaches: list[Breach] = []
         self.on_breach: Callable[[Breach], None] = lambda breach: None
+        self.on_event: Callable[[Event], None] = lambda event: None
         self._checks = checks
         self._file = path.open("w")
         self._began_at = time.monotonic()
@@ -38,6 +39,7 @@
         row = {"at": round(event.at, 4), "event": name, **fields}
         self._file.write(json.dumps(row) + "\n")
         self._check(event)
+        self.on_event(event)
 
     def tick(self) -> None:
         """Check what is broken by now, though nothing happens."""
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -5,6 +5,7 @@
 
 from baobablane_standin.platform import make_job_body
 
+from ._chase import Chase
 from ._fault import Fault
 from ._planned_job import PlannedJob
 
@@ -66,12 +67,20 @@
     seconds: float
     faults: tuple[Fault, ...]
     jobs: tuple[PlannedJob, ...]
+    # The name of the play; empty if the plan was drawn from the seed.
+    play: str = ""
+    # Faults that follow from starts.
+    chase: Chase | None = None
+    # How long nothing is disturbed after the last fault, before the recovery.
+    calm_seconds: float = 0.0
 
     def __str__(self) -> str:
         kinds = [job.kind for job in self.jobs]
         counts = ", ".join(f"{kinds.count(kind)} {kind}" for kind in JOB_KINDS)
-        head = f"seed {self.seed}, {self.seconds} s, jobs: {counts}"
-        return "\n".join([head, *map(str, self.faults)])
+        name = f"play {self.play}" if self.play else f"seed {self.seed}"
+        head = f"{name}, {self.seconds} s, jobs: {counts}"
+        chase = [str(self.chase)] if self.chase else []
+        return "\n".join([head, *map(str, self.faults), *chase])
 
 
 def link_names() -> list[str]:
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -15,6 +15,7 @@
 from ._border_check import BorderCheck
 from ._breach import Breach
 from ._callers import CALL_TIMEOUT_SECONDS, Callers
+from ._event import Event
 from ._faults import Faults
 from ._history import History
 from ._lasting_check import LastingCheck
@@ -53,6 +54,7 @@
             ],
         )
         self._background: list[asyncio.Task[None]] = []
+        self._last_fault_at = 0.0
         # Errors of the soak itself, by which its verdict is worth nothing.
         self._errors: list[str] = []
 
@@ -76,6 +78,7 @@
             faults = Faults(site, self.history)
             self._play(callers, faults, site)
             await asyncio.gather(*self._background[: len(self._plan.faults)])
+            await self._stay_calm()
             await self._recover(callers, faults, site)
             self._raise_errors()
         return Outcome(
@@ -85,11 +88,13 @@
             sum(event.name == "start" for event in self.history.events),
             dict(faults.injected),
             self.history.breaches,
+            self._plan.play,
             str(self._lasting.longest() or "none"),
         )
 
     def _play(self, callers: Callers, faults: Faults, site: Site) -> None:
         self.history.restart_clock()
+        self.history.on_event = lambda event: self._follow(event, faults)
         for fault in self._plan.faults:
             self._background.append(asyncio.ensure_future(faults.play(fault)))
         for job in self._plan.jobs:
@@ -101,12 +106,25 @@
         self._background.append(asyncio.ensure_future(trying))
         self._background.append(asyncio.ensure_future(self._tick(site)))
 
+    def _follow(self, event: Event, faults: Faults) -> None:
+        """Play the faults that follow from an event."""
+        if event.name == "fault":
+            self._last_fault_at = event.at
+        if self._plan.chase is not None:
+            for fault in self._plan.chase.react(event, faults.injected):
+                self._background.append(asyncio.ensure_future(faults.play(fault)))
+
     async def _tick(self, site: Site) -> None:
         while True:
             site.end_due_runs()
             self.history.tick()
             await asyncio.sleep(TICK_SECONDS)
 
+    async def _stay_calm(self) -> None:
+        # Each fault that follows from a start begins the wait anew.
+        while self.history.now() < self._last_fault_at + self._plan.calm_seconds:
+            await asyncio.sleep(CONDITION_SECONDS)
+
     async def _recover(self, callers: Callers, faults: Faults, site: Site) -> None:
         self.history.record("faults-over")
         serving = [job for job in self._plan.jobs if job.allowance]
