Draw plans with few faults and much calm in the soak

Cause: a usual plan has about one fault a second, so it has hardly any 7 s of calm before the recovery, and can't show that a task waits too long.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
+from ._calm_plan import make_calm_plan
 from ._outcome import Outcome
 from ._plan import make_plan
 from ._plays import PLAYS, make_play
@@ -29,9 +30,13 @@
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
     parser.add_argument("--seed", type=int, default=time.time_ns() % 1_000_000)
     parser.add_argument("--seconds", type=float, default=25.0)
+    parser.add_argument(
+        "--calm", action="store_true", help="few faults, and much calm between them"
+    )
     parser.add_argument("--play", choices=PLAYS, help="instead of a seed's plan")
     arguments = parser.parse_args()
-    plan = make_plan(arguments.seed, arguments.seconds)
+    make = make_calm_plan if arguments.calm else make_plan
+    plan = make(arguments.seed, arguments.seconds)
     if arguments.play:
         plan = make_play(arguments.play)
     print(plan, flush=True)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -107,7 +107,7 @@
     faults: list[Fault] = []
     at = FIRST_FAULT_SECONDS
     while at < seconds:
-        faults.append(_draw_fault(random, at, seconds))
+        faults.append(draw_fault(random, at, seconds))
         if random.random() < SERIES_SHARE:
             at += random.uniform(0.0, SERIES_GAP_SECONDS)
         else:
@@ -116,12 +116,13 @@
     at = 0.0
     while at < seconds:
         for _ in range(BURST_JOBS if random.random() < BURST_SHARE else 1):
-            jobs.append(_draw_job(random, at, len(jobs)))
+            jobs.append(draw_job(random, at, len(jobs)))
         at += random.expovariate(JOBS_PER_SECOND)
     return Plan(seed, seconds, tuple(faults), tuple(jobs))
 
 
-def _draw_fault(random: Random, at: float, end: float) -> Fault:
+def draw_fault(random: Random, at: float, end: float) -> Fault:
+    """Return a fault that is over at `end`."""
     groups, weights = zip(*KIND_GROUPS, strict=True)
     kinds = random.choices(groups, weights)[0]
     kind = random.choice(kinds)
@@ -138,8 +139,9 @@
     return Fault(round(at, 2), kind, tuple(targets), duration)
 
 
-def _draw_job(random: Random, at: float, number: int) -> PlannedJob:
-    kind = random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
+def draw_job(random: Random, at: float, number: int, kind: str = "") -> PlannedJob:
+    """Return a job of a kind, or of one that is drawn."""
+    kind = kind or random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
     spec, counts = f"{random.randint(20, 800)}", [random.randint(1, 4)]
     if kind == "steps":
         counts.append(random.randint(1, 3))
