Give the entry instances of a soak different ports

Cause: each port was drawn by itself before any of them was listened on, so two of the nine could be the same, one time in two hundred.

Change: all ports of a soak are drawn at once, without repetition.

--- a/soak/_entry_process.py
+++ b/soak/_entry_process.py
@@ -7,7 +7,8 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from contextlib import suppress
 from pathlib import Path
 
 from baobablane_platform import SETTINGS_VARIABLE
@@ -19,18 +20,21 @@
 # Below the ports that systems give to clients, so that a port stays free for a restart.
 PORTS = range(12_000, 20_000)
 RESTART_SECONDS = 0.5
+PORTS_PER_ENTRY = 3
 EXPECTED_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
 
 
 class EntryProcess:
     """Own the process of one entry instance."""
 
-    def __init__(self, name: str, folder: Path, link_mbit: float) -> None:
-        """Choose ports; `run` must be called next."""
+    def __init__(
+        self, name: str, folder: Path, link_mbit: float, ports: Sequence[int]
+    ) -> None:
+        """Take three ports; `run` must be called next."""
         self.name = name
-        self.address = f"{HOST}:{_find_free_port()}"
-        # The first is for metrics, the last for those that watch the instance.
-        self._ports = [_find_free_port(), _find_free_port()]
+        # For callers, for metrics, and for those that watch the instance.
+        caller_port, *self._ports = ports
+        self.address = f"{HOST}:{caller_port}"
         self.log_path = folder / f"{name}.log"
         # How the process ended though nobody had ended it.
         self.unexpected_ends: list[int] = []
@@ -100,13 +104,13 @@
             await self._process.wait()
 
 
-def _find_free_port() -> int:
-    """Return a port on which nobody listens."""
-    while True:
-        port = random.SystemRandom().choice(PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            return port
+def find_free_ports(count: int, candidates: Sequence[int] = PORTS) -> list[int]:
+    """Return different ports on which nobody listens."""
+    found: list[int] = []
+    for port in random.SystemRandom().sample(candidates, len(candidates)):
+        if len(found) == count:
+            break
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((HOST, port))
+            found.append(port)
+    return found
--- a/soak/_site.py
+++ b/soak/_site.py
@@ -15,7 +15,7 @@
 )
 
 from ._client_finder import make_client_finder
-from ._entry_process import EntryProcess
+from ._entry_process import PORTS_PER_ENTRY, EntryProcess, find_free_ports
 from ._history import History
 from ._link_proxy import LinkProxy
 from ._plan import ENTRIES, UPSTREAMS
@@ -31,9 +31,15 @@
         """Start nothing yet."""
         self.platform = PlatformStandin(StandinSettings(len(UPSTREAMS)))
         self.links: dict[str, LinkProxy] = {}
+        ports = find_free_ports(PORTS_PER_ENTRY * len(ENTRIES))
         self.processes = {
-            name: EntryProcess(name, folder, LINK_MBIT_BY_ENTRY[name])
-            for name in ENTRIES
+            name: EntryProcess(
+                name,
+                folder,
+                LINK_MBIT_BY_ENTRY[name],
+                ports[number * PORTS_PER_ENTRY :][:PORTS_PER_ENTRY],
+            )
+            for number, name in enumerate(ENTRIES)
         }
         self.upstreams: dict[str, StandinUpstream] = {}
         # Upstreams whose connections are left open at their next crash.
