--- a/soak/_history.py
+++ b/soak/_history.py
@@ -19,6 +19,7 @@
         self.events: list[Event] = []
         self.breaches: list[Breach] = []
         self.on_breach: Callable[[Breach], None] = lambda breach: None
+        self.on_event: Callable[[Event], None] = lambda event: None
         self._checks = checks
         self._file = path.open("w")
         self._began_at = time.monotonic()
@@ -37,9 +38,12 @@
         self.events.append(event)
         row = {"at": round(event.at, 4), "event": name, **fields}
         self._file.write(json.dumps(row) + "\n")
-        for check in self._checks:
-            for breach in check(event):
-                self.add(breach)
+        self._check(event)
+        self.on_event(event)
+
+    def tick(self) -> None:
+        """Check what is broken by now, though nothing happens."""
+        self._check(Event(self.now(), "tick", {}))
 
     def add(self, breach: Breach) -> None:
         """Collect a broken promise."""
@@ -49,3 +53,8 @@
     def close(self) -> None:
         """Close the file."""
         self._file.close()
+
+    def _check(self, event: Event) -> None:
+        for check in self._checks:
+            for breach in check(event):
+                self.add(breach)
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -5,6 +5,7 @@
 
 from baobablane_standin.platform import make_job_body
 
+from ._chase import Chase
 from ._fault import Fault
 from ._planned_job import PlannedJob
 
@@ -66,12 +67,20 @@
     seconds: float
     faults: tuple[Fault, ...]
     jobs: tuple[PlannedJob, ...]
+    # The name of the play; empty if the plan was drawn from the seed.
+    play: str = ""
+    # Faults that follow from starts.
+    chase: Chase | None = None
+    # How long nothing is disturbed after the last fault, before the recovery.
+    calm_seconds: float = 0.0
 
     def __str__(self) -> str:
         kinds = [job.kind for job in self.jobs]
         counts = ", ".join(f"{kinds.count(kind)} {kind}" for kind in JOB_KINDS)
-        head = f"seed {self.seed}, {self.seconds} s, jobs: {counts}"
-        return "\n".join([head, *map(str, self.faults)])
+        name = f"play {self.play}" if self.play else f"seed {self.seed}"
+        head = f"{name}, {self.seconds} s, jobs: {counts}"
+        chase = [str(self.chase)] if self.chase else []
+        return "\n".join([head, *map(str, self.faults), *chase])
 
 
 def link_names() -> list[str]:
@@ -98,7 +107,7 @@
     faults: list[Fault] = []
     at = FIRST_FAULT_SECONDS
     while at < seconds:
-        faults.append(_draw_fault(random, at, seconds))
+        faults.append(draw_fault(random, at, seconds))
         if random.random() < SERIES_SHARE:
             at += random.uniform(0.0, SERIES_GAP_SECONDS)
         else:
@@ -107,12 +116,13 @@
     at = 0.0
     while at < seconds:
         for _ in range(BURST_JOBS if random.random() < BURST_SHARE else 1):
-            jobs.append(_draw_job(random, at, len(jobs)))
+            jobs.append(draw_job(random, at, len(jobs)))
         at += random.expovariate(JOBS_PER_SECOND)
     return Plan(seed, seconds, tuple(faults), tuple(jobs))
 
 
-def _draw_fault(random: Random, at: float, end: float) -> Fault:
+def draw_fault(random: Random, at: float, end: float) -> Fault:
+    """Return a fault that is over at `end`."""
     groups, weights = zip(*KIND_GROUPS, strict=True)
     kinds = random.choices(groups, weights)[0]
     kind = random.choice(kinds)
@@ -129,8 +139,9 @@
     return Fault(round(at, 2), kind, tuple(targets), duration)
 
 
-def _draw_job(random: Random, at: float, number: int) -> PlannedJob:
-    kind = random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
+def draw_job(random: Random, at: float, number: int, kind: str = "") -> PlannedJob:
+    """Return a job of a kind, or of one that is drawn."""
+    kind = kind or random.choices(list(JOB_KINDS), list(JOB_KINDS.values()))[0]
     spec, counts = f"{random.randint(20, 800)}", [random.randint(1, 4)]
     if kind == "steps":
         counts.append(random.randint(1, 3))
