Leave room for the fifth start in the test of held suspects

Cause: ten upstreams, five of them lost, had one core less than the jobs of the busy cases need, so that the task waited for room after the fifth loss. Change: sixteen upstreams; bound and losses as before.

--- a/packages/baobablane/baobablane/scheduling/tests/test_held_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_held_suspects.py
@@ -18,6 +18,8 @@
 TASK = TaskId(JOB, 0, 0, 0)
 # Callers are told that a long-running task runs again this long after its last run.
 MAX_WAIT_SECONDS = 6.0
+# Enough that there is room after all losses.
+UPSTREAMS = 16
 # How often it loses its upstream; each wait is checked, so fewer need no case.
 LOSSES = 5
 # Longer than any wait, to see how long it is.
@@ -50,8 +52,8 @@
             self.scheduler.renewal_failed(name, self.now)
 
 
-def add_large_jobs(fleet, count):
-    """Add long-running jobs that leave no upstream idle."""
+def add_others(fleet, count):
+    """Add long-running jobs that leave room on each upstream, but none of them idle."""
     for number in range(count):
         step = make_step(cpu=2 * CORE, is_lasting=True)
         add(fleet, make_job(step, name=f"{number:016x}"))
@@ -67,8 +69,8 @@
     def test_hold_neither_doubles_nor_begins_anew_with_each_owner(
         self, is_silent, is_busy, takeover_seconds
     ):
-        fleet = LosingFleet(10)
-        add_large_jobs(fleet, 10 if is_busy else 0)
+        fleet = LosingFleet(UPSTREAMS)
+        add_others(fleet, UPSTREAMS if is_busy else 0)
         add(fleet, make_job(make_step(is_lasting=True), name=JOB))
         assert fleet.wait_for_run()
         waits = []
