Hold long-running suspects for 4.5 s from the end of their run

Cause: the wait for the news whether the upstreams of a suspect crashed doubled with each loss, was counted from the discovery of the loss, and began anew with each owner; runs that had settled were held like those of short tasks. Change: a long-running task is held for 4.5 s from when its upstream last showed the run, or its start; RunLoss has that time, which a new owner restores, within [0, 60 s] of its takeover; the owner notes the Unix time before it takes over. With five losses, three of them known crashes, the hold is 15 s, so that a task that crashes its upstreams is not started a sixth time. Losses of settled runs hold a long-running task from the fourth on, as its starts follow each other. Short tasks are held as before, but dated over a takeover.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -214,6 +214,7 @@
     async def _take_over_jobs(self) -> None:
         """Add all jobs that were read, and store heartbeats meanwhile."""
         now = boot_seconds()
+        self._scheduler.note_clock(now, unix_ms())
         job_table = self._views.job_table
         # The rates of accounts are counted in the order of acceptance.
         since_ms = unix_ms() - SHARE_HISTORY_MS
--- a/packages/baobablane/baobablane/jobs/_run_loss.py
+++ b/packages/baobablane/baobablane/jobs/_run_loss.py
@@ -20,3 +20,5 @@
     is_crash: bool = False
     # Labels that may name a common cause, such as the rack.
     labels: tuple[str, ...] = ()
+    # When the run ended at the earliest, in Unix milliseconds; 0 if it is unknown.
+    lost_ms: int = 0
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -91,6 +91,7 @@
             note_late_loss(state, run, lost, instance, labels)
         return
     unix_ms = round((now + state.unix_offset_seconds) * 1000)
+    ended_at = _end_of_run(state, run, task, lost)
     # Another owner may have seen it settle and not have recorded that.
     is_young = not run.is_restored or was_just_tried(task, unix_ms)
     loss = RunLoss(
@@ -101,10 +102,11 @@
         _count_suspects(step_run, run.task, lost) if is_young else 0,
         is_started=run.was_seen and is_young,
         labels=place_labels(state, upstream),
+        lost_ms=round((ended_at + state.unix_offset_seconds) * 1000),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
     state.suspects.add(
-        run.task, upstream.id, lost.lost_at, len(task.losses), run.is_lasting
+        run.task, upstream.id, ended_at, len(task.losses), run.is_lasting
     )
     state.dirty_jobs.add(run.task.job)
     state.log_decision(
@@ -264,6 +266,19 @@
     return 1 + sum(other[:3] != task[:3] for other in lost.suspects)
 
 
+def _end_of_run(
+    state: SchedulerState, run: Run, task: Task, lost: LostUpstream
+) -> float:
+    """Return from when a task is held; only long-running ones need the earliest."""
+    if not run.is_lasting or (run.is_restored and not task.trial_ms):
+        return lost.lost_at
+    if not run.is_restored:
+        return lost.end_of_run(run.started_at)
+    # The takeover tells nothing of its end, but a trial that had not settled may have
+    # ended at its start.
+    return lost.end_of_run(task.trial_ms / 1000 - state.unix_offset_seconds)
+
+
 def _drop_losses(
     state: SchedulerState,
     task_id: TaskId,
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -11,6 +11,7 @@
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE
 from ._state import SchedulerState
 from ._step_run import StepRun
+from ._suspects import MAX_HOLD_SECONDS
 from ._upstream import Run, Upstream
 
 
@@ -58,12 +59,21 @@
             state.suspects.add(
                 step_run.task_id(index),
                 loss.upstream,
-                now,
+                now - _age_seconds(state, loss, now),
                 len(task.losses),
                 step_run.step.is_lasting,
             )
 
 
+def _age_seconds(state: SchedulerState, loss: RunLoss, now: float) -> float:
+    if not loss.lost_ms:
+        # An earlier version recorded it without its time.
+        return 0.0
+    seconds = now + state.unix_offset_seconds - loss.lost_ms / 1000
+    # Unix clocks jump. That shortens this hold at most, and lengthens none.
+    return min(max(0.0, seconds), MAX_HOLD_SECONDS)
+
+
 def _note_crash_before_takeover(
     task: Task, restarted_ms: int, labels: tuple[str, ...]
 ) -> None:
@@ -77,6 +87,7 @@
             suspects=1 if was_just_tried(task, restarted_ms) else 0,
             is_crash=True,
             labels=labels,
+            lost_ms=restarted_ms,
         )
         task.losses = [*task.losses, loss]
 
--- a/packages/baobablane/baobablane/scheduling/_late_crashes.py
+++ b/packages/baobablane/baobablane/scheduling/_late_crashes.py
@@ -22,6 +22,10 @@
 LATE_CRASH_SECONDS = 10.0
 # At most this many lost runs of a task are kept.
 MAX_LATE_LOSSES = 8
+# A task waits for the news of its crashes from this many losses on. A long-running one
+# waits for less long each time, so that the first of them are known by the last start.
+MIN_HELD_LOSSES = MIN_LATE_CRASHES
+MIN_HELD_LASTING_LOSSES = MIN_LATE_CRASHES - 1
 
 
 def may_be_late_cause(run: Run, lost: LostUpstream) -> bool:
@@ -57,7 +61,8 @@
     state.late_losses.losses_by_task[run.task] = losses
     # The first hold is as long as that after two losses of runs that had just started.
     count = len(losses) - MIN_LATE_CRASHES + 2
-    state.late_losses.add(run.task, lost.upstream, lost.lost_at, count, False)
+    ended_at = lost.end_of_run(run.started_at) if run.is_lasting else lost.lost_at
+    state.late_losses.add(run.task, lost.upstream, ended_at, count, run.is_lasting)
     state.log_decision(
         "run-lost-late",
         run.task,
@@ -163,12 +168,15 @@
 
 
 def _is_held(state: SchedulerState, task_id: TaskId, now: float) -> bool:
-    if now >= state.late_losses.held_until.get(task_id, now):
-        return False
-    losses = state.late_losses.losses_by_task[task_id]
-    return len(losses) >= MIN_LATE_CRASHES and any(
-        not loss.is_crash or state.suspects.tasks_lost_with(loss.upstream)
-        for loss in losses
+    losses = state.late_losses.losses_by_task.get(task_id, [])
+    is_lasting = state.jobs[task_id.job].job.steps[task_id.step].is_lasting
+    return (
+        len(losses) >= (MIN_HELD_LASTING_LOSSES if is_lasting else MIN_HELD_LOSSES)
+        and state.late_losses.is_held(task_id, losses, is_lasting, now)
+        and any(
+            not loss.is_crash or state.suspects.tasks_lost_with(loss.upstream)
+            for loss in losses
+        )
     )
 
 
--- a/packages/baobablane/baobablane/scheduling/_lost_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_lost_upstream.py
@@ -46,6 +46,13 @@
     # It is known which task crashed it.
     is_explained: bool = False
 
+    def end_of_run(self, started_at: float) -> float:
+        """Return when a run that was lost with it ended at the earliest.
+
+        A silent upstream is found to be lost later than that.
+        """
+        return min(self.lost_at, max(started_at, self.seen_at))
+
     def is_down_after_trial(self, now: float) -> bool:
         """Return whether it went down in a trial a short time ago."""
         return (
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -56,6 +56,10 @@
         self.state.evacuated_zones = zones
         self.state.allows_starts = allows_starts
 
+    def note_clock(self, now: float, unix_ms: int) -> None:
+        """Note the time by both clocks, to date what earlier owners recorded."""
+        self.state.unix_offset_seconds = unix_ms / 1000 - now
+
     def add_job(self, job: Job, progress: JobProgress | None, now: float) -> None:
         """Schedule a job, resuming from its recorded progress if there is any."""
         if job.id not in self.state.jobs and job.id not in self.state.apart_by_id:
--- a/packages/baobablane/baobablane/scheduling/_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/_suspects.py
@@ -1,14 +1,34 @@
 """Track the tasks whose runs were lost soon after their start."""
 
-from ..jobs import TaskId
+from collections.abc import Sequence
+
+from ..jobs import RunLoss, TaskId
 
 # A task with several lost runs waits this long, from the latest, for the news whether
 # those upstreams crashed. The time doubles with each further loss, up to the maximum.
 HOLD_SECONDS = 10.0
 MAX_HOLD_SECONDS = 60.0
-# The same for a long-running task, which is wanted all the time. Some instances never
-# return, so the news may never come.
-LASTING_HOLD_SECONDS = 5.0
+# The same for a long-running task, which should run again within 6 s, the start of the
+# trial included. It does not double: some instances never return, and bring no news.
+LASTING_HOLD_SECONDS = 4.5
+# After three crashes a task may be started twice more. One that has used them up waits
+# for the news of the last ones, for longer than a crashed instance is away.
+MIN_CRASHES = 3
+MAX_STARTS = 5
+LAST_HOLD_SECONDS = 15.0
+
+
+def hold_seconds(losses: int, is_lasting: bool) -> float:
+    """Return how long a task waits for news after the latest of its lost runs."""
+    if is_lasting:
+        return LASTING_HOLD_SECONDS
+    return min(HOLD_SECONDS * 2.0 ** max(0, losses - 2), MAX_HOLD_SECONDS)
+
+
+def has_used_up_starts(losses: Sequence[RunLoss]) -> bool:
+    """Return whether a task that crashes upstreams must not be started once more."""
+    crashes = sum(loss.is_crash for loss in losses)
+    return len(losses) >= MAX_STARTS and crashes >= MIN_CRASHES
 
 
 class SuspectTable:
@@ -27,16 +47,24 @@
         self,
         task: TaskId,
         upstream: str,
-        lost_at: float,
+        ended_at: float,
         losses: int,
         is_lasting: bool,
     ) -> None:
-        """Add a run lost at a monotonic time, of a task with `losses` lost runs."""
-        first_seconds = LASTING_HOLD_SECONDS if is_lasting else HOLD_SECONDS
-        seconds = min(first_seconds * 2 ** max(0, losses - 2), MAX_HOLD_SECONDS)
-        self.held_until[task] = max(self.held_until.get(task, 0.0), lost_at + seconds)
+        """Add a run that ended at a monotonic time, of a task with `losses` of them."""
+        until = ended_at + hold_seconds(losses, is_lasting)
+        self.held_until[task] = max(self.held_until.get(task, 0.0), until)
         self._tasks_by_upstream.setdefault(upstream, set()).add(task)
 
+    def is_held(
+        self, task: TaskId, losses: Sequence[RunLoss], is_lasting: bool, now: float
+    ) -> bool:
+        """Return whether a task still waits for news of its losses."""
+        until = self.held_until.get(task, now)
+        if is_lasting and has_used_up_starts(losses):
+            until += LAST_HOLD_SECONDS - LASTING_HOLD_SECONDS
+        return now < until
+
     def remove(self, task: TaskId) -> None:
         """Remove a task that is no suspect any more."""
         self.held_until.pop(task, None)
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -68,7 +68,8 @@
     losses = step_run.task(index).losses
     if len(losses) < 2 or all(loss.is_crash for loss in losses):
         return False
-    return now < state.suspects.held_until.get(step_run.task_id(index), now)
+    task_id, is_lasting = step_run.task_id(index), step_run.step.is_lasting
+    return state.suspects.is_held(task_id, losses, is_lasting, now)
 
 
 def plan_trials(
