Log the end of a hold as it is decided

Cause: the lines told the time before the last hold was made longer, and counted the hold of an earlier owner from the takeover, where it now counts from the loss. Change: SuspectTable.end_of_hold, which decides and is logged.

--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -115,7 +115,9 @@
     state.dirty_jobs.add(run.task.job)
     bound = None
     if is_held(state, step_run, run.task.position, now):
-        bound = WaitBound(state.suspects.held_until[run.task], "loss")
+        bound = WaitBound(
+            state.suspects.end_of_hold(run.task, task.losses, run.is_lasting), "loss"
+        )
     state.log_decision(
         "run-lost",
         run.task,
--- a/packages/baobablane/baobablane/scheduling/_late_crashes.py
+++ b/packages/baobablane/baobablane/scheduling/_late_crashes.py
@@ -68,7 +68,8 @@
     state.late_losses.add(run.task, lost.upstream, ended_at, count, run.is_lasting)
     bound = None
     if _is_held(state, run.task, now):
-        bound = WaitBound(state.late_losses.held_until[run.task], "loss")
+        ends_at = state.late_losses.end_of_hold(run.task, losses, run.is_lasting)
+        bound = WaitBound(ends_at, "loss")
     task = find_open_task(state, run.task)
     state.log_decision(
         "run-lost-late",
--- a/packages/baobablane/baobablane/scheduling/_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/_suspects.py
@@ -60,10 +60,18 @@
         self, task: TaskId, losses: Sequence[RunLoss], is_lasting: bool, now: float
     ) -> bool:
         """Return whether a task still waits for news of its losses."""
-        until = self.held_until.get(task, now)
+        return task in self.held_until and now < self.end_of_hold(
+            task, losses, is_lasting
+        )
+
+    def end_of_hold(
+        self, task: TaskId, losses: Sequence[RunLoss], is_lasting: bool
+    ) -> float:
+        """Return until when a suspect waits for news, on the monotonic clock."""
+        until = self.held_until[task]
         if is_lasting and has_used_up_starts(losses):
             until += LAST_HOLD_SECONDS - LASTING_HOLD_SECONDS
-        return now < until
+        return until
 
     def remove(self, task: TaskId) -> None:
         """Remove a task that is no suspect any more."""
--- a/packages/baobablane/baobablane/scheduling/_wait_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_bounds.py
@@ -1,6 +1,5 @@
 """Find the bound that holds a long-running task, and from when on it counts."""
 
-from ..jobs import TaskId
 from ._late_crashes import held_indexes
 from ._stalls import may_still_arrive
 from ._state import SchedulerState
@@ -9,7 +8,6 @@
 from ._trials import is_held
 from ._upstream import Run, Upstream
 from ._wait_bound import WaitBound
-from ._wait_evidence import was_lost_before_takeover
 
 # The events from which bounds count.
 TAKEOVER = "takeover"
@@ -70,15 +68,23 @@
 def _bound_of_hold(
     state: SchedulerState, table: SuspectTable, step_run: StepRun, indexes: list[int]
 ) -> WaitBound | None:
-    held_until_by_id: dict[TaskId, float] = {
-        task_id: table.held_until[task_id]
+    losses_by_id = {
+        task_id: (
+            step_run.task(task_id.position).losses
+            if table is state.suspects
+            else state.late_losses.losses_by_task[task_id]
+        )
         for task_id in map(step_run.task_id, indexes)
-        if task_id in table.held_until
+        if task_id in table
     }
-    if not held_until_by_id:
+    if not losses_by_id:
         return None
-    latest = max(held_until_by_id, key=lambda task_id: held_until_by_id[task_id])
-    is_earlier = table is state.suspects and was_lost_before_takeover(
-        state, latest, step_run.task(latest.position)
-    )
-    return WaitBound(held_until_by_id[latest], TAKEOVER if is_earlier else LOSS)
+    end_by_id = {
+        task_id: table.end_of_hold(task_id, losses, step_run.step.is_lasting)
+        for task_id, losses in losses_by_id.items()
+    }
+    latest = max(end_by_id, key=lambda task_id: end_by_id[task_id])
+    losses = losses_by_id[latest]
+    # Owners of earlier versions recorded losses without their time.
+    since = LOSS if table is state.late_losses or losses[-1].lost_ms else TAKEOVER
+    return WaitBound(end_by_id[latest], since)
