Bound leases by the latest heartbeat, and a new owner's wait by that

Cause: the new owner counted 4 s of renewals after the last heartbeat and a whole lease after that, though leases end 7 s after a confirmation now; and other records than heartbeats confirm the ownership, which the next owner does not date. Change: leases end 7 s after the latest stored heartbeat, so the next owner counts 3.2 s after it, and then a whole lease. For owners of earlier versions it counts as before.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
@@ -8,8 +8,17 @@
 
 from ..jobs import LeaseBounds, UpstreamBound
 
+# Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
+# the owner renews all leases 0.3 s later, and the last renewal may be 0.9 s old. A
+# longer lease would delay work that is lost with an upstream, because it may run
+# elsewhere only after this time.
+LEASE_SECONDS = 3.8
 # Bound on a wait for the heartbeat that allows leases.
 GRANT_WAIT_SECONDS = 0.3
+# No lease lasts for longer after the latest heartbeat that is stored, so that a new
+# owner that does not reach the upstream knows when it has expired. Tasks survive a
+# store outage of 6.5 s.
+MAX_LEASE_AFTER_HEARTBEAT_SECONDS = 7.0
 
 
 class LeaseRecord:
@@ -25,14 +34,15 @@
         epoch: int,
         inherited: Mapping[str, InheritedLease],
         earlier_renewal_age: Callable[[float], float],
-        lease_seconds: Callable[[float, float], float],
+        claimed_at: float,
     ) -> None:
         """Start from what the claim named, which earlier owners had recorded.
 
         `earlier_renewal_age` returns for how many seconds no earlier owner has renewed
-        a lease of any other upstream, and `lease_seconds` how long a lease may last.
+        a lease of any other upstream. The claim was sent at `claimed_at` or later.
         """
-        self.lease_seconds = lease_seconds
+        # When the newest stored heartbeat was made, and the one that is on its way.
+        self._stored_at = self._sent_at = claimed_at
         self._scheduler = scheduler
         self._epoch = epoch
         self._inherited = inherited
@@ -52,6 +62,7 @@
 
     def make_bounds(self, now: float) -> LeaseBounds:
         """Return the bounds for a heartbeat, which is to be sent now."""
+        self._sent_at = now
         leases = self._inherited
         if self._is_complete:
             leases = self._scheduler.inheritable_leases(self._epoch, now)
@@ -63,7 +74,7 @@
 
     def note_stored(self) -> None:
         """Take the heartbeat that was sent last for the newest one."""
-        self._stored = self._sent
+        self._stored, self._stored_at = self._sent, self._sent_at
         self._scheduler.allow_leases(self.may_grant)
         self._stored_event.set()
         self._stored_event = asyncio.Event()
@@ -72,6 +83,11 @@
         """Return whether no heartbeat that may be the newest names an upstream."""
         return upstream_id not in self._stored and upstream_id not in self._sent
 
+    def lease_seconds(self, now: float, seconds: float) -> float:
+        """Return for how long a lease may be granted now, `seconds` at most."""
+        left = self._stored_at + MAX_LEASE_AFTER_HEARTBEAT_SECONDS - now
+        return max(0.0, min(seconds, left))
+
     async def wait_until_grantable(self, upstream_id: str) -> bool:
         """Return whether leases may be granted, after a bounded wait for that."""
         try:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -103,7 +103,7 @@
             epoch,
             inherited_leases,
             ownership.earlier_renewal_age,
-            ownership.lease_seconds,
+            ownership.claimed_at,
         )
         self._writer = ProgressWriter(
             store,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -27,7 +27,12 @@
 )
 from ._candidacy import Candidacy
 from ._fenced_appender import PRODUCER_NAME
-from ._lease_record import decode_inherited, encode_inherited
+from ._lease_record import (
+    LEASE_SECONDS,
+    MAX_LEASE_AFTER_HEARTBEAT_SECONDS,
+    decode_inherited,
+    encode_inherited,
+)
 from ._progress_writer import HEARTBEAT_INTERVAL_SECONDS, first_sequence
 
 # Whether to claim is checked this often; the check makes no call.
@@ -41,10 +46,6 @@
 CONFIRMATION_RETRY_SECONDS = 0.3
 # An owner that can't reach the store renews leases for this long, but starts no tasks.
 MAX_UNCONFIRMED_SECONDS = 4.0
-# No lease lasts for longer after the last confirmation, so that a new owner that does
-# not reach the upstream knows when it has expired. Tasks survive a store outage of
-# 6.5 s.
-MAX_LEASE_AFTER_CONFIRMATION_SECONDS = 7.0
 
 # After an unexpected error, others get this much time to become the owner: a heartbeat
 # has to time out and a small instance waits for longer.
@@ -90,6 +91,8 @@
         self._candidacy = candidacy
         self._last_epoch = 0
         self._no_claim_until = 0.0
+        # When the claim was sent, at the earliest.
+        self.claimed_at = 0.0
         # Nobody has owned before the claim.
         self._is_first = False
         # When the ownership began, at the latest.
@@ -151,11 +154,6 @@
         """Return the seconds since the store confirmed the ownership."""
         return now - self._confirmed_at
 
-    def lease_seconds(self, now: float, seconds: float) -> float:
-        """Return for how long a lease may be granted now, `seconds` at most."""
-        left = MAX_LEASE_AFTER_CONFIRMATION_SECONDS - self.confirmation_age(now)
-        return min(seconds, left)
-
     async def wait_for_end(self, epoch: int) -> None:
         """Wait until this process is not the owner under `epoch`."""
         while self.epoch == epoch:
@@ -172,17 +170,18 @@
         if heartbeat is None:
             return None
         earlier_age = heartbeat.lease_bounds.earlier_renewal_age
-        latest_renewal = (
-            heartbeat.received_at
-            # Until the next heartbeat is due, other records confirm it too.
-            + HEARTBEAT_INTERVAL_SECONDS
-            + MAX_RENEWAL_SECONDS
-            + MAX_CLOCK_DIFFERENCE_SECONDS
-        )
         if earlier_age is None:
-            # Owners before the latest one end sooner than it may.
-            return now - latest_renewal
+            # An older version. Owners before it end sooner than it may.
+            return now - (
+                heartbeat.received_at
+                # Until the next heartbeat is due, other records confirm it too.
+                + HEARTBEAT_INTERVAL_SECONDS
+                + MAX_RENEWAL_SECONDS
+                + MAX_CLOCK_DIFFERENCE_SECONDS
+            )
         sent_at = _latest_sending(heartbeat)
+        # A later renewal is for less than a whole lease, which ends no later.
+        latest_renewal = sent_at + MAX_LEASE_AFTER_HEARTBEAT_SECONDS - LEASE_SECONDS
         if heartbeat.is_leaving:
             latest_renewal = sent_at
         elif (
@@ -319,6 +318,8 @@
         if claim is not None:
             self._inherited = _decode_inherited(claim)
         self._begun_at = boot_seconds()
+        # Its claim was sent by the latest attempt, or by one before that.
+        self.claimed_at = requested_at - (2 * CLAIM_TIMEOUT_SECONDS if claim else 0.0)
         self.epoch = self._last_epoch = epoch
         self.confirm(requested_at)
         self._log.info("owner-begins", epoch=epoch)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_takeover_policy.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_takeover_policy.py
@@ -6,7 +6,7 @@
 
 from baobablane.scheduling import KILL_SECONDS, SLOWEST_CLOCK_RATE, SchedulingPolicy
 
-from ._upstream_poller import LEASE_SECONDS
+from ._lease_record import LEASE_SECONDS
 
 # Entries that expired during an outage of the store are back within 2 s.
 MIN_UNLISTED_GRACE_SECONDS = 2.5
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -19,14 +19,9 @@
 
 from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
-from ._lease_record import LeaseRecord
+from ._lease_record import LEASE_SECONDS, LeaseRecord
 from ._ownership import MAX_UNCONFIRMED_SECONDS
 
-# Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
-# the owner renews all leases 0.3 s later, and the last renewal may be 0.9 s old. A
-# longer lease would delay work that is lost with an upstream, because it may run
-# elsewhere only after this time.
-LEASE_SECONDS = 3.8
 # A start doesn't need a longer lease than this: the next renewal follows within 1 s.
 MIN_START_LEASE_SECONDS = 2.5
 # An upstream responds after this time unless a task ends earlier, to limit the number
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -12,6 +12,10 @@
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import LeaseBounds, OwnerHeartbeat
+from baobablane_daemon.owner._lease_record import (
+    LEASE_SECONDS,
+    MAX_LEASE_AFTER_HEARTBEAT_SECONDS,
+)
 from baobablane_daemon.owner._ownership import (
     MAX_CLOCK_DIFFERENCE_SECONDS,
     MAX_UNCONFIRMED_SECONDS,
@@ -21,7 +25,6 @@
     MIN_UNLISTED_GRACE_SECONDS,
     make_policy,
 )
-from baobablane_daemon.owner._upstream_poller import LEASE_SECONDS
 
 NOW = 1_000.0
 
@@ -70,7 +73,8 @@
         bounds = LeaseBounds({}, 20.0)
         ownership = make_ownership(1.5, holder="i-1", lease_bounds=bounds)
         ownership._started_at = NOW - 60.0
-        assert ownership.last_renewal_age(NOW) <= 1.5 - MAX_UNCONFIRMED_SECONDS
+        whole_leases = MAX_LEASE_AFTER_HEARTBEAT_SECONDS - LEASE_SECONDS
+        assert ownership.last_renewal_age(NOW) <= 1.5 - whole_leases
 
     def test_time_by_another_clock_is_uncertain(self):
         bounds = LeaseBounds({}, 20.0)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_record.py
@@ -39,7 +39,7 @@
             EPOCH,
             inherited,
             lambda now: RENEWAL_AGE,
-            lambda now, seconds: seconds,
+            NOW,
         )
 
     def store_heartbeat(self, now=NOW):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -26,9 +26,10 @@
 
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import boot_seconds
+from baobablane_daemon.owner._lease_record import LEASE_SECONDS
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
-from baobablane_daemon.owner._upstream_poller import LEASE_SECONDS, UpstreamPoller
+from baobablane_daemon.owner._upstream_poller import UpstreamPoller
 
 from .lease_records import make_lease_record
 
--- a/packages/baobablane/baobablane/scheduling/_policy.py
+++ b/packages/baobablane/baobablane/scheduling/_policy.py
@@ -32,8 +32,8 @@
     lasting_start_seconds: float = 3.5
     # Bound on the leases of an upstream that has not reported to this owner yet, from
     # the takeover on. The previous owner may have granted some for 7 s from its last
-    # confirmation by the store, which was before the claim; then they have to expire on
-    # a slow clock.
+    # heartbeat, which was stored before the claim; then they have to expire on a slow
+    # clock.
     unknown_lease_seconds: float = 7.65
     # The longest lease that an upstream grants, on its own clock.
     max_lease_seconds: float = 10.0
