Show that suspects wait for the upstreams of others' trials

Cause: an upstream that went down in a trial counts as risked for 5 s, and in a pool without an idle upstream no other trial begins meanwhile; a chain of such losses puts off a long-running suspect beyond the hold.

--- a/packages/baobablane/baobablane/scheduling/tests/test_held_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_held_suspects.py
@@ -39,14 +39,16 @@
 class LosingFleet(WaitingFleet):
     """Simulate upstreams that are lost for good right after a task has started."""
 
-    def lose(self, is_silent):
-        """Lose the upstream that runs the task for good."""
-        (name,) = [n for n, model in self.upstreams.items() if TASK in model.running]
+    def lose(self, is_silent, task=TASK):
+        """Lose the upstream that runs a task for good, and return what ran there."""
+        (name,) = [n for n, model in self.upstreams.items() if task in model.running]
+        tasks = set(self.upstreams[name].running)
         if is_silent:
             self.remove(name)
         else:
             self.crash(name)
             self._down[name] = math.inf
+        return tasks
 
     def wait_for_run(self, seconds=WATCH_SECONDS):
         """Let time pass until the task runs, and return whether it does."""
@@ -125,6 +127,36 @@
         assert len(losses) == LOSSES + 2
 
 
+class TestOtherSuspects:
+    """Test several long-running tasks that lose upstreams right after their starts."""
+
+    @pytest.mark.parametrize(("upstreams", "losses_each"), [(16, 2), (20, 3)])
+    @pytest.mark.parametrize("is_silent", [False, True], ids=["reset", "silent"])
+    def test_none_waits_until_those_of_the_others_are_given_up(
+        self, upstreams, losses_each, is_silent
+    ):
+        """Guards against upstreams that stay down after trials, one after the other."""
+        fleet = LosingFleet(upstreams)
+        add_others(fleet, upstreams)
+        tasks = [TaskId(digit * 16, 0, 0, 0) for digit in "abcd"]
+        for task in tasks:
+            add(fleet, make_job(make_step(is_lasting=True), name=task.job))
+        losses, ended_at, waits = dict.fromkeys(tasks, losses_each), {}, []
+        end = fleet.now + WATCH_SECONDS
+        while fleet.now < end:
+            fleet.advance(LIST_INTERVAL_SECONDS)
+            for task in [task for task in ended_at if fleet.runs_of(task)]:
+                waits.append(fleet.now - ended_at.pop(task))
+            for task in tasks:
+                if not losses[task] or not fleet.runs_of(task):
+                    continue
+                for lost in fleet.lose(is_silent, task) & losses.keys():
+                    losses[lost] = max(0, losses[lost] - 1)
+                    ended_at[lost] = fleet.now
+        assert not any(losses.values()) and not ended_at
+        assert max(waits) < MAX_WAIT_SECONDS, waits
+
+
 class TestDeadlyTask:
     """Test a long-running task that does crash the upstreams that start it."""
 
