Try long-running suspects that have waited for long first, one at a time

Cause: an upstream that went down in a trial counts as risked for 5 s, and while one does, only upstreams without runs are used for trials; in a busy pool the losses of other suspects put off a long-running one again and again. Change: a long-running suspect that has waited for 4.5 s from the end of its run comes first and may begin a trial, on a busy upstream too, if no other trial goes on. Gangs are as before.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -85,7 +85,7 @@
 ) -> list[StartOrder]:
     orders: list[StartOrder] = []
     for step_run in list(job_run.startable_steps()):
-        candidates = find_candidates(state, step_run)
+        candidates = find_candidates(state, step_run, now)
         if candidates:
             pool = state.pool_of(job_run)
             candidates_by_pool.setdefault(pool, []).extend(candidates)
--- a/packages/baobablane/baobablane/scheduling/_trial_limits.py
+++ b/packages/baobablane/baobablane/scheduling/_trial_limits.py
@@ -1,7 +1,8 @@
 """Limit on how many upstreams of a pool suspects are tried at once.
 
 Load pattern: upstreams crash under trials, and are away for seconds or for good. Other
-suspects are tried meanwhile, on as many upstreams as the pool can spare.
+suspects are tried meanwhile, on as many upstreams as the pool can spare. Long-running
+ones that have waited for long are tried one by one beyond that.
 """
 
 from collections import Counter
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -38,6 +38,8 @@
     indexes: tuple[int, ...]
     # Expected number of crashes of which they are the cause.
     expected_causes: float
+    # A long-running task that has waited for as long as it may be held is tried first.
+    is_overdue: bool = False
 
 
 @dataclass(slots=True)
@@ -46,7 +48,9 @@
     expected_causes: float
 
 
-def find_candidates(state: SchedulerState, step_run: StepRun) -> list[Candidate]:
+def find_candidates(
+    state: SchedulerState, step_run: StepRun, now: float
+) -> list[Candidate]:
     """Return the waiting tasks of a step that start only in a trial.
 
     A gang starts together, so one suspect makes suspects of all its tasks.
@@ -58,7 +62,13 @@
     if indexes and step_run.step.is_gang:
         return [Candidate(step_run, tuple(waiting), 1.0)]
     return [
-        Candidate(step_run, (index,), _expected_causes(state, step_run, index))
+        Candidate(
+            step_run,
+            (index,),
+            _expected_causes(state, step_run, index),
+            step_run.step.is_lasting
+            and now >= state.suspects.held_until[step_run.task_id(index)],
+        )
         for index in indexes
     ]
 
@@ -83,7 +93,9 @@
 
     `candidates` are in the order of their urgency, and everything else has been placed.
     """
-    likely_last = sorted(candidates, key=lambda candidate: candidate.expected_causes)
+    likely_last = sorted(
+        candidates, key=lambda c: (not c.is_overdue, c.expected_causes)
+    )
     planner = _TrialPlanner(state, pool, room, now)
     orders: list[StartOrder] = []
     for candidate in likely_last:
@@ -137,9 +149,11 @@
         return []
 
     def _begin(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
-        if not self._limits.allow_another():
+        # Upstreams that are down after the trials of others hold up no overdue one.
+        is_next = candidate.is_overdue and self._limits.on_trial == 0
+        if not is_next and not self._limits.allow_another():
             return []
-        may_use_busy = self._limits.at_risk == 0
+        may_use_busy = is_next or self._limits.at_risk == 0
         upstreams = self._upstreams_for(candidate.step_run)
         quiet = [
             upstream
