Store heartbeats while a takeover reads, and give up a silent topic

Cause: a takeover stored its first heartbeat once it had read everything. One lost response to the read of the upstreams, which is given up after 3 s, delayed it for longer than the 1.5 s after which others claim; so did a large response. Change: heartbeats are stored while it reads. A topic that sends nothing of use for 3 s ends the takeover: the owner announces that it leaves, so others claim at once, and claims none for 6 s. Silence counts, not time, so a slow store is taken over by the first that claims. The read of the upstreams is repeated beside a silent one after 0.5 and 1 s. An owner that can write and not read keeps the ownership for 3 s, where others claimed after 1.5 s before.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_topic_tail.py
@@ -17,6 +17,7 @@
 
 from ..decision_log import DecisionLog
 from ._clock import boot_seconds, loggable_age
+from ._repeated_read import read_repeatedly
 
 P = TypeVar("P", RecordPage, NewestPage)
 
@@ -47,19 +48,22 @@
         on_record: Callable[[KeyedRecord], None],
         pause_seconds: float = 0.0,
         skips_superseded: bool = False,
+        repeats_silent_reads: bool = False,
     ) -> None:
         """Follow partition 0, the only one of an unpartitioned topic.
 
         A read that found records is followed by a pause of `pause_seconds`, so that
         many small changes take few calls. With `skips_superseded`, if a page leaves
         several records unread, only the newest of each key is read, so that a backlog
-        takes no longer than a start.
+        takes no longer than a start. With `repeats_silent_reads`, a read of the newest
+        records is repeated beside one that is silent, for a reader that all wait for.
         """
+        self._repeats_silent_reads = repeats_silent_reads
         self._skips_superseded = skips_superseded
         self.pause_seconds = pause_seconds
         self._store = store
         self._log = log
-        self._topic = topic
+        self.topic = topic
         self._on_record = on_record
         self._next_offset: int | None = None
         # The end of the partition in the latest response.
@@ -184,7 +188,7 @@
             raise
         except Exception as error:
             # The view gets old, and then rejects what it can't answer.
-            self._log.error("read-failed", error, topic=self._topic)
+            self._log.error("read-failed", error, topic=self.topic)
             raise StoreUnknownOutcomeError(f"unexpected error: {error!r}") from error
         finally:
             self._has_nothing_arriving.set()
@@ -199,12 +203,10 @@
         requested_at = boot_seconds()
         try:
             page = await self._receive(
-                lambda on_data: self._store.read(
-                    self._topic, 0, start, wait_ms, on_data
-                )
+                lambda on_data: self._store.read(self.topic, 0, start, wait_ms, on_data)
             )
         except StoreExpiredError:
-            self._log.info("topic-read-anew", topic=self._topic, offset=start)
+            self._log.info("topic-read-anew", topic=self.topic, offset=start)
             self._next_offset = None
             return 0
         self._count_read(requested_at, page.size_bytes)
@@ -225,11 +227,7 @@
         # low-bandwidth shared link, all of them may take longer than one call.
         while True:
             requested_at = boot_seconds()
-            page = await self._receive(
-                lambda on_data: self._store.read_newest(
-                    self._topic, 0, self._newest_last_key, on_data
-                )
-            )
+            page = await self._receive(self._request_newest)
             self._count_read(requested_at, page.size_bytes)
             self._end_offset = page.end_offset
             if self._newest_end_offset is None:
@@ -254,6 +252,18 @@
         # faster than they arrive.
         self.confirmed_at = max(self.confirmed_at, self._newest_requested_at)
 
+    async def _request_newest(self, on_data: Callable[[int], None]) -> NewestPage:
+        def request() -> Awaitable[NewestPage]:
+            return self._store.read_newest(
+                self.topic, 0, self._newest_last_key, on_data
+            )
+
+        if self._repeats_silent_reads:
+            return await read_repeatedly(
+                request, lambda: not self._has_nothing_arriving.is_set()
+            )
+        return await request()
+
     def _skip_superseded(self, end_offset: int) -> None:
         if not self._skips_superseded or self._next_offset is None:
             return
@@ -261,7 +271,7 @@
         if unread_count >= MIN_SKIPPED_RECORDS:
             self._log.info(
                 "backlog-skipped",
-                topic=self._topic,
+                topic=self.topic,
                 offset=self._next_offset,
                 records=unread_count,
             )
@@ -287,7 +297,7 @@
             self._log_skipped(record.key, repr(error))
 
     def _log_skipped(self, key: str, reason: str) -> None:
-        self._log.info("record-skipped", topic=self._topic, key=key, reason=reason)
+        self._log.info("record-skipped", topic=self.topic, key=key, reason=reason)
 
     async def _receive(
         self, read: Callable[[Callable[[int], None]], Awaitable[P]]
@@ -297,7 +307,7 @@
 
         def note_data(received_bytes: int) -> None:
             nonlocal most_received
-            most_received = received_bytes
+            most_received = max(most_received, received_bytes)
             self._has_nothing_arriving.clear()
             if received_bytes > self._wasted_bytes:
                 self._data_at = boot_seconds()
@@ -314,18 +324,18 @@
     def _count_read(self, requested_at: float, size_bytes: int) -> None:
         metrics = self._log.metrics
         seconds = boot_seconds() - requested_at
-        metrics.store_read_seconds.labels(self._topic).observe(seconds)
-        metrics.store_read_bytes.labels(self._topic).inc(size_bytes)
+        metrics.store_read_seconds.labels(self.topic).observe(seconds)
+        metrics.store_read_bytes.labels(self.topic).inc(size_bytes)
 
     def _log_failure(self, error: StoreError) -> None:
-        self._log.metrics.store_read_failures.labels(self._topic).inc()
+        self._log.metrics.store_read_failures.labels(self.topic).inc()
         self._failed_reads += 1
         self.failed_at = boot_seconds()
         if self._is_reachable:
             self._is_reachable = False
             self._log.info(
                 "store-lost",
-                topic=self._topic,
+                topic=self.topic,
                 reason=str(error),
                 view_seconds=loggable_age(self.age()),
             )
@@ -334,7 +344,7 @@
         self._is_reachable = True
         self._log.info(
             "store-regained",
-            topic=self._topic,
+            topic=self.topic,
             failed_reads=self._failed_reads,
             read_seconds=round(boot_seconds() - requested_at, 3),
             size_bytes=size_bytes,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -17,7 +17,6 @@
     KeyedRecord,
     ProcessSettings,
     StoreClient,
-    StoreError,
     StoreFencedError,
     StoreSequenceError,
     UpstreamFencedError,
@@ -46,6 +45,7 @@
 from ._progress_writer import ProgressWriter
 from ._round_watch import RoundWatch
 from ._takeover_policy import make_policy
+from ._takeover_reads import read_topics
 from ._upstream_poller import UpstreamPoller
 
 # Maximum interval between rounds, which check due times and expired leases.
@@ -54,7 +54,6 @@
 MAX_KEY_BYTES = 32
 # Errors that show that another process owns the placement.
 OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
-TAKEOVER_RETRY_SECONDS = 0.1
 # A takeover adds so many jobs at a time: others wait for a heartbeat, and callers for
 # responses.
 JOBS_PER_TURN = 200
@@ -188,11 +187,19 @@
             await self._wait_for_wake()
 
     async def _take_over(self) -> None:
-        tail = TopicTail(self._store, self._log, UPSTREAM_TOPIC, self._on_upstream)
-        # The claim is stored, so no earlier owner can append records after this read.
-        await asyncio.gather(
-            self._catch_up(self._views.catch_up), self._catch_up(tail.catch_up)
+        tail = TopicTail(
+            self._store,
+            self._log,
+            UPSTREAM_TOPIC,
+            self._on_upstream,
+            repeats_silent_reads=True,
         )
+        # The claim is stored, so no earlier owner can append records after this read.
+        if not await self._read_topics(tail):
+            # Heartbeats would keep others from the ownership. They claim at once now.
+            await self._writer.announce_leaving()
+            self._ownership.end_after_error(self._epoch, "unread")
+            return
         self._views.on_change = self._on_change
         self._views.set_is_owner(True)
         self._apply_configuration()
@@ -238,14 +245,23 @@
                 self._scheduler.cancel_job(job.id)
         await self._writer.write_heartbeat()
 
-    async def _catch_up(self, read: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            try:
-                await read()
-                return
-            except StoreError as error:
-                self._log.info("take-over-waits", reason=str(error))
-                await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
+    async def _read_topics(self, tail: TopicTail) -> bool:
+        """Read all topics, and store heartbeats meanwhile; return if all were read."""
+        views = self._views
+        reads = (
+            (views.operator_tail, views.operator_tail.catch_up),
+            (views.jobs_tail, views.jobs_tail.catch_up),
+            (views.progress_tail, views.catch_up_progress),
+            (tail, tail.catch_up),
+        )
+        task = asyncio.get_running_loop().create_task(read_topics(reads, self._log))
+        self._start_task(self._store_heartbeats(task))
+        return await task
+
+    async def _store_heartbeats(self, reads: "asyncio.Task[bool]") -> None:
+        while not reads.done():
+            await self._writer.write_heartbeat()
+            await asyncio.wait((reads,), timeout=MAX_IDLE_SECONDS)
 
     async def _run_round(self) -> None:
         self._round_watch.enter("changes")
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -170,10 +170,10 @@
         self.epoch = None
         self._notify_changed()
 
-    def end_after_error(self, epoch: int) -> None:
-        """End the ownership after an unexpected error, and claim none for a while."""
+    def end_after_error(self, epoch: int, reason: str = "unexpected error") -> None:
+        """End the ownership after an error, and claim none for a while."""
         self._no_claim_until = boot_seconds() + ERROR_BACKOFF_SECONDS
-        self.end("unexpected error", epoch)
+        self.end(reason, epoch)
 
     def stop(self) -> None:
         """End the ownership because the process stops; `Owner.run` announces that."""
