--- a/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/platform_deployment.py
@@ -17,6 +17,8 @@
 
 from baobablane_daemon import serve_on_platform
 from baobablane_daemon.decision_log import DecisionLog
+from baobablane_daemon.jobs import JOBS_TOPIC
+from baobablane_daemon.jobs._views import PEER_PREFIX
 
 # Far longer than any step here takes, so only a hang reaches it.
 HANG_TIMEOUT_SECONDS = 60.0
@@ -58,7 +60,9 @@
         self.session = session
         self.entries = []
 
-    async def start_entry(self, name, link_mbit=1000.0, metrics_address=""):
+    async def start_entry(
+        self, name, link_mbit=1000.0, metrics_address="", feed_address=""
+    ):
         """Start an entry instance and wait until it is ready."""
         address = f"{HOST}:{find_free_port()}"
         store = self.platform.address
@@ -73,6 +77,7 @@
             self.limits,
             metrics_address=metrics_address,
             link_mbit=link_mbit,
+            feed_address=feed_address,
         )
         stop = asyncio.Event()
         coroutine = serve_on_platform(settings, DecisionLog(name), stop)
@@ -136,6 +141,12 @@
             if start[0].startswith(job)
         ]
 
+    def peers(self):
+        """Return the entry instances that are registered as successors."""
+        newest = self.platform.store.partition(JOBS_TOPIC, 0).newest
+        keys = [key for key in newest if key.startswith(PEER_PREFIX)]
+        return {key.removeprefix(PEER_PREFIX) for key in keys}
+
     async def is_ready(self, entry):
         """Return whether an entry instance is ready for callers."""
         try:
