Keep the ownership of a stopping process until another can take it

Cause: a stopping owner ended its ownership at once, and a stopping process claimed no more; a claim on its way was dropped, so that its record kept others from claiming. If all are stopped within 2.7 s, nobody owned for 1.1 s, twice, while jobs were accepted. Change: a stopping instance deletes its peer/ record. The owner goes on until another is listed, from 0.2 to 2.1 s after the signal; a claim on its way is kept; the last one that stops may claim. The servers finish what was read as before.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -31,6 +31,7 @@
     make_holder,
     register_peer,
     register_state_reader,
+    unregister_peer,
 )
 from .owner import (
     Candidacy,
@@ -39,12 +40,15 @@
     Succession,
     has_wide_link,
     is_large,
+    keep_until_succeeded,
     open_link,
 )
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # The balancer routes elsewhere after two failed checks of one second each.
 BALANCER_DETECTION_SECONDS = 2.3
+# The end of the ownership is announced within the rest of that time.
+KEEP_OWNERSHIP_SECONDS = BALANCER_DETECTION_SECONDS - 0.2
 # Time within the platform's stop grace period for the servers to finish the requests
 # that they have already read.
 FINISH_TIMEOUT_SECONDS = 2.0
@@ -141,9 +145,19 @@
         await wait_for_stop(stop, tasks)
         log.info("stopping")
         actions.is_stopping = True
+        detection = loop.create_task(asyncio.sleep(BALANCER_DETECTION_SECONDS))
+        tasks.append(detection)
+        if succession.is_registered:
+            unregister = unregister_peer(settings.instance, views, job_writer, log)
+            tasks.append(loop.create_task(unregister))
+            await keep_until_succeeded(
+                ownership,
+                lambda: bool(views.peer_by_instance.keys() - {settings.instance}),
+                KEEP_OWNERSHIP_SECONDS,
+            )
         ownership_task.cancel()
         ownership.stop()
-        await asyncio.sleep(BALANCER_DETECTION_SECONDS)
+        await detection
         for server in servers:
             server.should_exit = True
         await asyncio.wait(server_tasks, timeout=FINISH_TIMEOUT_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/__init__.py
@@ -14,7 +14,7 @@
 )
 from ._owner_load import OwnerLoad
 from ._peer import Peer
-from ._registration import register_peer, register_state_reader
+from ._registration import register_peer, register_state_reader, unregister_peer
 from ._repeated_append import append_repeatedly
 from ._topic_tail import TopicTail
 from ._views import (
@@ -64,4 +64,5 @@
     "register_peer",
     "register_state_reader",
     "unix_ms",
+    "unregister_peer",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_registration.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_registration.py
@@ -33,6 +33,14 @@
     await _store(record, views, job_writer, log)
 
 
+async def unregister_peer(
+    instance: str, views: Views, job_writer: JobWriter, log: DecisionLog
+) -> None:
+    """Tell other instances that this one stops, so that it is no successor."""
+    record = KeyedRecord(PEER_PREFIX + instance, None)
+    await _store(record, views, job_writer, log)
+
+
 async def _store(
     record: KeyedRecord, views: Views, job_writer: JobWriter, log: DecisionLog
 ) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
@@ -4,6 +4,7 @@
 from ._owner import Owner
 from ._owner_link import open_link
 from ._ownership import Ownership
+from ._planned_stop import keep_until_succeeded
 from ._succession import Succession
 
 __all__ = [
@@ -13,5 +14,6 @@
     "Succession",
     "has_wide_link",
     "is_large",
+    "keep_until_succeeded",
     "open_link",
 ]
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -175,6 +175,10 @@
         self._no_claim_until = boot_seconds() + ERROR_BACKOFF_SECONDS
         self.end(reason, epoch)
 
+    def allow_claims(self, is_allowed: bool) -> None:
+        """Send claims only if allowed, as the process stops; one on its way may win."""
+        self._no_claim_until = float("-inf" if is_allowed else "inf")
+
     def stop(self) -> None:
         """End the ownership because the process stops; `Owner.run` announces that."""
         self.is_stopping = True
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
@@ -47,6 +47,8 @@
         self._contact: OwnerContact | None = None
         self._task: asyncio.Task[None] | None = None
         self._suspicion: Suspicion | None = None
+        # Whether others have been told where to watch this instance.
+        self.is_registered = False
 
     async def run(self) -> None:
         """Open the link after the start, and follow the owner until cancelled."""
@@ -57,6 +59,7 @@
                 self._link = self._open_link()
                 if self._link.is_open:
                     await self._register()
+                    self.is_registered = True
             while True:
                 self._check_store(boot_seconds())
                 self._follow_owner()
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_planned_stops.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_planned_stops.py
@@ -9,7 +9,7 @@
 
 
 async def start_watched(deployment, count):
-    """Start entry instances that watch one another, until each is registered."""
+    """Start entry instances that watch one another, until one owns."""
     for number in range(count):
         await deployment.start_entry(
             f"entry-{number}", feed_address=f"{HOST}:{find_free_port()}"
@@ -19,6 +19,10 @@
         return len(deployment.peers()) == count
 
     await deployment.wait_for(are_registered)
+    for number, entry in enumerate(deployment.entries):
+        job = f"{number:016x}"
+        assert await deployment.submit(entry, job) == 200
+        await deployment.wait_for_state(entry, "completed", job)
 
 
 class TestStops:
