Date the end of an owner by no clock that may be stepped

Cause: a process that has just started dated the heartbeat of the owner before by the time of day. With a clock that is 2 or 5 s ahead, it took leases for expired that had 0.9 to 2.7 s left: a task ran twice in 3 cases. Change: such a heartbeat counts as sent when it was read, or 5.5 s after its time if that is sooner; a process that was replaced had ended when its successor started, whatever it recorded. In the same review: a claim that is read back counts from its first attempt; unknown leases count from the beginning of a takeover, not from the reads; the announcement of an owner's end is its last heartbeat and has 0.5 s before the servers end; an owner that could not read claims again after 1.5 s in place of 6 s.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -34,6 +34,7 @@
     unregister_peer,
 )
 from .owner import (
+    LEAVE_TIMEOUT_SECONDS,
     Candidacy,
     Owner,
     Ownership,
@@ -48,7 +49,7 @@
 # The balancer routes elsewhere after two failed checks of one second each.
 BALANCER_DETECTION_SECONDS = 2.3
 # The end of the ownership is announced within the rest of that time.
-KEEP_OWNERSHIP_SECONDS = BALANCER_DETECTION_SECONDS - 0.2
+KEEP_OWNERSHIP_SECONDS = BALANCER_DETECTION_SECONDS - LEAVE_TIMEOUT_SECONDS
 # Time within the platform's stop grace period for the servers to finish the requests
 # that they have already read.
 FINISH_TIMEOUT_SECONDS = 2.0
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
@@ -29,8 +29,9 @@
     # Counted from 0 in each epoch.
     number: int = 0
     lease_bounds: LeaseBounds = NO_BOUNDS
-    # `received_at` is by the timestamp: the clocks of two instances may differ.
-    is_dated_by_clock: bool = False
+    # When it was first read, if `received_at` is by the timestamp, whose clock may
+    # differ from this one.
+    read_at: float | None = None
 
     def is_older_than(self, other: "OwnerHeartbeat") -> bool:
         """Return whether `other` was sent later.
@@ -101,14 +102,14 @@
     if previous is None:
         # It may come from an owner that was lost before this process started.
         received_at = now - max(0.0, (unix_ms - heartbeat.at_ms) / 1000)
-        is_dated_by_clock = True
+        read_at: float | None = now
     elif _identity(heartbeat) == _identity(previous):
         # The topic was read again from the start.
         received_at = previous.received_at
-        is_dated_by_clock = previous.is_dated_by_clock
+        read_at = previous.read_at
     else:
         # The owner's clock may differ from this one, so the time of arrival is used.
-        received_at, is_dated_by_clock = now, False
+        received_at, read_at = now, None
     renewal_age_ms = heartbeat.earlier_renewal_age_ms
     return OwnerHeartbeat(
         received_at,
@@ -122,7 +123,7 @@
             heartbeat.lease_bounds,
             None if renewal_age_ms is None else renewal_age_ms / 1000,
         ),
-        is_dated_by_clock,
+        read_at,
     )
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
@@ -57,7 +57,7 @@
         )
         heartbeat = decode_owner_heartbeat(record, None, UNIX_MS, 50.0)
         assert heartbeat.lease_bounds == self.BOUNDS
-        assert heartbeat.is_dated_by_clock
+        assert heartbeat.read_at == 50.0
 
     def test_record_of_an_older_version_tells_nothing(self):
         record = b'{"at_ms":1,"epoch":1,"holder":"a","is_large":true}'
--- a/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/__init__.py
@@ -5,9 +5,11 @@
 from ._owner_link import open_link
 from ._ownership import Ownership
 from ._planned_stop import keep_until_succeeded
+from ._progress_writer import LEAVE_TIMEOUT_SECONDS
 from ._succession import Succession
 
 __all__ = [
+    "LEAVE_TIMEOUT_SECONDS",
     "Candidacy",
     "Owner",
     "Ownership",
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -55,6 +55,8 @@
 MAX_KEY_BYTES = 32
 # Errors that show that another process owns the placement.
 OWNERSHIP_ERRORS = (StoreFencedError, StoreSequenceError, UpstreamFencedError)
+# An owner that could not read lets others claim first for this long.
+UNREAD_BACKOFF_SECONDS = 1.5
 # A takeover adds so many jobs at a time: others wait for a heartbeat, and callers for
 # responses.
 JOBS_PER_TURN = 200
@@ -90,13 +92,15 @@
         self._epoch = epoch
         self._send_message = send_message
         inherited_leases = ownership.inherited_leases()
+        now = boot_seconds()
         self._scheduler = Scheduler(
             replace(
-                make_policy(ownership.last_renewal_age(boot_seconds())),
+                make_policy(ownership.last_renewal_age(now)),
                 divides_by_account=settings.divides_by_account,
                 max_lease_seconds=settings.limits.max_lease_seconds,
             ),
             inherited_leases,
+            now,
         )
         self._lease_record = LeaseRecord(
             self._scheduler,
@@ -213,7 +217,9 @@
         if not await self._read_topics(tail):
             # Heartbeats would keep others from the ownership. They claim at once now.
             await self._writer.announce_leaving()
-            self._ownership.end_after_error(self._epoch, "unread")
+            self._ownership.end_after_error(
+                self._epoch, "unread", UNREAD_BACKOFF_SECONDS
+            )
             return
         self._views.on_change = self._on_change
         self._views.set_is_owner(True)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -57,6 +57,8 @@
 # The clocks of two entry instances may differ by this much. A process that read the
 # last heartbeat at its start knows its age from both.
 MAX_CLOCK_DIFFERENCE_SECONDS = 0.5
+# The same on days on which clocks are stepped.
+MAX_CLOCK_STEP_SECONDS = 5.5
 # No lease lasts for as long, so a greater age tells no more.
 MAX_RENEWAL_AGE_SECONDS = 60.0
 # A start, or an order for an instance, is sent only if the ownership was confirmed
@@ -91,7 +93,8 @@
         self._candidacy = candidacy
         self._last_epoch = 0
         self._no_claim_until = 0.0
-        # When the claim was sent, at the earliest.
+        # The epoch that was claimed last, and when that was tried first.
+        self._claimed_epoch = 0
         self.claimed_at = 0.0
         # Nobody has owned before the claim.
         self._is_first = False
@@ -188,7 +191,7 @@
             holder_instance(heartbeat.holder) == self.instance
             and heartbeat.holder != self.holder
         ):
-            latest_renewal = min(latest_renewal, self._started_at)
+            latest_renewal = self._started_at
         return now - max(latest_renewal, sent_at - earlier_age)
 
     def earlier_renewal_age(self, now: float) -> float:
@@ -218,9 +221,14 @@
         self.epoch = None
         self._notify_changed()
 
-    def end_after_error(self, epoch: int, reason: str = "unexpected error") -> None:
+    def end_after_error(
+        self,
+        epoch: int,
+        reason: str = "unexpected error",
+        backoff_seconds: float = ERROR_BACKOFF_SECONDS,
+    ) -> None:
         """End the ownership after an error, and claim none for a while."""
-        self._no_claim_until = boot_seconds() + ERROR_BACKOFF_SECONDS
+        self._no_claim_until = boot_seconds() + backoff_seconds
         self.end(reason, epoch)
 
     def allow_claims(self, is_allowed: bool) -> None:
@@ -265,6 +273,8 @@
             return
         heartbeat = self._previous_heartbeat = self._views.owner_heartbeat
         epoch = heartbeat.epoch + 1 if heartbeat else 1
+        if epoch != self._claimed_epoch:
+            self._claimed_epoch, self.claimed_at = epoch, now
         self._inherited = _decode_inherited(heartbeat)
         self._is_first = heartbeat is None
         self._begun_at = now
@@ -321,9 +331,10 @@
             self._is_first = False
         if claim is not None:
             self._inherited = _decode_inherited(claim)
+        if epoch != self._claimed_epoch:
+            # A later claim of this process has failed since.
+            self.claimed_at = requested_at - MAX_LEASE_AFTER_HEARTBEAT_SECONDS
         self._begun_at = boot_seconds()
-        # Its claim was sent by the latest attempt, or by one before that.
-        self.claimed_at = requested_at - (2 * CLAIM_TIMEOUT_SECONDS if claim else 0.0)
         self.epoch = self._last_epoch = epoch
         self.confirm(requested_at)
         self._log.info("owner-begins", epoch=epoch)
@@ -342,6 +353,6 @@
 
 def _latest_sending(heartbeat: OwnerHeartbeat) -> float:
     """Return the latest time at which a heartbeat was sent, on the monotonic clock."""
-    if heartbeat.is_dated_by_clock:
-        return heartbeat.received_at + MAX_CLOCK_DIFFERENCE_SECONDS
-    return heartbeat.received_at
+    if heartbeat.read_at is None:
+        return heartbeat.received_at
+    return min(heartbeat.read_at, heartbeat.received_at + MAX_CLOCK_STEP_SECONDS)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_progress_writer.py
@@ -70,6 +70,8 @@
     ) -> None:
         """Write under an epoch whose claim was its first record."""
         self._lease_record = lease_record
+        # The end of the ownership is the last heartbeat.
+        self._is_leaving = False
         # Of the latest heartbeat; the claim was a heartbeat, too.
         self._number = 0
         self._holder = holder
@@ -112,6 +114,7 @@
 
     async def announce_leaving(self) -> None:
         """Store the end of the ownership, unless the store is too slow."""
+        self._is_leaving = True
         heartbeat = self._make_heartbeat(is_leaving=True)
         try:
             async with asyncio.timeout(LEAVE_TIMEOUT_SECONDS):
@@ -145,7 +148,7 @@
         return [self._make_heartbeat()]
 
     def _is_heartbeat_due(self) -> bool:
-        return (
+        return not self._is_leaving and (
             boot_seconds() - self._last_heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS
             or self._lease_record.is_outdated()
         )
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
@@ -356,7 +356,11 @@
     pass
 
 
-def run_with_clocks(coroutine):
-    """Run a coroutine in virtual time, which Unix time follows."""
-    with mock.patch(UNIX_CLOCK, boot_seconds):
+def run_with_clocks(coroutine, step=None):
+    """Run a coroutine in virtual time, which Unix time follows.
+
+    `step` is called for by how much the Unix clock has been stepped.
+    """
+    step = step or (lambda: 0.0)
+    with mock.patch(UNIX_CLOCK, lambda: boot_seconds() + step()):
         return run_in_virtual_time(coroutine)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -17,7 +17,6 @@
     MAX_LEASE_AFTER_HEARTBEAT_SECONDS,
 )
 from baobablane_daemon.owner._ownership import (
-    MAX_CLOCK_DIFFERENCE_SECONDS,
     MAX_UNCONFIRMED_SECONDS,
     Ownership,
 )
@@ -76,13 +75,25 @@
         whole_leases = MAX_LEASE_AFTER_HEARTBEAT_SECONDS - LEASE_SECONDS
         assert ownership.last_renewal_age(NOW) <= 1.5 - whole_leases
 
-    def test_time_by_another_clock_is_uncertain(self):
+    @pytest.mark.parametrize(("age", "read_age"), [(1.5, 0.2), (9.0, 8.0)])
+    def test_time_by_another_clock_is_uncertain(self, age, read_age):
+        """Guards against two runs after a clock was stepped by some seconds."""
         bounds = LeaseBounds({}, 20.0)
         ownership = make_ownership(
-            1.5, lease_bounds=bounds, is_leaving=True, is_dated_by_clock=True
+            age, lease_bounds=bounds, is_leaving=True, read_at=NOW - read_age
         )
-        age = ownership.last_renewal_age(NOW)
-        assert age == pytest.approx(1.5 - MAX_CLOCK_DIFFERENCE_SECONDS)
+        expected = pytest.approx(max(read_age, age - 5.5))
+        assert ownership.last_renewal_age(NOW) == expected
+
+    def test_replaced_process_had_ended_whatever_its_clock_showed(self):
+        ownership = make_ownership(
+            9.0,
+            holder="i-0",
+            lease_bounds=LeaseBounds({}, 20.0),
+            read_at=NOW - 0.1,
+        )
+        ownership._started_at = NOW - 0.3
+        assert ownership.last_renewal_age(NOW) == pytest.approx(0.3)
 
     def test_owner_without_a_known_one_before_it_tells_the_least_age(self):
         ownership = make_ownership(1.5, epoch=5)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
@@ -130,6 +130,32 @@
 
         run_with_clocks(scenario())
 
+    @pytest.mark.parametrize("is_killed", [True, False], ids=["killed", "stopped"])
+    @pytest.mark.parametrize("instance", ["a", "b"])
+    @pytest.mark.parametrize("seconds", [-5.0, 0.4, 2.0, 5.0])
+    def test_clock_is_stepped(self, seconds, instance, is_killed):
+        """Guards against two runs: a heartbeat seemed to be older than it was."""
+        steps = [0.0]
+
+        async def scenario():
+            async with run_chain(2, SLOWEST_CLOCK_RATE) as chain:
+                chain.put_long_running_job(JOB)
+                process = await chain.begin_owner("a")
+                name = await wait_for_run(chain)
+                await asyncio.sleep(10.0)
+                chain.upstreams[name].reach = Reach.RESET
+                await (process.kill() if is_killed else process.stop())
+                steps[0] = seconds
+                await asyncio.sleep(0.2)
+                await chain.begin_owner(instance)
+                await asyncio.sleep(12.0)
+                assert len(chain.starts) > 1
+                assert not chain.double_runs
+                at = chain.starts[-1][0]
+                assert at > chain.upstreams[name].lapsed_by() + KILL_SECONDS
+
+        run_with_clocks(scenario(), lambda: steps[0])
+
     @pytest.mark.parametrize("phase", range(20))
     def test_claim_soon_after_its_last_heartbeat(self, phase):
         """Guards against two runs: it renews leases for 4 s after its confirmation."""
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -1,5 +1,6 @@
 """Make the owner's scheduling decisions, without any input or output."""
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 from types import MappingProxyType
@@ -46,12 +47,15 @@
         self,
         policy: SchedulingPolicy,
         inherited: Mapping[str, InheritedLease] = MappingProxyType({}),
+        began_at: float = math.inf,
     ) -> None:
         """Start without jobs; all times are in seconds of one monotonic clock.
 
         `inherited` holds, by upstream, the leases of which earlier owners knew the end.
+        The unknown leases of all others count from `began_at`, or from the time at
+        which an upstream is first seen if that is sooner.
         """
-        self.state = SchedulerState(policy, inherited)
+        self.state = SchedulerState(policy, inherited, began_at)
         self.fleet = FleetView(self.state)
         self._pace_orders: list[PaceOrder] = []
 
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -37,10 +37,14 @@
     """Hold jobs, upstreams and usage; runs are added and removed only here."""
 
     def __init__(
-        self, policy: SchedulingPolicy, inherited: Mapping[str, InheritedLease]
+        self,
+        policy: SchedulingPolicy,
+        inherited: Mapping[str, InheritedLease],
+        began_at: float,
     ) -> None:
         """Start without jobs and upstreams; leases are `inherited` by upstream."""
         self.policy = policy
+        self._began_at = began_at
         self.inherited_by_upstream = inherited
         self.configuration = Configuration(0)
         # Zones in which nothing may start, and whether anything may start at all.
@@ -187,6 +191,7 @@
     ) -> Upstream:
         """Track an upstream that is not tracked yet."""
         upstream = Upstream(entry, now, is_listed=is_listed)
+        upstream.owned_since = min(now, self._began_at)
         inherited = self.inherited_by_upstream.get(entry.id)
         if inherited is not None and inherited.incarnation == entry.incarnation:
             upstream.inherited_lease = inherited
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -79,6 +79,9 @@
     lease: LeaseTracker | None = None
     # Of this incarnation, as recorded by earlier owners that did not reach it.
     inherited_lease: InheritedLease | None = None
+    # From when on its unknown leases count: it may have been found some time after the
+    # takeover began.
+    owned_since: float = field(init=False)
     # This owner reached the incarnation before, so no earlier one granted leases here.
     began_after_contact: bool = False
     # Whether leases may be granted. Not as long as the next owner might read that
@@ -124,6 +127,10 @@
     # Numbers of the runs that it reports unexpectedly, by task; they are stopped.
     orphan_runs: dict[TaskId, int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Count unknown leases from the time at which it was found."""
+        self.owned_since = self.added_at
+
     @property
     def id(self) -> str:
         """Return the upstream's id."""
@@ -233,7 +240,7 @@
         elif self.inherited_lease is not None:
             expiry = self.inherited_lease.expires_at
         else:
-            expiry = self.added_at + unknown_lease_seconds
+            expiry = self.owned_since + unknown_lease_seconds
         return max(expiry, self.earlier_lease_until)
 
     def latest_return(self, policy: SchedulingPolicy) -> float:
