--- a/soak/_calm.py
+++ b/soak/_calm.py
@@ -12,11 +12,11 @@
 
 
 class Calm:
-    """Tell since when no disturbance has been in force.
+    """Tell since when no disruption has been in force.
 
     An entry instance is disturbed from a signal until it is started or goes on, and by
     faults on its own links while they last; the store while its faults last. An
-    upstream that stays away is no disturbance: its crash, and the begin and the end of
+    upstream that stays away is no disruption: its crash, and the begin and the end of
     its rejections and of a fault between it and all entry instances, are moments.
     Maintenance, other orders of the operator and returns of upstreams are none.
     """
