--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -167,6 +167,7 @@
             self._limits.count_another()
             for upstream in {u.id: u for _, u in chosen}.values():
                 self._room.take(self._pool, upstream)
+                self._state.waits.trial_count += 1
                 trial = _Trial(upstream, candidate.expected_causes)
                 self._trials.append(trial)
         elif not self._await_contact(candidate, advised) and may_use_busy:
--- a/packages/baobablane/baobablane/scheduling/_wait_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_evidence.py
@@ -50,6 +50,8 @@
         is_restored=lost.is_restored if lost else None,
         losses=len(task.losses),
         late_losses=len(state.late_losses.losses_by_task.get(task_id, ())),
+        suspects=len(state.suspects.held_until),
+        trials=state.waits.trial_count,
         silent_seconds=_rounded(None if seen_at is None else now - seen_at),
         ends_in_seconds=_rounded(bound.ends_at - now if bound else None),
         since=bound.since if bound else None,
--- a/packages/baobablane/baobablane/scheduling/_wait_inputs.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_inputs.py
@@ -17,6 +17,10 @@
     # Runs lost soon after their start, and runs lost after they had settled.
     losses: int = 0
     late_losses: int = 0
+    # Tasks of all jobs that are suspected of a crash, and the upstreams on which this
+    # owner has begun trials so far.
+    suspects: int = 0
+    trials: int = 0
     # For how long the upstream of the run has not responded to this owner. None if it
     # never did.
     silent_seconds: float | None = None
--- a/packages/baobablane/baobablane/scheduling/_wait_table.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_table.py
@@ -23,5 +23,7 @@
     # Each is kept until its task starts again.
     lost_run_by_task: dict[TaskId, LostRun] = field(default_factory=dict)
     checked_at: float = float("-inf")
+    # Number of upstreams on which this owner has begun trials.
+    trial_count: int = 0
     # When it was last logged that a check raised an error.
     error_logged_at: float = float("-inf")
--- a/packages/baobablane/baobablane/scheduling/tests/test_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_waits.py
@@ -122,6 +122,22 @@
         """Return the latest line of an event on the task."""
         return [e for e in fleet.scheduler.pop_events() if e.event == event][-1]
 
+    def test_suspects_tell_how_many_there_are_and_the_trials_so_far(self):
+        """Guards against a line from which trials in series can't be told."""
+        fleet = WaitingFleet()
+        add(fleet, make_job(make_step(9, is_lasting=True), name=JOB))
+        fleet.place()
+        lost = ("u0", "u1", "u2")
+        count = sum(len(fleet.upstreams[name].running) for name in lost)
+        for name in lost:
+            fleet.remove(name)
+        lines = []
+        while fleet.missing():
+            fleet.advance(0.25)
+            lines += [e.wait for e in fleet.scheduler.pop_events() if e.wait]
+        assert max(wait.suspects for wait in lines) == count > 3
+        assert lines[0].trials == 0 < lines[-1].trials
+
     def test_lease_that_this_owner_renewed(self):
         fleet, task = self.start()
         fleet.silence(task.upstream, 9.0)
