Tell the next owner which runs have settled

Cause: that a run has settled was known only from a response after its confirmation, and a restored run was confirmed by the takeover. So each run of an upstream that the new owner never reached was suspected of the loss, whatever its age, and needed a trial. Knowledge of one owner that did not outlive it. Change: the record of a task has the start of its latest run (start_ms, in the place of trial_ms, which held it for trials alone), and heartbeats and claims tell by when all runs that have not settled were started later (settled_ms). A lost run counts as not settled until its loss is recorded. Why it works: a run that crashes its upstream as it starts is not settled in any heartbeat, as no response follows it.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_lease_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_lease_bounds.py
@@ -24,3 +24,6 @@
     # For how many seconds no owner before this one had renewed any other lease;
     # negative if it may still do so. None if the owner's version does not tell it.
     earlier_renewal_age: float | None = None
+    # Runs that were started by then, in Unix milliseconds, have settled; 0 if that is
+    # unknown.
+    settled_ms: int = 0
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_owner_heartbeat.py
@@ -63,6 +63,7 @@
     number: int = 0
     lease_bounds: dict[str, UpstreamBound] = {}
     earlier_renewal_age_ms: int | None = None
+    settled_ms: int = 0
 
 
 def encode_owner_heartbeat(
@@ -86,6 +87,7 @@
             number,
             dict(lease_bounds.by_upstream),
             None if renewal_age is None else math.floor(renewal_age * 1000),
+            lease_bounds.settled_ms,
         )
     )
 
@@ -122,6 +124,7 @@
         LeaseBounds(
             heartbeat.lease_bounds,
             None if renewal_age_ms is None else renewal_age_ms / 1000,
+            heartbeat.settled_ms,
         ),
         read_at,
     )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_owner_heartbeat.py
@@ -49,7 +49,7 @@
 class TestLeaseBounds:
     """Test what the next owner reads of leases that an owner does not renew."""
 
-    BOUNDS = LeaseBounds({"u0": UpstreamBound(7, 1_250, 3)}, -0.25)
+    BOUNDS = LeaseBounds({"u0": UpstreamBound(7, 1_250, 3)}, -0.25, 1_765_000)
 
     def test_bounds_are_decoded_as_recorded(self):
         record = encode_owner_heartbeat(
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
@@ -64,12 +64,14 @@
         """Return the bounds for a heartbeat, which is to be sent now."""
         self._sent_at = now
         leases = self._inherited
+        settled_ms = self._scheduler.state.settled_ms
         if self._is_complete:
             leases = self._scheduler.inheritable_leases(self._epoch, now)
+            settled_ms = self._scheduler.settled_ms(now)
             self._sent = frozenset(leases)
             self._scheduler.allow_leases(self.may_grant)
         return LeaseBounds(
-            encode_inherited(leases, now), self._earlier_renewal_age(now)
+            encode_inherited(leases, now), self._earlier_renewal_age(now), settled_ms
         )
 
     def note_stored(self) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -101,6 +101,7 @@
             ),
             inherited_leases,
             now,
+            ownership.settled_ms,
         )
         self._lease_record = LeaseRecord(
             self._scheduler,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -101,6 +101,9 @@
         # When the ownership began, at the latest.
         self._begun_at = 0.0
         self._inherited: dict[str, InheritedLease] = {}
+        # Runs that were started by then had settled under an earlier owner; 0 if that
+        # is unknown. In Unix milliseconds; the claim tells it.
+        self.settled_ms = 0
         # By then, the process that this one replaces had ended.
         self._started_at = boot_seconds()
         # The heartbeat before this process's claim; None if it is unknown.
@@ -276,6 +279,7 @@
         if epoch != self._claimed_epoch:
             self._claimed_epoch, self.claimed_at = epoch, now
         self._inherited = _decode_inherited(heartbeat)
+        self.settled_ms = heartbeat.lease_bounds.settled_ms if heartbeat else 0
         self._is_first = heartbeat is None
         self._begun_at = now
         value = encode_owner_heartbeat(
@@ -284,7 +288,9 @@
             self.holder,
             self._is_large,
             lease_bounds=LeaseBounds(
-                encode_inherited(self._inherited, now), self.earlier_renewal_age(now)
+                encode_inherited(self._inherited, now),
+                self.earlier_renewal_age(now),
+                self.settled_ms,
             ),
         )
         try:
@@ -331,6 +337,7 @@
             self._is_first = False
         if claim is not None:
             self._inherited = _decode_inherited(claim)
+            self.settled_ms = claim.lease_bounds.settled_ms
         if epoch != self._claimed_epoch:
             # A later claim of this process has failed since.
             self.claimed_at = requested_at - MAX_LEASE_AFTER_HEARTBEAT_SECONDS
--- a/packages/baobablane/baobablane/jobs/_task.py
+++ b/packages/baobablane/baobablane/jobs/_task.py
@@ -31,6 +31,6 @@
     failed_run: int = 0
     # Runs that were lost soon after their start. Empty again once a run has settled.
     losses: list[RunLoss] = []
-    # When the latest run was started as a trial, in Unix milliseconds; 0 if it was none
-    # or has settled.
-    trial_ms: int = 0
+    # When the latest run was started, in Unix milliseconds of its owner's clock; 0 if
+    # that is unknown. Earlier versions recorded it for trials alone.
+    start_ms: int = 0
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -109,6 +109,7 @@
         lost_ms=round((ended_at + state.unix_offset_seconds) * 1000),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
+    state.unrecorded_lost_starts.append(run.start_ms)
     state.suspects.add(
         run.task, upstream.id, ended_at, len(task.losses), run.is_lasting
     )
@@ -131,9 +132,13 @@
 
 
 def was_just_tried(task: Task, unix_ms: int) -> bool:
-    """Return whether a trial that is lost by now, in Unix ms, had just been started."""
+    """Return whether a trial that is lost by now, in Unix ms, had just been started.
+
+    `losses` of the task are those of the runs before it.
+    """
     # Clocks differ, so that the start may seem to be the later one.
-    return abs(unix_ms - task.trial_ms) <= MAX_UNSEEN_SECONDS * 1000
+    age_ms = abs(unix_ms - task.start_ms)
+    return bool(task.losses) and age_ms <= MAX_UNSEEN_SECONDS * 1000
 
 
 def place_labels(state: SchedulerState, upstream: Upstream) -> tuple[str, ...]:
@@ -249,7 +254,7 @@
     """Forget the losses of a task that has run without a crash."""
     if not task.losses:
         return
-    task.losses, task.trial_ms = [], 0
+    task.losses = []
     state.suspects.remove(task_id)
     state.dirty_jobs.add(task_id.job)
     state.log_decision("suspect-cleared", task_id, task.run, upstream=task.upstream)
@@ -280,13 +285,13 @@
     state: SchedulerState, run: Run, task: Task, lost: LostUpstream
 ) -> float:
     """Return from when a task is held; only long-running ones need the earliest."""
-    if not run.is_lasting or (run.is_restored and not task.trial_ms):
+    if not run.is_lasting or (run.is_restored and not task.start_ms):
         return lost.lost_at
     if not run.is_restored:
         return lost.end_of_run(run.started_at)
-    # The takeover tells nothing of its end, but a trial that had not settled may have
+    # The takeover tells nothing of its end, but a run that had not settled may have
     # ended at its start.
-    return lost.end_of_run(task.trial_ms / 1000 - state.unix_offset_seconds)
+    return lost.end_of_run(task.start_ms / 1000 - state.unix_offset_seconds)
 
 
 def _drop_losses(
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -8,6 +8,7 @@
     was_just_tried,
     withdraw_losses,
 )
+from ._known_settling import had_settled
 from ._lease_tracker import KILL_SECONDS, SLOWEST_CLOCK_RATE
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -25,8 +26,12 @@
     if found is None:
         return
     step = found[0].step
+    is_settled = had_settled(state.settled_ms, task)
+    if is_settled:
+        # The earlier owner had cleared it, which may not be recorded.
+        task.losses = []
     is_same_incarnation = upstream.entry.incarnation == task.incarnation
-    if upstream.entry.incarnation > task.incarnation:
+    if upstream.entry.incarnation > task.incarnation and not is_settled:
         _note_crash_before_takeover(
             task, upstream.entry.incarnation, place_labels(state, upstream)
         )
@@ -45,6 +50,8 @@
         target_ms=step.target_ms,
         is_trial=bool(task.losses),
         is_restored=True,
+        start_ms=task.start_ms,
+        had_settled=is_settled,
     )
     if not is_same_incarnation:
         _expect_earlier_lease(state, upstream, run, now)
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -25,6 +25,7 @@
 from ._inheritable_leases import find_inheritable
 from ._inherited_lease import InheritedLease
 from ._job_intake import resume_jobs, take_in
+from ._known_settling import find_settled_ms
 from ._lost_upstream import unstable_pools
 from ._orders import PaceOrder, StartOrder, StartResult, StopOrder
 from ._pacing import FULL_PERCENT, plan_pace_orders
@@ -48,14 +49,16 @@
         policy: SchedulingPolicy,
         inherited: Mapping[str, InheritedLease] = MappingProxyType({}),
         began_at: float = math.inf,
+        settled_ms: int = 0,
     ) -> None:
         """Start without jobs; all times are in seconds of one monotonic clock.
 
         `inherited` holds, by upstream, the leases of which earlier owners knew the end.
         The unknown leases of all others count from `began_at`, or from the time at
-        which an upstream is first seen if that is sooner.
+        which an upstream is first seen if that is sooner. Runs that were started by
+        `settled_ms`, in Unix milliseconds, had settled under an earlier owner.
         """
-        self.state = SchedulerState(policy, inherited, began_at)
+        self.state = SchedulerState(policy, inherited, began_at, settled_ms)
         self.fleet = FleetView(self.state)
         self._pace_orders: list[PaceOrder] = []
 
@@ -220,6 +223,13 @@
         """
         return find_inheritable(self.state, epoch, now)
 
+    def settled_ms(self, now: float) -> int:
+        """Return by when all runs that have not settled were started later.
+
+        The time is in Unix milliseconds; 0 if it is unknown.
+        """
+        return find_settled_ms(self.state, now)
+
     def allow_leases(self, may_grant: Callable[[str], bool]) -> None:
         """Start tasks only on the upstreams on which leases may be granted."""
         for name, upstream in self.state.upstreams.items():
@@ -365,6 +375,7 @@
             apart = self.state.apart_by_id.get(job_id)
             if apart is not None:
                 changed[job_id] = apart.recorded_progress()
+        self.state.unrecorded_lost_starts.clear()
         # A job that was just set apart is recorded with the others.
         self.state.dirty_jobs.clear()
         return changed
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -84,8 +84,9 @@
     task_id = step_run.task_id(index)
     run = upstream.runs[task_id]
     run.number = number
-    start_ms = round((run.started_at + state.unix_offset_seconds) * 1000)
-    task.trial_ms = start_ms if run.is_trial else 0
+    task.start_ms = run.start_ms = round(
+        (run.started_at + state.unix_offset_seconds) * 1000
+    )
     event = "trial-placed" if run.is_trial else "task-placed"
     job_run = state.jobs[task_id.job]
     state.log_decision(
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -41,11 +41,19 @@
         policy: SchedulingPolicy,
         inherited: Mapping[str, InheritedLease],
         began_at: float,
+        settled_ms: int = 0,
     ) -> None:
-        """Start without jobs and upstreams; leases are `inherited` by upstream."""
+        """Start without jobs and upstreams; leases are `inherited` by upstream.
+
+        Runs that were started by `settled_ms`, in Unix milliseconds, had settled under
+        an earlier owner.
+        """
         self.policy = policy
         self._began_at = began_at
         self.inherited_by_upstream = inherited
+        self.settled_ms = settled_ms
+        # Starts, in Unix milliseconds, of the lost runs that no record tells of yet.
+        self.unrecorded_lost_starts: list[int] = []
         self.configuration = Configuration(0)
         # Zones in which nothing may start, and whether anything may start at all.
         self.evacuated_zones: frozenset[str] = frozenset()
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -62,8 +62,12 @@
     # Its task is suspected of crashing upstreams; nothing starts beside it until it has
     # settled.
     is_trial: bool = False
-    # An earlier owner started it, at an unknown time.
+    # An earlier owner started it.
     is_restored: bool = False
+    # When it was started, as recorded, in Unix milliseconds; 0 if that is unknown.
+    start_ms: int = 0
+    # It had settled under an earlier owner.
+    had_settled: bool = False
     # Its start was meant for an earlier incarnation, with a deadline of that clock.
     is_of_earlier_incarnation: bool = False
 
@@ -162,7 +166,7 @@
 
     def is_settled(self, run: Run) -> bool:
         """Return whether the upstream has outlived the start of one of its runs."""
-        return (
+        return run.had_settled or (
             run.confirmed_at is not None
             and self.last_seen_at - run.confirmed_at >= SETTLING_SECONDS
         )
--- a/packages/baobablane/baobablane/scheduling/tests/test_false_verdicts.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_false_verdicts.py
@@ -308,7 +308,7 @@
         task = [1, 2, 0, "u1", 5, "", 0, [[1, *loss]]]
         record = msgspec.json.encode({"state": 1, "tasks": {"0.0.0": task}})
         progress = decode_progress(record)
-        assert progress.tasks["0.0.0"].trial_ms == 0
+        assert progress.tasks["0.0.0"].start_ms == 0
 
 
 class TestCost:
--- /dev/null
+++ b/packages/baobablane/baobablane/scheduling/tests/test_known_settling.py
@@ -0,0 +1,62 @@
+"""Test what an owner tells the next one of runs that have settled."""
+
+import pytest
+
+from baobablane.jobs import TaskId
+
+from .crash_model import CrashFleet
+from .fleet_model import add, make_job, make_step
+
+JOB = "a" * 16
+OTHER_JOB = "b" * 16
+TASK = TaskId(JOB, 0, 0, 0)
+
+
+@pytest.fixture
+def fleet():
+    """Return a fleet with a long-running task that has just been started."""
+    fleet = CrashFleet(3)
+    add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+    fleet.place()
+    return fleet
+
+
+def start_ms(fleet, task_id=TASK):
+    """Return the recorded start of the latest run of a task."""
+    return fleet.scheduler.state.jobs[task_id.job].find_task(task_id)[1].start_ms
+
+
+class TestSettledTime:
+    """Test by when all runs that have not settled were started later."""
+
+    def test_run_that_has_not_settled_was_started_later(self, fleet):
+        assert fleet.scheduler.settled_ms(fleet.now) == start_ms(fleet) - 1
+
+    def test_all_have_settled(self, fleet):
+        fleet.advance(1.0)
+        assert fleet.scheduler.settled_ms(fleet.now) == round(fleet.now * 1000)
+
+    def test_earliest_start_counts(self, fleet):
+        fleet.advance(1.0)
+        add(fleet, make_job(make_step(is_lasting=True), name=OTHER_JOB))
+        fleet.place()
+        start = start_ms(fleet, TaskId(OTHER_JOB, 0, 0, 0))
+        assert fleet.scheduler.settled_ms(fleet.now) == start - 1 > start_ms(fleet)
+
+    def test_lost_run_counts_until_its_loss_is_recorded(self, fleet):
+        """Guards against a deadly task that a change of owner clears."""
+        start = start_ms(fleet)
+        (order,) = [name for name in fleet.upstreams if fleet.upstreams[name].running]
+        fleet.crash(order)
+        fleet.now += 5.0
+        fleet.list_instances()
+        assert start_ms(fleet) == start
+        assert fleet.scheduler.settled_ms(fleet.now) == start - 1
+        fleet.record()
+        assert fleet.scheduler.settled_ms(fleet.now) == round(fleet.now * 1000)
+
+    def test_run_without_a_recorded_start_makes_it_unknown(self, fleet):
+        for upstream in fleet.scheduler.state.upstreams.values():
+            for run in upstream.runs.values():
+                run.start_ms = 0
+        assert fleet.scheduler.settled_ms(fleet.now) == 0
