Count the start-up of a restored long-running task from its recorded start

Change: the first report of a restored run dates its progress from the recorded start, and leaves it 1.5 s at least.

--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -12,6 +12,9 @@
 
 # A long-running task reports this progress once it is ready.
 READY_PERCENT = 100
+# One that an earlier owner started gets at least this long from its first report: it
+# may be unready for a moment.
+RESTORED_START_SECONDS = 1.5
 
 
 def apply_report(
@@ -81,8 +84,8 @@
     if run.is_lasting and row.percent >= READY_PERCENT > run.percent:
         state.ejections.record_success(upstream.id)
     if row.percent != run.percent:
+        run.percent_changed_at = _progress_counts_from(state, run, now)
         run.percent = row.percent
-        run.percent_changed_at = now
     run.tail_ms_or_cpu_millis = row.tail_ms_or_cpu_millis
     withdraw_copy(state, run)
     job_run = state.jobs.get(row.task.job)
@@ -91,6 +94,18 @@
         found[0].note_checkpoint(found[1], row.checkpoint)
 
 
+def _progress_counts_from(state: SchedulerState, run: Run, now: float) -> float:
+    """Return from when a run has to make progress that shows a new percentage.
+
+    A long-running task has to be ready some time after its start, whoever owns then.
+    """
+    if not (run.is_lasting and run.is_restored and run.start_ms and run.percent < 0):
+        return now
+    started_at = run.start_ms / 1000 - state.unix_offset_seconds
+    earliest = now - state.policy.lasting_start_seconds + RESTORED_START_SECONDS
+    return min(now, max(started_at, earliest))
+
+
 def _apply_end(
     state: SchedulerState, upstream: Upstream, ended: EndedRun, now: float
 ) -> None:
--- a/packages/baobablane/baobablane/scheduling/_stalls.py
+++ b/packages/baobablane/baobablane/scheduling/_stalls.py
@@ -43,7 +43,9 @@
     # A throttled run is slow because of a pace order.
     if run.is_stalled or run.confirmed_at is None or run.pace_percent < READY_PERCENT:
         return False
-    stalled_seconds = now - max(run.percent_changed_at, run.confirmed_at)
+    # A restored run was confirmed by the takeover, which tells nothing of its progress.
+    begun_at = 0.0 if run.is_restored else run.confirmed_at
+    stalled_seconds = now - max(run.percent_changed_at, begun_at)
     policy = state.policy
     if run.is_lasting:
         return (
