Record how often a task was stopped without progress

Cause: an owner counted the runs that it stopped, and each new one began anew, so each stopped the task twice more. Change: Task.stalls is recorded. A task that is done keeps neither it nor its start, so that records stay small.

--- a/packages/baobablane/baobablane/jobs/_task.py
+++ b/packages/baobablane/baobablane/jobs/_task.py
@@ -34,3 +34,5 @@
     # When the latest run was started, in Unix milliseconds of its owner's clock; 0 if
     # that is unknown. Earlier versions recorded it for trials alone.
     start_ms: int = 0
+    # How many runs showed no progress and were stopped for that.
+    stalls: int = 0
--- a/packages/baobablane/baobablane/scheduling/_stalls.py
+++ b/packages/baobablane/baobablane/scheduling/_stalls.py
@@ -1,5 +1,6 @@
 """Detect stalled runs, and decide which runs to stop."""
 
+from ._open_tasks import find_open_task
 from ._reconciliation import READY_PERCENT
 from ._speculation import is_superseded
 from ._state import SchedulerState
@@ -52,9 +53,10 @@
             run.percent < READY_PERCENT
             and stalled_seconds > policy.lasting_start_seconds
         )
-    if state.stall_counts.get(run.task, 0) >= policy.max_stalls:
-        # It stalled on several upstreams, so the task itself is slow.
-        return False
-    return stalled_seconds > max(
+    if stalled_seconds <= max(
         policy.stall_seconds, policy.stall_fraction * run.declared_seconds
-    )
+    ):
+        return False
+    task = find_open_task(state, run.task)
+    # If it stalled on several upstreams, the task itself is slow.
+    return task is None or task.stalls < policy.max_stalls
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -85,8 +85,6 @@
         # The upstream where each task last failed or stalled, or that became
         # unreachable while running it.
         self.last_failed_on: dict[TaskId, str] = {}
-        # How many runs of each task stalled.
-        self.stall_counts: dict[TaskId, int] = {}
         # When a report of any upstream last showed that a start or its response had
         # been lost.
         self.last_message_loss_at = float("-inf")
@@ -261,7 +259,11 @@
 
     def count_stall(self, upstream: Upstream, run: Run, now: float) -> None:
         """Count a stalled run against its upstream and its task."""
-        self.stall_counts[run.task] = self.stall_counts.get(run.task, 0) + 1
+        job_run = self.jobs.get(run.task.job)
+        found = job_run.find_task(run.task) if job_run else None
+        if found is not None:
+            found[1].stalls += 1
+            self.dirty_jobs.add(run.task.job)
         self.last_failed_on[run.task] = upstream.id
         is_ejected = self.count_failure(upstream, now)
         reason = "upstream ejected" if is_ejected else ""
--- a/packages/baobablane/baobablane/scheduling/_step_run.py
+++ b/packages/baobablane/baobablane/scheduling/_step_run.py
@@ -56,6 +56,7 @@
         task.state = TaskState.DONE
         # The number of the run that counts tells the other ones apart.
         task.run = run
+        task.start_ms = task.stalls = 0
         self.waiting.discard(index)
         self.done += 1
 
