Count two crashes only if the task may have begun before both

Cause: a run that had not settled was taken for the sole suspect of a crash, also if its order had been lost on its way and the upstream had reported since that it does not run, or if an earlier owner had only recorded it. With one earlier crash the job was failed.

Change: the record of a lost run tells whether its start is doubtful. Such a loss counts as one of three crashes, or of five, but not of two. An order without a response whose upstream was not heard from again is not doubtful: a task that crashes its upstream takes the response with it.

--- a/packages/baobablane/baobablane/crashes/_verdict.py
+++ b/packages/baobablane/baobablane/crashes/_verdict.py
@@ -25,7 +25,8 @@
 
     Several upstreams must have crashed under it, two of them without a place in common,
     and at least one while no other run there could have been the cause. Beside other
-    suspects, it must have been seen to start.
+    suspects, it must have been seen to start. Two crashes are not enough if it is
+    doubtful whether it began before both.
     """
     confirmed = [loss for loss in losses if loss.is_crash]
     if sum(loss.suspects <= 1 for loss in confirmed) >= MIN_UNSEEN_CRASHES:
@@ -33,9 +34,10 @@
     crashes = [loss for loss in confirmed if loss.is_started or loss.suspects == 1]
     if not any(loss.suspects == 1 for loss in crashes):
         return False
-    return len(crashes) >= MIN_CRASHES or any(
-        _are_apart(first, second) for first, second in combinations(crashes, 2)
-    )
+    if len(crashes) >= MIN_CRASHES:
+        return True
+    sure = [loss for loss in crashes if not loss.is_start_doubtful]
+    return any(_are_apart(first, second) for first, second in combinations(sure, 2))
 
 
 def is_late_cause(losses: Iterable[RunLoss]) -> bool:
--- a/packages/baobablane/baobablane/crashes/tests/test_verdict.py
+++ b/packages/baobablane/baobablane/crashes/tests/test_verdict.py
@@ -12,6 +12,13 @@
     )
 
 
+def doubtful(instance, suspects=1):
+    """Return a lost run that may never have begun."""
+    loss = crash(instance, suspects, is_started=False)
+    loss.is_start_doubtful = True
+    return loss
+
+
 class TestVerdict:
     """Test combinations of lost runs."""
 
@@ -36,3 +43,20 @@
     )
     def test_losses(self, losses, expected):
         assert is_deadly(losses) is expected
+
+    @pytest.mark.parametrize(
+        ("losses", "expected"),
+        [
+            ([crash("a"), doubtful("b")], False),
+            ([doubtful("a"), crash("b")], False),
+            ([doubtful("a"), doubtful("b")], False),
+            ([crash("a"), doubtful("b"), crash("c")], True),
+            ([crash("a"), doubtful("b"), doubtful("b")], True),
+            ([doubtful("a", suspects=0), crash("b")], False),
+            ([doubtful("a", suspects=0)] * 5, True),
+        ],
+    )
+    def test_two_crashes_count_only_if_the_task_may_have_begun_in_both(
+        self, losses, expected
+    ):
+        assert is_deadly(losses) is expected
--- a/packages/baobablane/baobablane/jobs/_run_loss.py
+++ b/packages/baobablane/baobablane/jobs/_run_loss.py
@@ -22,3 +22,6 @@
     labels: tuple[str, ...] = ()
     # When the run ended at the earliest, in Unix milliseconds; 0 if it is unknown.
     lost_ms: int = 0
+    # Its start may never have been carried out: the owner that saw the loss did not
+    # send it, or the upstream had reported since then that it does not run.
+    is_start_doubtful: bool = False
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -107,6 +107,7 @@
         is_started=run.was_seen and is_young,
         labels=place_labels(state, upstream),
         lost_ms=round((ended_at + state.unix_offset_seconds) * 1000),
+        is_start_doubtful=not run.was_seen and (run.is_restored or run.needs_stop),
     )
     task.losses = [*task.losses, loss][-MAX_LOSSES:]
     state.suspects.add(
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -88,6 +88,7 @@
             is_crash=True,
             labels=labels,
             lost_ms=restarted_ms,
+            is_start_doubtful=True,
         )
         task.losses = [*task.losses, loss]
 
