Play racks that are lost around a change of owner by name

Cause: the plays of the users in which long-running tasks are started one by one were not in the soak. Change: thirteen plays in one table beside the existing ones, whose plans are as before (the same hash of all their plans). The check that a broken promise has the time to show counts the calm after the last fault for them as well, as strictly.

--- a/soak/_plays.py
+++ b/soak/_plays.py
@@ -12,8 +12,11 @@
 JOB_COUNT = 4
 TASK_COUNT = 3
 JOBS_AT_SECONDS = 0.2
-SHORT_JOB_COUNT = 10
-SHORT_JOB_GAP_SECONDS = 2.0
+# When the first short job comes, the time between two, and their number, tasks and
+# milliseconds.
+FEW_SHORT_JOBS = (2.0, 2.0, 10, 1, 300)
+# More than there is room for beside the long-running tasks.
+FULL_POOL = (4.0, 0.4, 70, 6, 2500)
 # Time in which a broken promise shows after the last fault, and some more.
 CALM_SECONDS = 15.0
 CUT_LINKS = ("upstream/u0", "upstream/u1", "upstream/u2")
@@ -27,22 +30,35 @@
         seconds = ends_at + CALM_SECONDS
         cut = Fault(cut_at, "cut-responses", CUT_LINKS, seconds - cut_at)
         return Plan(0, seconds, (cut, *faults), _make_jobs(name), name)
+    if name in LOSSES_BY_NAME:
+        job_count, short_jobs, loss, others = LOSSES_BY_NAME[name]
+        faults = tuple(sorted((loss, *others), key=lambda fault: fault.at))
+        over_at = max([loss.at, *(fault.ends_at for fault in others)])
+        calm_seconds = over_at - faults[-1].at + CALM_SECONDS
+        seconds = max(loss.ends_at, over_at + CALM_SECONDS)
+        jobs = _make_jobs(name, job_count, short_jobs)
+        return Plan(0, seconds, faults, jobs, name, calm_seconds=calm_seconds)
     jobs = _make_jobs(name)
     count, kind, killed = CHASES_BY_NAME[name]
     chase = Chase(f"{jobs[0].id}.0.0.0", kind, count, killed)
     return Plan(0, 0.0, (), jobs, name, chase, CALM_SECONDS)
 
 
-def _make_jobs(name: str) -> tuple[PlannedJob, ...]:
+def _make_jobs(
+    name: str,
+    job_count: int = JOB_COUNT,
+    short_jobs: tuple[float, float, int, int, int] = FEW_SHORT_JOBS,
+) -> tuple[PlannedJob, ...]:
     """Return long-running jobs, and short ones that come meanwhile."""
     random = Random(name)
     lasting = make_job_body(
         f"{SERVING_MS} serve", [TASK_COUNT], is_lasting=True, may_miss=1
     )
-    short = make_job_body("300", [1])
-    jobs = [(JOBS_AT_SECONDS, "serving", lasting, TASK_COUNT)] * JOB_COUNT
-    for number in range(1, SHORT_JOB_COUNT + 1):
-        jobs.append((number * SHORT_JOB_GAP_SECONDS, "plain", short, 1))
+    first_at, gap, count, tasks, milliseconds = short_jobs
+    short = make_job_body(f"{milliseconds}", [tasks])
+    jobs = [(JOBS_AT_SECONDS, "serving", lasting, TASK_COUNT)] * job_count
+    for number in range(count):
+        jobs.append((first_at + number * gap, "plain", short, tasks))
     return tuple(
         PlannedJob(
             at,
@@ -60,6 +76,12 @@
     return tuple(Fault(at, kind, ENTRIES, 0.0) for at in times)
 
 
+def _lose(
+    at: float, upstreams: tuple[str, ...], kind: str = "rack-silent", away: float = 60.0
+) -> Fault:
+    return Fault(at, kind, upstreams, away)
+
+
 def _signal_in_turn(kind: str, at: float, gap: float) -> tuple[Fault, ...]:
     return tuple(
         Fault(at + number * gap, kind, (name,), 0.0)
@@ -89,4 +111,53 @@
     "chase-4-reset": (4, "crash-reset", ()),
     "chase-2-silent-killed": (2, "crash-silent", ENTRIES),
 }
-PLAYS = (*CUTS_BY_NAME, *CHASES_BY_NAME)
+RACK = ("u0", "u1", "u2", "u3")
+HALF = ("u0", "u1")
+HALF_LINKS = ("upstream/u0", "upstream/u1")
+# The number of long-running jobs, the short ones, what is lost, and what else happens.
+Loss = tuple[int, tuple[float, float, int, int, int], Fault, tuple[Fault, ...]]
+LOSSES_BY_NAME: dict[str, Loss] = {
+    **{
+        f"rack-{name}": (12, FEW_SHORT_JOBS, _lose(at, RACK, away=2.0), others)
+        for name, at, others in (
+            ("alone", 9.6, ()),
+            ("kill-after", 9.6, _signal_all("kill", 10.2)),
+            ("terminate-before", 9.6, _signal_all("terminate", 8.0)),
+            ("terminate-long-before", 12.0, _signal_all("terminate", 8.0)),
+            ("terminate-in-turn", 10.6, _signal_in_turn("terminate", 8.0, 0.8)),
+            (
+                "kill-store-slow",
+                9.6,
+                (*_signal_all("kill", 8.0), Fault(9.0, "store-slow", (), 3.0)),
+            ),
+        )
+    },
+    "half-kill-after": (
+        8,
+        FEW_SHORT_JOBS,
+        _lose(8.0, HALF),
+        _signal_all("kill", 8.6),
+    ),
+    "half-store-slow": (
+        JOB_COUNT,
+        FEW_SHORT_JOBS,
+        _lose(8.0, HALF),
+        (Fault(7.0, "store-slow", (), 17.0), *_signal_all("kill", 8.6)),
+    ),
+    **{
+        f"full-{name}": (8, FULL_POOL, _lose(at, HALF), _signal_all("kill", *killed))
+        for name, at, killed in (
+            ("alone", 10.0, ()),
+            ("kill-soon", 10.0, (10.2,)),
+            ("kill-before", 10.6, (9.6,)),
+            ("kill-after", 10.0, (10.6,)),
+        )
+    },
+    "full-cut-kill": (
+        8,
+        FULL_POOL,
+        _lose(10.0, HALF_LINKS, "cut-responses"),
+        _signal_all("kill", 10.6),
+    ),
+}
+PLAYS = (*CUTS_BY_NAME, *CHASES_BY_NAME, *LOSSES_BY_NAME)
--- a/soak/tests/test_plays.py
+++ b/soak/tests/test_plays.py
@@ -15,6 +15,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 # The shortest ones that kept a long-running task without a run for too long.
 SHORT_PLAYS = ("cut-kill-twice-early", "chase-3-reset")
+# What takes runs away, if no start is chased.
+LOSS_KINDS = ("cut-responses", "rack-silent")
 
 
 class TestPlans:
@@ -30,11 +32,30 @@
         plan = make_play(name)
         calm = plan.calm_seconds
         if plan.faults:
-            # The first one goes on to the end.
-            cut, *others = plan.faults
-            calm = cut.ends_at - max((f.ends_at for f in others), default=cut.at)
+            # The loss goes on to the end, or is over at once.
+            loss = next(f for f in plan.faults if f.kind in LOSS_KINDS)
+            others = [f for f in plan.faults if f is not loss]
+            over_at = max([loss.at, *(fault.ends_at for fault in others)])
+            calm = max(loss.ends_at, plan.faults[-1].at + calm) - over_at
         assert calm >= 15.0
 
+    def test_lost_rack_returns_while_others_stay_away(self):
+        rack = make_play("rack-terminate-before")
+        assert [str(f).split()[2:4] for f in rack.faults] == [
+            ["terminate", "0.0"],
+            ["rack-silent", "2.0"],
+        ]
+        assert [job.kind for job in rack.jobs].count("serving") == 12
+        assert make_play("half-kill-after").faults[0].seconds == 60.0
+
+    def test_short_tasks_need_more_than_the_rest_of_a_full_pool(self):
+        jobs = make_play("full-alone").jobs
+        short = [job for job in jobs if job.kind == "plain"]
+        assert (short[0].at, short[-1].at) == (4.0, pytest.approx(31.6))
+        assert {job.counts for job in short} == {(6,)}
+        lasting_cores = sum(job.task_count for job in jobs if job.kind == "serving")
+        assert lasting_cores + 6 * 2.5 / 0.4 > 6 * 8
+
 
 class TestChase:
     """Test faults that follow from starts."""
