Count unknown leases from the registration of the owner's replacement

Cause: a process that has just started takes the last heartbeat for sent when it reads it, as Unix clocks may be stepped, and adds 3.2 s for renewals after it. Only the instance of the last owner itself knew that its process had ended, from its own start.

Change: the record by which an instance registers names its process and the latest epoch that it had read. If it is another process of the last owner's instance and had read that owner's claim, the owner had ended when this process read the record. The bound follows from that, by the reader's monotonic clock; also if the record comes after the takeover, with the line lease-bound-shortened. It rests on one process at a time under the name of an instance, as the bound for the own instance did. Records of earlier versions tell nothing.

Not played with real processes.

The model of owner chains registers each process now, and TestRandomOwners also replaces instances that don't claim. test_lease_bound.py makes its views with the ends of processes; its checks are the same.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -25,7 +25,6 @@
 from .jobs import (
     JobActions,
     JobWriter,
-    Peer,
     Views,
     boot_seconds,
     make_holder,
@@ -83,7 +82,7 @@
     job_writer = JobWriter(store)
     views.on_job_read = job_writer.confirm_stored
     holder = make_holder(settings.instance, time.time_ns())
-    succession = _make_succession(settings, views, job_writer, log)
+    succession = _make_succession(settings, holder, views, job_writer, log)
     candidacy = Candidacy(
         holder,
         is_large(settings),
@@ -172,14 +171,16 @@
 
 
 def _make_succession(
-    settings: ProcessSettings, views: Views, job_writer: JobWriter, log: DecisionLog
+    settings: ProcessSettings,
+    holder: str,
+    views: Views,
+    job_writer: JobWriter,
+    log: DecisionLog,
 ) -> Succession:
     address = settings.feed_address if is_large(settings) else ""
     return Succession(
         partial(open_link, address, log) if address else None,
-        partial(
-            register_peer, settings.instance, Peer(address), views, job_writer, log
-        ),
+        partial(register_peer, holder, address, views, job_writer, log),
         settings.instance,
         views,
         log,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_peer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_peer.py
@@ -8,6 +8,10 @@
 
     # Of the form `host:port`.
     address: str
+    # Unique name of the process; empty if its version does not tell it.
+    holder: str = ""
+    # The latest epoch that the process had read by then.
+    known_epoch: int = 0
 
 
 def encode_peer(peer: Peer) -> bytes:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_registration.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_registration.py
@@ -9,6 +9,7 @@
 
 from ..decision_log import DecisionLog
 from ._job_writer import JobWriter
+from ._owner_heartbeat import holder_instance
 from ._peer import Peer, encode_peer
 from ._view_limits import MAX_SILENCE_SECONDS
 from ._views import PEER_PREFIX, STATE_READER_PREFIX, Views
@@ -26,10 +27,15 @@
 
 
 async def register_peer(
-    instance: str, peer: Peer, views: Views, job_writer: JobWriter, log: DecisionLog
+    holder: str, address: str, views: Views, job_writer: JobWriter, log: DecisionLog
 ) -> None:
-    """Tell other instances where to watch this one while it is the owner."""
-    record = KeyedRecord(PEER_PREFIX + instance, encode_peer(peer))
+    """Tell other instances where to watch this process while it is the owner.
+
+    `holder` is its unique name. It follows that its predecessors have ended.
+    """
+    heartbeat = views.owner_heartbeat
+    peer = Peer(address, holder, heartbeat.epoch if heartbeat else 0)
+    record = KeyedRecord(PEER_PREFIX + holder_instance(holder), encode_peer(peer))
     await _store(record, views, job_writer, log)
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -29,6 +29,7 @@
 from ._owner_heartbeat import OwnerHeartbeat, decode_owner_heartbeat
 from ._owner_load import OwnerLoad
 from ._peer import Peer, decode_peer
+from ._process_ends import ProcessEnds
 from ._topic_tail import TopicTail
 
 # Written by all entry instances: accepted jobs and cancellations.
@@ -83,6 +84,7 @@
         self.state_readers: set[str] = set()
         # Entry instances that can be the owner of a full fleet.
         self.peer_by_instance: dict[str, Peer] = {}
+        self.process_ends = ProcessEnds()
         self.configuration: Configuration | None = None
         self.waves: dict[int, Wave] = {}
         # Zones in which operators allow no starts, whether or not they are known.
@@ -242,7 +244,8 @@
             self.peer_by_instance.pop(instance, None)
             return
         try:
-            self.peer_by_instance[instance] = decode_peer(record.value)
+            peer = self.peer_by_instance[instance] = decode_peer(record.value)
+            self.process_ends.observe(instance, peer, boot_seconds())
         except msgspec.DecodeError as error:
             self._log.info("record-skipped", key=record.key, reason=str(error))
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -92,7 +92,7 @@
         self._epoch = epoch
         self._send_message = send_message
         inherited_leases = ownership.inherited_leases()
-        now = boot_seconds()
+        now = self._began_at = boot_seconds()
         self._scheduler = Scheduler(
             replace(
                 make_policy(ownership.last_renewal_age(now)),
@@ -295,6 +295,7 @@
         if self._views.state_readers and not self._writer.states.is_active:
             self._writer.states.activate(self._recorded_states())
         now = boot_seconds()
+        self._shorten_lease_bound()
         self._scheduler.remove_unlisted(now)
         self._scheduler.expire_unreachable(now)
         for upstream_id in self._scheduler.state.upstreams:
@@ -339,6 +340,18 @@
             self._start_task(self._order_sender.send_start(start))
         self._set_account_metrics(now)
 
+    def _shorten_lease_bound(self) -> None:
+        """Apply what has been read since the takeover on the end of the last owner."""
+        policy = make_policy(self._ownership.last_renewal_age(self._began_at))
+        if self._scheduler.shorten_unknown_leases(
+            policy.unknown_lease_seconds, policy.unlisted_grace_seconds
+        ):
+            self._log.info(
+                "lease-bound-shortened",
+                epoch=self._epoch,
+                unknown_lease_seconds=policy.unknown_lease_seconds,
+            )
+
     def _set_account_metrics(self, now: float) -> None:
         if now - self._metrics_set_at >= METRICS_INTERVAL_SECONDS:
             self._metrics_set_at = now
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -167,7 +167,8 @@
 
         Leases of `inherited_leases` are left out. It is negative if the latest owner
         may still do so, and None if it is unknown. All records before the claim were
-        read, and earlier owners end sooner.
+        read, and earlier owners end sooner. It may be longer once another process of
+        the latest owner's instance has registered.
         """
         heartbeat = self._previous_heartbeat
         if heartbeat is None:
@@ -184,7 +185,10 @@
             )
         sent_at = _latest_sending(heartbeat)
         # A later renewal is for less than a whole lease, which ends no later.
-        latest_renewal = sent_at + MAX_LEASE_AFTER_HEARTBEAT_SECONDS - LEASE_SECONDS
+        latest_renewal = min(
+            sent_at + MAX_LEASE_AFTER_HEARTBEAT_SECONDS - LEASE_SECONDS,
+            self._views.process_ends.ended_by(heartbeat),
+        )
         if heartbeat.is_leaving:
             latest_renewal = sent_at
         elif (
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
@@ -30,9 +30,11 @@
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import (
     JOBS_TOPIC,
+    JobWriter,
     Views,
     boot_seconds,
     make_holder,
+    register_peer,
 )
 from baobablane_daemon.owner import Ownership
 from baobablane_daemon.owner._owner import Owner
@@ -261,8 +263,27 @@
             asyncio.create_task(self.views.run()),
             asyncio.create_task(self.ownership.run()),
             asyncio.create_task(owner.run()),
+            asyncio.create_task(self.register()),
         ]
 
+    async def bystand(self):
+        """Follow the store without a claim, and register."""
+        await self.views.catch_up()
+        self.tasks = [
+            asyncio.create_task(self.views.run()),
+            asyncio.create_task(self.register()),
+        ]
+
+    async def register(self):
+        """Tell the other instances of this process."""
+        writer = JobWriter(self.store)
+        self.views.on_job_read = writer.confirm_stored
+        appending = asyncio.create_task(writer.run())
+        try:
+            await register_peer(self.ownership.holder, "", self.views, writer, self.log)
+        finally:
+            appending.cancel()
+
     async def kill(self):
         """End at once."""
         for task in self.tasks:
@@ -273,7 +294,7 @@
         """End as planned, and announce that."""
         self.tasks[1].cancel()
         self.ownership.stop()
-        await asyncio.wait(self.tasks[2:])
+        await asyncio.wait(self.tasks[2:3])
         await self.kill()
 
 
@@ -315,13 +336,21 @@
 
         Its predecessor on that instance has ended.
         """
+        process = await self._replace_process(instance)
+        process.reach_by_upstream.update(reach_by_upstream)
+        await process.own(self)
+        return process
+
+    async def begin_bystander(self, instance):
+        """Let a new process of an instance start that doesn't claim."""
+        await (await self._replace_process(instance)).bystand()
+
+    async def _replace_process(self, instance):
         for earlier in self.processes:
             if earlier.ownership.instance == instance:
                 await earlier.kill()
         process = _Process(self, instance)
-        process.reach_by_upstream.update(reach_by_upstream)
         self.processes.append(process)
-        await process.own(self)
         return process
 
     def place_of(self, task):
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -11,7 +11,8 @@
 from baobablane.scheduling import SchedulingPolicy
 
 from baobablane_daemon.decision_log import DecisionLog
-from baobablane_daemon.jobs import LeaseBounds, OwnerHeartbeat
+from baobablane_daemon.jobs import LeaseBounds, OwnerHeartbeat, Peer
+from baobablane_daemon.jobs._process_ends import ProcessEnds
 from baobablane_daemon.owner._lease_record import (
     LEASE_SECONDS,
     MAX_LEASE_AFTER_HEARTBEAT_SECONDS,
@@ -31,7 +32,7 @@
 def make_ownership(heartbeat_age, epoch=6, holder="other-1", **fields):
     """Return an ownership of epoch 7 after a heartbeat of another owner."""
     heartbeat = OwnerHeartbeat(NOW - heartbeat_age, 0, epoch, holder, True, **fields)
-    views = SimpleNamespace(owner_heartbeat=heartbeat)
+    views = SimpleNamespace(owner_heartbeat=heartbeat, process_ends=ProcessEnds())
     ownership = Ownership(None, views, DecisionLog("i"), "i-1", True, None)
     ownership._previous_heartbeat = heartbeat
     ownership._begin_ownership(7, NOW)
@@ -95,6 +96,17 @@
         ownership._started_at = NOW - 0.3
         assert ownership.last_renewal_age(NOW) == pytest.approx(0.3)
 
+    @pytest.mark.parametrize(("earlier_age", "expected"), [(20.0, 0.4), (-3.0, -2.9)])
+    def test_owner_had_ended_when_the_next_process_there_was_read(
+        self, earlier_age, expected
+    ):
+        ownership = make_ownership(
+            1.5, lease_bounds=LeaseBounds({}, earlier_age), read_at=NOW - 0.1
+        )
+        peer = Peer("other:1", "other-2", 6)
+        ownership._views.process_ends.observe("other", peer, NOW - 0.4)
+        assert ownership.last_renewal_age(NOW) == pytest.approx(expected)
+
     def test_owner_without_a_known_one_before_it_tells_the_least_age(self):
         ownership = make_ownership(1.5, epoch=5)
         ownership._begun_at = NOW
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_owners_in_turn.py
@@ -15,6 +15,10 @@
 MAX_SECONDS_WITHOUT_RUN = 6.0
 # An instance restarts a process after this time.
 RESTART_SECONDS = 1.0
+# Nobody owns for this time if all instances are killed at once.
+ALL_KILLED_SECONDS = 1.7
+# Such a kill leaves this much of the platform's bound for all else.
+MAX_SECONDS_AFTER_ONE_KILL = 5.0
 
 
 async def wait_for_run(chain):
@@ -67,6 +71,36 @@
 
         run_with_clocks(scenario())
 
+    @pytest.mark.parametrize("seconds", [-0.5, -0.1, 0.05, 0.5])
+    @pytest.mark.parametrize("reach", [Reach.NO_RESPONSES, Reach.DARK, Reach.RESET])
+    def test_all_instances_are_killed_at_once(self, reach, seconds):
+        """Guards against a bound that counts the time in which nobody owned.
+
+        The process that replaces the owner starts so long after the next one's claim.
+        """
+
+        async def scenario():
+            async with run_chain() as chain:
+                chain.put_long_running_job(JOB)
+                process = await chain.begin_owner("a")
+                chain.upstreams[await wait_for_run(chain)].reach = reach
+                await asyncio.sleep(0.6)
+                await process.kill()
+                await asyncio.sleep(ALL_KILLED_SECONDS + min(0.0, seconds))
+                if seconds < 0:
+                    await chain.begin_bystander("a")
+                await asyncio.sleep(max(0.0, -seconds))
+                await chain.begin_owner("b")
+                if seconds > 0:
+                    await asyncio.sleep(seconds)
+                    await chain.begin_bystander("a")
+                await wait_for_lapse(chain)
+                seconds_without_run = await chain.time_without_run(TASK, 30.0)
+                assert seconds_without_run < MAX_SECONDS_AFTER_ONE_KILL
+                assert not chain.double_runs
+
+        run_with_clocks(scenario())
+
     def test_upstream_that_only_the_old_owner_regains(self):
         """Guards against a lease beside a stored heartbeat that rules it out."""
 
@@ -178,6 +212,63 @@
         run_with_clocks(scenario())
 
 
+class TestRegistrations:
+    """Test what processes tell that replace others, beside owners that go on."""
+
+    @pytest.mark.parametrize("is_registered", [True, False])
+    @pytest.mark.parametrize("phase", range(5))
+    def test_owner_that_goes_on_registered_before_it(self, phase, is_registered):
+        """Guards against two runs: the owner's own registration shows no end of it."""
+
+        async def scenario():
+            async with run_chain(2, SLOWEST_CLOCK_RATE) as chain:
+                chain.put_long_running_job(JOB)
+                # It, or an earlier process, has registered.
+                await chain.begin_bystander("a")
+                await asyncio.sleep(1.0)
+                process = await chain.begin_owner("a")
+                if not is_registered:
+                    process.tasks.pop().cancel()
+                name = await wait_for_run(chain)
+                await asyncio.sleep(1.0 + 0.19 * phase)
+                if is_registered:
+                    # Once more, now that it has read its own claim.
+                    await process.register()
+                await isolate(chain, process, name)
+                await chain.begin_owner("b")
+                await chain.begin_bystander("c")
+                await asyncio.sleep(12.0)
+                assert len(chain.starts) > 1
+                assert not chain.double_runs
+                at = chain.starts[-1][0]
+                assert at > chain.upstreams[name].lapsed_by() + KILL_SECONDS
+
+        run_with_clocks(scenario())
+
+    @pytest.mark.parametrize("seconds", [0.05, 0.5, 1.5, 2.5, 3.5])
+    def test_owner_goes_on_until_it_is_replaced(self, seconds):
+        """Guards against two runs: it renews leases until just before its end."""
+
+        async def scenario():
+            async with run_chain(2, SLOWEST_CLOCK_RATE) as chain:
+                chain.put_long_running_job(JOB)
+                process = await chain.begin_owner("a")
+                name = await wait_for_run(chain)
+                await asyncio.sleep(1.0)
+                await isolate(chain, process, name)
+                await asyncio.sleep(0.5)
+                await chain.begin_owner("b")
+                await asyncio.sleep(seconds)
+                await chain.begin_bystander("a")
+                await asyncio.sleep(12.0)
+                assert len(chain.starts) > 1
+                assert not chain.double_runs
+                at = chain.starts[-1][0]
+                assert at > chain.upstreams[name].lapsed_by() + KILL_SECONDS
+
+        run_with_clocks(scenario())
+
+
 REACHES = (Reach.WELL, Reach.WELL, Reach.NO_RESPONSES, Reach.DARK, Reach.RESET)
 TASKS = [TaskId(JOB, 0, 0, position) for position in range(4)]
 
@@ -192,6 +283,13 @@
     def test_no_task_runs_twice(self, seed):
         """Guards against a bound that is over before the leases are."""
         random = Random(seed)
+        # Drawn apart, so that the owners don't depend on them.
+        bystanders = Random(seed)
+
+        async def start_bystander(chain, process):
+            instance = bystanders.choice("abcd")
+            if instance != process.ownership.instance:
+                await chain.begin_bystander(instance)
 
         async def end_owner(process):
             kind = random.choice(("kill", "stop", "cut"))
@@ -228,6 +326,9 @@
                         process = await chain.begin_owner(
                             random.choice("abc"), reach_by_upstream
                         )
+                        if bystanders.random() < 0.5:
+                            await asyncio.sleep(bystanders.uniform(0.0, 1.0))
+                            await start_bystander(chain, process)
                 assert not chain.double_runs
                 for upstream in chain.upstreams.values():
                     upstream.reach = Reach.WELL
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -65,6 +65,22 @@
         self.state.usage.set_accounts(configuration.accounts_by_name)
         self.state.standings.set_accounts(configuration.accounts_by_name)
 
+    def shorten_unknown_leases(
+        self, unknown_lease_seconds: float, unlisted_grace_seconds: float
+    ) -> bool:
+        """Shorten both bounds of the policy; return whether the first one changed."""
+        policy = self.state.policy
+        if unknown_lease_seconds >= policy.unknown_lease_seconds:
+            return False
+        self.state.policy = replace(
+            policy,
+            unknown_lease_seconds=unknown_lease_seconds,
+            unlisted_grace_seconds=min(
+                unlisted_grace_seconds, policy.unlisted_grace_seconds
+            ),
+        )
+        return True
+
     def set_evacuation(self, zones: frozenset[str], allows_starts: bool) -> None:
         """Place nothing in the given zones, and nothing at all unless it is allowed."""
         self.state.evacuated_zones = zones
