Count lost runs as not settled until the record of their loss is stored

Cause: the starts of lost runs were dropped as their progress was handed out for its record, so a heartbeat that is stored before that record (of an owner that stops while its write waits, or in the first part of an append of more than 1 MB) told that they had settled. If the record is never stored, the next owner clears the task. Change: they are kept until the record is stored (progress_recorded).

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -330,6 +330,7 @@
             await self._record_progress(changed_progress, waves, hosts)
         else:
             await self._writer.write_heartbeat()
+        self._scheduler.progress_recorded()
         for upstream_id in self._scheduler.ends_recorded(applied_ends):
             if upstream_id in self._pollers:
                 self._pollers[upstream_id].ends_recorded.set()
--- a/packages/baobablane/baobablane/scheduling/_known_settling.py
+++ b/packages/baobablane/baobablane/scheduling/_known_settling.py
@@ -24,7 +24,11 @@
         for run in upstream.runs.values()
         if not upstream.is_settled(run)
     ]
-    starts = [*unsettled_starts, *state.unrecorded_lost_starts]
+    starts = [
+        *unsettled_starts,
+        *state.unrecorded_lost_starts,
+        *state.lost_starts_in_writing,
+    ]
     now_ms = round((now + state.unix_offset_seconds) * 1000)
     return max(0, min(starts, default=now_ms + 1) - 1)
 
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -375,11 +375,16 @@
             apart = self.state.apart_by_id.get(job_id)
             if apart is not None:
                 changed[job_id] = apart.recorded_progress()
-        self.state.unrecorded_lost_starts.clear()
+        self.state.lost_starts_in_writing += self.state.unrecorded_lost_starts
+        self.state.unrecorded_lost_starts = []
         # A job that was just set apart is recorded with the others.
         self.state.dirty_jobs.clear()
         return changed
 
+    def progress_recorded(self) -> None:
+        """Note that the progress that was returned last is recorded."""
+        self.state.lost_starts_in_writing.clear()
+
     def applied_ends(self) -> list[tuple[Upstream, int]]:
         """Return each upstream with its last applied end, to be recorded now."""
         return [(u, u.applied_end) for u in self.state.upstreams.values()]
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -52,8 +52,10 @@
         self._began_at = began_at
         self.inherited_by_upstream = inherited
         self.settled_ms = settled_ms
-        # Starts, in Unix milliseconds, of the lost runs that no record tells of yet.
+        # Starts, in Unix milliseconds, of the lost runs that no record tells of yet,
+        # and of those of which the record is on its way.
         self.unrecorded_lost_starts: list[int] = []
+        self.lost_starts_in_writing: list[int] = []
         self.configuration = Configuration(0)
         # Zones in which nothing may start, and whether anything may start at all.
         self.evacuated_zones: frozenset[str] = frozenset()
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -245,6 +245,7 @@
     def record(self):
         """Return the progress that an owner would record, and mark ends as recorded."""
         changed = self.scheduler.pop_dirty_progress()
+        self.scheduler.progress_recorded()
         for upstream in self.scheduler.state.upstreams.values():
             upstream.recorded_end = upstream.applied_end
         return changed
--- a/packages/baobablane/baobablane/scheduling/tests/test_known_settling.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_known_settling.py
@@ -55,6 +55,16 @@
         fleet.record()
         assert fleet.scheduler.settled_ms(fleet.now) == round(fleet.now * 1000)
 
+    def test_lost_run_counts_while_its_loss_is_written(self, fleet):
+        """Guards against a last heartbeat that overtakes the record of a loss."""
+        start = start_ms(fleet)
+        (name,) = [name for name in fleet.upstreams if fleet.upstreams[name].running]
+        fleet.crash(name)
+        fleet.now += 5.0
+        fleet.list_instances()
+        assert JOB in fleet.scheduler.pop_dirty_progress()
+        assert fleet.scheduler.settled_ms(fleet.now) == start - 1
+
     def test_run_without_a_recorded_start_makes_it_unknown(self, fleet):
         for upstream in fleet.scheduler.state.upstreams.values():
             for run in upstream.runs.values():
