Record starts as later than all that was told to have settled

After a step back between a heartbeat and a start, or under a new owner whose clock is behind and that ends before its first heartbeat, a run that had just begun was taken for settled by the next owner. And an owner whose clock is behind told a time before the recorded starts of runs that had settled, so that the next one suspected them. Change: a start is recorded as later than each settled_ms that this owner or the one before it has told, whatever the clock shows; once all runs have settled, their latest start is told if the clock shows less.

--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -27,6 +27,7 @@
         return
     step = found[0].step
     is_settled = had_settled(state.settled_ms, task)
+    state.latest_start_ms = max(state.latest_start_ms, task.start_ms)
     if is_settled:
         # The earlier owner had cleared it, which may not be recorded.
         task.losses = []
--- a/packages/baobablane/baobablane/scheduling/_known_settling.py
+++ b/packages/baobablane/baobablane/scheduling/_known_settling.py
@@ -29,8 +29,10 @@
         *state.unrecorded_lost_starts,
         *state.lost_starts_in_writing,
     ]
+    if starts:
+        return max(0, min(starts) - 1)
     now_ms = round((now + state.unix_offset_seconds) * 1000)
-    return max(0, min(starts, default=now_ms + 1) - 1)
+    return max(now_ms, state.latest_start_ms)
 
 
 def had_settled(settled_ms: int, task: Task) -> bool:
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -226,9 +226,12 @@
     def settled_ms(self, now: float) -> int:
         """Return by when all runs that have not settled were started later.
 
-        The time is in Unix milliseconds; 0 if it is unknown.
+        The time is in Unix milliseconds; 0 if it is unknown. Starts after this call
+        are recorded as later, whatever the clock shows.
         """
-        return find_settled_ms(self.state, now)
+        settled_ms = find_settled_ms(self.state, now)
+        self.state.told_settled_ms = max(self.state.told_settled_ms, settled_ms)
+        return settled_ms
 
     def allow_leases(self, may_grant: Callable[[str], bool]) -> None:
         """Start tasks only on the upstreams on which leases may be granted."""
--- a/packages/baobablane/baobablane/scheduling/_starting.py
+++ b/packages/baobablane/baobablane/scheduling/_starting.py
@@ -84,9 +84,9 @@
     task_id = step_run.task_id(index)
     run = upstream.runs[task_id]
     run.number = number
-    task.start_ms = run.start_ms = round(
-        (run.started_at + state.unix_offset_seconds) * 1000
-    )
+    unix_ms = round((run.started_at + state.unix_offset_seconds) * 1000)
+    task.start_ms = run.start_ms = max(unix_ms, state.told_settled_ms + 1)
+    state.latest_start_ms = max(state.latest_start_ms, run.start_ms)
     event = "trial-placed" if run.is_trial else "task-placed"
     job_run = state.jobs[task_id.job]
     state.log_decision(
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -52,6 +52,11 @@
         self._began_at = began_at
         self.inherited_by_upstream = inherited
         self.settled_ms = settled_ms
+        # The latest such time that this owner or an earlier one has told, and the
+        # latest recorded start. Unix clocks differ and jump; starts are recorded as
+        # later than all that was told before.
+        self.told_settled_ms = settled_ms
+        self.latest_start_ms = 0
         # Starts, in Unix milliseconds, of the lost runs that no record tells of yet,
         # and of those of which the record is on its way.
         self.unrecorded_lost_starts: list[int] = []
--- a/packages/baobablane/baobablane/scheduling/tests/test_known_settling.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_known_settling.py
@@ -3,9 +3,10 @@
 import pytest
 
 from baobablane.jobs import TaskId
+from baobablane.scheduling import Scheduler, SchedulingPolicy
 
 from .crash_model import CrashFleet
-from .fleet_model import add, make_job, make_step
+from .fleet_model import add, make_configuration, make_job, make_step
 
 JOB = "a" * 16
 OTHER_JOB = "b" * 16
@@ -65,6 +66,34 @@
         assert JOB in fleet.scheduler.pop_dirty_progress()
         assert fleet.scheduler.settled_ms(fleet.now) == start - 1
 
+    @pytest.mark.parametrize("step_ms", [-5_000, 5_000])
+    def test_run_that_starts_after_a_clock_step_has_not_settled(self, fleet, step_ms):
+        """Guards against a clock that is stepped between a heartbeat and a start."""
+        fleet.advance(1.0)
+        settled_ms = fleet.scheduler.settled_ms(fleet.now)
+        add(fleet, make_job(make_step(is_lasting=True), name=OTHER_JOB))
+        unix_ms = round(fleet.now * 1000) + step_ms
+        (order,) = fleet.scheduler.plan_starts(fleet.now, unix_ms)
+        assert start_ms(fleet, order.task) > settled_ms
+
+    def test_run_of_an_owner_whose_clock_is_behind_has_not_settled(self, fleet):
+        """Guards against a new owner that ends before its first heartbeat."""
+        settled_ms = round(fleet.now * 1000) + 5_000
+        fleet.scheduler = Scheduler(SchedulingPolicy(), settled_ms=settled_ms)
+        fleet.scheduler.set_configuration(make_configuration())
+        for upstream in fleet.upstreams.values():
+            fleet.scheduler.upstream_listed(upstream.entry, fleet.now)
+        fleet.renew_all()
+        add(fleet, make_job(make_step(is_lasting=True), name=OTHER_JOB))
+        (order,) = fleet.plan_starts()
+        assert start_ms(fleet, order.task) > settled_ms
+
+    def test_clock_that_is_behind_hides_no_run_that_has_settled(self, fleet):
+        """Guards against suspects after two owners, the second with a slow clock."""
+        fleet.advance(1.0)
+        fleet.scheduler.note_clock(fleet.now, round(fleet.now * 1000) - 5_000)
+        assert fleet.scheduler.settled_ms(fleet.now) >= start_ms(fleet)
+
     def test_run_without_a_recorded_start_makes_it_unknown(self, fleet):
         for upstream in fleet.scheduler.state.upstreams.values():
             for run in upstream.runs.values():
