Test long-running tasks of an upstream that restarted before a chain of owners

An upstream restarts under its id while nobody owns, and no owner reaches it: each takeover awaits a whole lease of the earlier incarnation from its own start (_expect_earlier_lease). With one owner the task is started elsewhere; under owners of 3 s each it never is. The model's stops go to upstreams that are there, as others can't answer.

--- a/packages/baobablane/baobablane/scheduling/tests/test_owner_chains.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_owner_chains.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -48,6 +49,13 @@
         model.percent = dict.fromkeys(model.running, self.percent)
         super().renew(name)
 
+    def send_stops(self):
+        """Send the stops that are due to the upstreams that are there."""
+        for order in self.scheduler.plan_stops(self.now):
+            if order.upstream in self.upstreams:
+                self.upstreams[order.upstream].stop(order)
+                self.scheduler.stop_answered(order, self.now)
+
     def replace_owner(self):
         """Let another owner take over from what is recorded."""
         job_runs = list(self.scheduler.state.jobs.values())
@@ -116,6 +124,28 @@
         assert fleet.task().run == 2
 
 
+class TestEarlierIncarnations:
+    """Test runs of an earlier life of an upstream, whose leases each owner awaits."""
+
+    @owners(3.0)
+    def test_task_is_started_elsewhere(self, owner_seconds):
+        """Guards against a whole lease that each takeover awaits from its own start."""
+        fleet = ChainFleet(owner_seconds)
+        add(fleet, make_job(make_step(is_lasting=True), name=JOB))
+        fleet.advance(1.0)
+        name = fleet.task().upstream
+        lost = fleet.upstreams.pop(name).entry
+        restarted = replace(lost, incarnation=lost.incarnation + 1)
+        # It restarted under its id while nobody owned, and nobody reaches it.
+        fleet.replace_owner()
+        began_at = fleet.now
+        while fleet.now - began_at < 30.0:
+            fleet.scheduler.upstream_listed(restarted, fleet.now)
+            fleet.scheduler.renewal_failed(name, fleet.now)
+            fleet.advance(0.1)
+        assert fleet.task().run == 2
+
+
 class TestLateCrashes:
     """Test a task that crashes its upstreams after it has settled.
 
