--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -242,9 +242,12 @@
     def settled_ms(self, now: float) -> int:
         """Return by when all runs that have not settled were started later.
 
-        The time is in Unix milliseconds; 0 if it is unknown.
+        The time is in Unix milliseconds; 0 if it is unknown. Starts after this call
+        are recorded as later, whatever the clock shows.
         """
-        return find_settled_ms(self.state, now)
+        settled_ms = find_settled_ms(self.state, now)
+        self.state.told_settled_ms = max(self.state.told_settled_ms, settled_ms)
+        return settled_ms
 
     def allow_leases(self, may_grant: Callable[[str], bool]) -> None:
         """Start tasks only on the upstreams on which leases may be granted."""
@@ -391,11 +394,16 @@
             apart = self.state.apart_by_id.get(job_id)
             if apart is not None:
                 changed[job_id] = apart.recorded_progress()
-        self.state.unrecorded_lost_starts.clear()
+        self.state.lost_starts_in_writing += self.state.unrecorded_lost_starts
+        self.state.unrecorded_lost_starts = []
         # A job that was just set apart is recorded with the others.
         self.state.dirty_jobs.clear()
         return changed
 
+    def progress_recorded(self) -> None:
+        """Note that the progress that was returned last is recorded."""
+        self.state.lost_starts_in_writing.clear()
+
     def applied_ends(self) -> list[tuple[Upstream, int]]:
         """Return each upstream with its last applied end, to be recorded now."""
         return [(u, u.applied_end) for u in self.state.upstreams.values()]
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -52,8 +52,15 @@
         self._began_at = began_at
         self.inherited_by_upstream = inherited
         self.settled_ms = settled_ms
-        # Starts, in Unix milliseconds, of the lost runs that no record tells of yet.
+        # The latest such time that this owner or an earlier one has told, and the
+        # latest recorded start. Unix clocks differ and jump; starts are recorded as
+        # later than all that was told before.
+        self.told_settled_ms = settled_ms
+        self.latest_start_ms = 0
+        # Starts, in Unix milliseconds, of the lost runs that no record tells of yet,
+        # and of those of which the record is on its way.
         self.unrecorded_lost_starts: list[int] = []
+        self.lost_starts_in_writing: list[int] = []
         self.configuration = Configuration(0)
         # Zones in which nothing may start, and whether anything may start at all.
         self.evacuated_zones: frozenset[str] = frozenset()
