Keep the ownership of a stopping process until another one is back

Cause: with SIGTERM to all, the owner left 1.8 s later for nobody: the others, stopped at the same moment, were back after 3.7 to 4.1 s. Until then it did look after what was lost (connections reset: noticed after 9 ms, listed as down after 31 ms, the first of 12 starts after 90 ms). But a silent crash takes 0.7 to 0.85 s to the first start, and a rack that was lost 1.6 s after the signals had 0.28 s until the end of the ownership. The new owner had never reached the upstreams, took all their runs for suspects and started them one by one.

Change: the owner keeps the ownership until another instance is listed, to 1 s before the end of the stop grace period at most (5 s instead of 1.8 s). Its servers close as before, at the same time. An instance that has seen no other one listed leaves after 1.8 s as before, as its restart would only be later. Instances without the ownership end as before.

--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -48,11 +48,14 @@
 GC_THRESHOLD_ALLOCATIONS = 20_000
 # The balancer routes elsewhere after two failed checks of one second each.
 BALANCER_DETECTION_SECONDS = 2.3
-# The end of the ownership is announced within the rest of that time.
+# Without an owner, a claim is sent for so long. The end of the ownership is announced
+# within the rest of that time.
 KEEP_OWNERSHIP_SECONDS = BALANCER_DETECTION_SECONDS - LEAVE_TIMEOUT_SECONDS
 # Time within the platform's stop grace period for the servers to finish the requests
 # that they have already read.
 FINISH_TIMEOUT_SECONDS = 2.0
+# A process that has announced the end of the ownership ends within this time.
+END_SECONDS = 0.5
 
 
 async def run_on_platform(path: Path) -> None:
@@ -146,8 +149,8 @@
         await wait_for_stop(stop, tasks)
         log.info("stopping")
         actions.is_stopping = True
-        detection = loop.create_task(asyncio.sleep(BALANCER_DETECTION_SECONDS))
-        tasks.append(detection)
+        closing = loop.create_task(_close_servers(servers, server_tasks))
+        tasks.append(closing)
         if succession.is_registered:
             unregister = unregister_peer(settings.instance, views, job_writer, log)
             tasks.append(loop.create_task(unregister))
@@ -155,13 +158,13 @@
                 ownership,
                 lambda: bool(views.peer_by_instance.keys() - {settings.instance}),
                 KEEP_OWNERSHIP_SECONDS,
+                _owner_seconds(settings, succession),
             )
         ownership_task.cancel()
         ownership.stop()
-        await detection
-        for server in servers:
-            server.should_exit = True
-        await asyncio.wait(server_tasks, timeout=FINISH_TIMEOUT_SECONDS)
+        # The owner announces its end meanwhile.
+        await asyncio.sleep(LEAVE_TIMEOUT_SECONDS)
+        await closing
     finally:
         for task in (registration, *tasks):
             task.cancel()
@@ -171,6 +174,25 @@
         log.flush()
 
 
+async def _close_servers(
+    servers: list[uvicorn.Server], server_tasks: list["asyncio.Task[None]"]
+) -> None:
+    """Finish the requests in flight once callers are routed elsewhere."""
+    await asyncio.sleep(BALANCER_DETECTION_SECONDS)
+    for server in servers:
+        server.should_exit = True
+    await asyncio.wait(server_tasks, timeout=FINISH_TIMEOUT_SECONDS)
+
+
+def _owner_seconds(settings: ProcessSettings, succession: Succession) -> float:
+    """Return for how long a stopping owner waits for one that can succeed it."""
+    if not succession.has_seen_others:
+        # It is back the sooner, and nobody else can be.
+        return KEEP_OWNERSHIP_SECONDS
+    grace_seconds = settings.limits.stop_grace_seconds
+    return grace_seconds - LEAVE_TIMEOUT_SECONDS - END_SECONDS
+
+
 def _make_succession(
     settings: ProcessSettings, views: Views, job_writer: JobWriter, log: DecisionLog
 ) -> Succession:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_succession.py
@@ -49,6 +49,8 @@
         self._suspicion: Suspicion | None = None
         # Whether others have been told where to watch this instance.
         self.is_registered = False
+        # Whether another instance has been registered since the start.
+        self.has_seen_others = False
 
     async def run(self) -> None:
         """Open the link after the start, and follow the owner until cancelled."""
@@ -63,6 +65,8 @@
             while True:
                 self._check_store(boot_seconds())
                 self._follow_owner()
+                peers = self._views.peer_by_instance.keys()
+                self.has_seen_others |= bool(peers - {self._instance})
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
         finally:
             self._end_contact()
