Try all long-running suspects in time, and keep room for all of them

Cause: their trials were in series. At most as many went on as crashes were unexplained, a full pool kept one upstream free at a time, and after a trial short tasks filled it again, so that the wait grew with the number of tasks.

Change: a long-running suspect with one loss is due 1.5 s after the end of its run. All that are due start at once, beyond the limits of trials, and share them. Those with several losses are still tried alone, after their hold, but at the same time on several upstreams. Upstreams are kept free of short tasks until all that wait have room; each suspect that is tried alone gets its own, up to half of the pool. Contact and settling are still required.

With several deadly tasks, upstreams that are away for longer or more owners, some still wait for longer than 6 s.

--- a/packages/baobablane/baobablane/scheduling/_lasting_room.py
+++ b/packages/baobablane/baobablane/scheduling/_lasting_room.py
@@ -4,12 +4,18 @@
 task would never start.
 """
 
-from ..deployment import Resources
+import math
+from collections.abc import Collection, Iterable
+
+from ..deployment import NO_RESOURCES, Resources
 from ._placement import may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._upstream import Upstream
 
+# Maximum part of a pool's upstreams of which each is kept for a single trial.
+MAX_ALONE_PART = 0.5
+
 
 def reserve_upstream(
     state: SchedulerState,
@@ -39,6 +45,49 @@
     return True
 
 
+def keep_upstreams(
+    state: SchedulerState,
+    waiting: Iterable[tuple[StepRun, int, bool]],
+    upstreams: Collection[Upstream],
+    preferred: Collection[str],
+) -> None:
+    """Reserve upstreams on which all waiting tasks fit once short tasks have ended.
+
+    `waiting` holds steps, each with a number of long-running tasks and whether they run
+    alone at first: as such a trial may crash its upstream, the next one needs another.
+    `preferred` names upstreams, such as those that were reserved before.
+    """
+    room_by_id = {u.id: room_without_short_runs(u) for u in upstreams}
+    most_alone = math.ceil(MAX_ALONE_PART * len(upstreams))
+    for step_run, count, is_alone in waiting:
+        step, placed = step_run.step, step_run.placed_by_upstream()
+        for _ in range(count):
+            fitting = [
+                upstream
+                for upstream in upstreams
+                if may_run(step, upstream, room_by_id[upstream.id])
+                and not 0 < step.most_per_upstream <= placed.get(upstream.id, 0)
+                and not state.advice.is_rejected(step_run.key(), upstream.id)
+            ]
+            if not fitting:
+                break
+            chosen = min(
+                fitting,
+                key=lambda upstream: (
+                    not upstream.is_reserved,
+                    upstream.id not in preferred and not upstream.has_trial(),
+                    room_by_id[upstream.id].cpu_millis - upstream.room().cpu_millis,
+                ),
+            )
+            chosen.is_reserved = True
+            placed[chosen.id] = placed.get(chosen.id, 0) + 1
+            if is_alone and most_alone > 0:
+                most_alone -= 1
+                room_by_id[chosen.id] = NO_RESOURCES
+            elif not step.is_filler:
+                room_by_id[chosen.id] = room_by_id[chosen.id] - step.needs
+
+
 def room_without_short_runs(upstream: Upstream) -> Resources:
     """Return the room that an upstream has once its short tasks have ended."""
     room = upstream.entry.capacity
--- a/packages/baobablane/baobablane/scheduling/_suspects.py
+++ b/packages/baobablane/baobablane/scheduling/_suspects.py
@@ -11,6 +11,9 @@
 # The same for a long-running task, which should run again within 6 s, the start of the
 # trial included. It does not double: some instances never return, and bring no news.
 LASTING_HOLD_SECONDS = 4.5
+# A long-running task with one lost run is tried with others this long after its end, if
+# it was not tried before. That leaves time for short tasks to end where it is to run.
+LASTING_TRIAL_SECONDS = 1.5
 # After three crashes a task may be started twice more. One that has used them up waits
 # for the news of the last ones, for longer than a crashed instance is away.
 MIN_CRASHES = 3
@@ -64,6 +67,13 @@
             task, losses, is_lasting
         )
 
+    def is_due(self, task: TaskId, losses: Sequence[RunLoss], now: float) -> bool:
+        """Return whether a long-running suspect has waited for as long as it may."""
+        until = self.end_of_hold(task, losses, True)
+        if len(losses) == 1:
+            until -= LASTING_HOLD_SECONDS - LASTING_TRIAL_SECONDS
+        return now >= until
+
     def end_of_hold(
         self, task: TaskId, losses: Sequence[RunLoss], is_lasting: bool
     ) -> float:
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from ._last_resort import find_last_resort
-from ._lasting_room import room_without_short_runs
+from ._lasting_room import keep_upstreams, room_without_short_runs
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run
 from ._round_room import RoundRoom
@@ -29,6 +29,10 @@
 # Maximum expected number of causes among the runs of a trial, unless it has one run.
 MAX_EXPECTED_CAUSES = 0.25
 
+# Room is kept for a long-running task from this long before its hold ends: as long as
+# most short tasks take.
+ROOM_SECONDS = 3.0
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -38,14 +42,19 @@
     indexes: tuple[int, ...]
     # Expected number of crashes of which they are the cause.
     expected_causes: float
-    # A long-running task that has waited for as long as it may be held is tried first.
-    is_overdue: bool = False
+    # A long-running task that has waited for as long as it may is tried first, and
+    # beyond the limits.
+    is_due: bool = False
+    # It has lost several runs.
+    is_tried_alone: bool = False
 
 
 @dataclass(slots=True)
 class _Trial:
     upstream: Upstream
     expected_causes: float
+    # Suspects that are due may join it whatever is expected of them.
+    is_shared: bool = False
 
 
 def find_candidates(
@@ -66,8 +75,8 @@
             step_run,
             (index,),
             _expected_causes(state, step_run, index),
-            step_run.step.is_lasting
-            and now >= state.suspects.held_until[step_run.task_id(index)],
+            _is_due(state, step_run, index, now),
+            len(step_run.task(index).losses) > 1,
         )
         for index in indexes
     ]
@@ -93,9 +102,7 @@
 
     `candidates` are in the order of their urgency, and everything else has been placed.
     """
-    likely_last = sorted(
-        candidates, key=lambda c: (not c.is_overdue, c.expected_causes)
-    )
+    likely_last = sorted(candidates, key=lambda c: (not c.is_due, c.expected_causes))
     planner = _TrialPlanner(state, pool, room, now)
     orders: list[StartOrder] = []
     for candidate in likely_last:
@@ -106,6 +113,7 @@
             orders += planner.plan(candidate)
         except Exception as error:
             state.set_apart(candidate.step_run.job.id, error)
+    planner.keep_room()
     return orders
 
 
@@ -124,19 +132,51 @@
         self._room = room
         self._now = now
         self._trials: list[_Trial] = []
+        self._were_reserved = {u.id for u in room.reserved.get(pool, ())}
+        # Long-running suspects that could not start in this round.
+        self._without_room: list[Candidate] = []
         self._limits = limit_trials(state, pool, pool in room.full_pools, now)
 
     def plan(self, candidate: Candidate) -> list[StartOrder]:
         """Return the starts of a candidate, or reserve an upstream for it."""
         step_run, indexes = candidate.step_run, candidate.indexes
-        if any(is_held(self._state, step_run, i, self._now) for i in indexes):
-            return []
         needed = step_run.step.needs.times(len(indexes))
         if not self._state.usage.allows(step_run.job.account, needed):
             return []
+        if any(is_held(self._state, step_run, i, self._now) for i in indexes):
+            if _is_held_no_longer_than_room_takes(self._state, candidate, self._now):
+                self._without_room.append(candidate)
+            return []
         chosen = self._join(candidate) or self._begin(candidate)
+        if not chosen and step_run.step.is_lasting:
+            self._without_room.append(candidate)
         return commit_starts(self._state, step_run, chosen)
 
+    def keep_room(self) -> None:
+        """Keep upstreams free on which all long-running suspects that wait find room.
+
+        Otherwise, short tasks would use the room as soon as it is freed, and also that
+        beside a trial that has just settled.
+        """
+        if self._without_room:
+            upstreams = [
+                upstream
+                for upstream in self._state.upstreams.values()
+                if upstream.entry.pool == self._pool
+                and upstream.is_usable()
+                and not self._state.is_evacuated(upstream)
+                and not self._state.ejections.is_ejected(upstream.id, self._now)
+            ]
+            keep_upstreams(
+                self._state,
+                [
+                    (c.step_run, len(c.indexes), c.is_tried_alone)
+                    for c in self._without_room
+                ],
+                upstreams,
+                self._were_reserved,
+            )
+
     def _join(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
         """Add a suspect to a trial that begins in this round."""
         for trial in self._trials:
@@ -148,12 +188,23 @@
                     return chosen
         return []
 
+    def _join_others_due(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
+        """Add a suspect that is due to the least of the trials of such suspects."""
+        shared = [trial for trial in self._trials if trial.is_shared]
+        for trial in sorted(shared, key=lambda trial: trial.expected_causes):
+            chosen = self._place(candidate, [trial.upstream])
+            if chosen:
+                trial.expected_causes += candidate.expected_causes
+                return chosen
+        return []
+
     def _begin(self, candidate: Candidate) -> list[tuple[int, Upstream]]:
-        # Upstreams that are down after the trials of others hold up no overdue one.
-        is_next = candidate.is_overdue and self._limits.on_trial == 0
-        if not is_next and not self._limits.allow_another():
+        # Neither the trials of others nor upstreams that are down after them hold up
+        # one that is due.
+        if not candidate.is_due and not self._limits.allow_another():
             return []
-        may_use_busy = is_next or self._limits.at_risk == 0
+        is_shared = candidate.is_due and not candidate.is_tried_alone
+        may_use_busy = candidate.is_due or self._limits.at_risk == 0
         upstreams = self._upstreams_for(candidate.step_run)
         quiet = [
             upstream
@@ -168,11 +219,17 @@
             for upstream in {u.id: u for _, u in chosen}.values():
                 self._room.take(self._pool, upstream)
                 self._state.waits.trial_count += 1
-                trial = _Trial(upstream, candidate.expected_causes)
-                self._trials.append(trial)
-        elif not self._await_contact(candidate, advised) and may_use_busy:
+                causes = candidate.expected_causes
+                self._trials.append(_Trial(upstream, causes, is_shared))
+            return chosen
+        if is_shared:
+            chosen = self._join_others_due(candidate)
+            if chosen:
+                return chosen
+        has_room = self._await_contact(candidate, advised)
+        if not has_room and may_use_busy and not candidate.step_run.step.is_lasting:
             self._reserve(candidate, self._advised(candidate, upstreams))
-        return chosen
+        return []
 
     def _upstreams_for(self, step_run: StepRun) -> list[Upstream]:
         upstreams = self._room.for_trials(self._pool)
@@ -282,6 +339,24 @@
         self._keep_free(chosen)
 
 
+def _is_due(state: SchedulerState, step_run: StepRun, index: int, now: float) -> bool:
+    losses = step_run.task(index).losses
+    return step_run.step.is_lasting and state.suspects.is_due(
+        step_run.task_id(index), losses, now
+    )
+
+
+def _is_held_no_longer_than_room_takes(
+    state: SchedulerState, candidate: Candidate, now: float
+) -> bool:
+    """Return whether room for a held long-running task has to be kept already."""
+    step_run = candidate.step_run
+    return step_run.step.is_lasting and not any(
+        is_held(state, step_run, index, now + ROOM_SECONDS)
+        for index in candidate.indexes
+    )
+
+
 def _expected_causes(state: SchedulerState, step_run: StepRun, index: int) -> float:
     losses = step_run.task(index).losses
     if len(losses) != 1:
--- a/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/waiting_model.py
@@ -94,11 +94,15 @@
         self.scheduler.upstream_listed(self.upstreams[name].entry, self.now)
         if not self._is_silent(name):
             for task in self.upstreams[name].running:
-                self.upstreams[name].percent[task] = 100
+                self.upstreams[name].percent[task] = self.percent_of(name, task)
             super().renew(name)
         elif self.now - self.silent[name][0] >= POLL_TIMEOUT_SECONDS:
             self.scheduler.renewal_failed(name, self.now)
 
+    def percent_of(self, name, task):
+        """Return the progress that an upstream reports of a run."""
+        return 100
+
     def send_stops(self):
         """Send the stops that are due to the upstreams that answer."""
         for order in self.scheduler.plan_stops(self.now):
