Keep room for long-running suspects before anything starts in a round

Cause: it was kept at the end of a round, so the first round of a new owner had already given the room that the owner before it had kept to short tasks, and suspects whose hold had ended waited for those.

Change: the upstreams are chosen at the beginning of each round.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -14,7 +14,7 @@
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
 from ._step_run import StepRun
-from ._trials import Candidate, find_candidates, plan_trials
+from ._trials import Candidate, find_candidates, keep_room, plan_trials
 from ._upstream import Upstream
 from ._urgency import (
     FIRST_RANK,
@@ -44,6 +44,7 @@
     """
     orders: list[StartOrder] = []
     room = collect_room(state, now)
+    keep_room(state, room, now)
     candidates_by_pool: dict[str, list[Candidate]] = {}
     state.advice.clear_pending()
     if state.policy.divides_by_account:
