Read the lines of an owner in test_settled_runs once they are written

Cause: the test counts lines as soon as all tasks run. Since they are all started at once, the lines of that round were not written by then, and the count of suspects was 0 where it has to be above 0. Change: both tests wait for the lines, so that the one that expects none sees the latest ones too.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_settled_runs.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_settled_runs.py
@@ -17,6 +17,8 @@
 MAX_SECONDS_WITHOUT_RUN = 6.0
 # Longer than any crash by a start takes.
 SETTLED_SECONDS = 4.0
+# All lines are written after this time.
+LOG_SECONDS = 1.0
 
 
 def is_running(chain):
@@ -68,6 +70,7 @@
                         await asyncio.sleep(0.05)
                 seconds = asyncio.get_running_loop().time() - began_at
                 assert seconds < MAX_SECONDS_WITHOUT_RUN
+                await asyncio.sleep(LOG_SECONDS)
                 assert count_suspects(process) == 0
                 assert not chain.double_runs
 
@@ -90,6 +93,7 @@
                 async with asyncio.timeout(30.0):
                     while not is_running(chain):
                         await asyncio.sleep(0.05)
+                await asyncio.sleep(LOG_SECONDS)
                 assert count_suspects(process) > 0
 
         run_with_clocks(scenario())
