--- a/review/standin-2/review_site.py
+++ b/review/standin-2/review_site.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, Self
@@ -25,7 +26,13 @@
     PlatformStandin,
     StandinSettings,
 )
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse
+from starlette.routing import Route
 
+# Takes a step and the ids of executors, and returns those that may run it.
+Advise = Callable[[str, list[str]], list[str]]
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
 READY_SECONDS = 20.0
@@ -34,6 +41,8 @@
 PORTS_PER_ENTRY = 4
 # Below the ports that systems give to clients.
 PORTS = range(12_000, 20_000)
+# Of the placement advisor.
+DECISION_MS, PERIOD_MS, VALIDITY_MS = 20, 2, 3000
 # As on the users' smallest installation.
 BOUNDS = {
     "contactMs": 3000,
@@ -87,8 +96,8 @@
         self._log = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self, platform: str) -> None:
-        """Start the process with the platform's address."""
+    async def start(self, platform: str, advisor: str = "") -> None:
+        """Start the process with the platform's and the placement advisor's address."""
         settings = {
             "node": self.name,
             "role": "entry",
@@ -107,6 +116,7 @@
             "controlMode": "rpc",
             "platform": {"address": platform, "maxRecordBytes": 262144},
             "cloud": {"address": platform},
+            "recommendation": advisor or None,
         }
         self._settings.write_text(json.dumps(settings))
         kept = ("PATH", "HOME", "LANG")
@@ -144,9 +154,19 @@
 class ReviewSite:
     """Run a platform and entry instances; use as an async context manager."""
 
-    def __init__(self, record: Record, settings: StandinSettings, entries: int) -> None:
-        """Start nothing yet."""
+    def __init__(
+        self,
+        record: Record,
+        settings: StandinSettings,
+        entries: int,
+        advise: Advise | None = None,
+    ) -> None:
+        """Start nothing yet; `advise` answers a call for advice, if there is a queue.
+
+        It takes a step and the ids of executors, and returns those that may run it.
+        """
         self.record = record
+        self._advise = advise
         self.platform = PlatformStandin(settings)
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         folder = Path(self._folder.name)
@@ -159,8 +179,13 @@
         for upstream in self.platform.upstreams:
             upstream.on_event = self._make_listener(upstream.id)
         self._session = aiohttp.ClientSession()
+        advisor = ""
+        if self._advise is not None:
+            route = Route("/baobablane/advise", self._serve_advice, methods=["POST"])
+            # The platform's servers are started in the same way.
+            advisor = await self.platform._serve(Starlette(routes=[route]))
         for entry in self.entries:
-            await entry.start(self.platform.address)
+            await entry.start(self.platform.address, advisor)
         await asyncio.gather(*(self._await_ready(entry) for entry in self.entries))
         return self
 
@@ -209,6 +234,16 @@
         )
         return status, answer
 
+    async def _serve_advice(self, request: Request) -> JSONResponse:
+        assert self._advise is not None
+        call = await request.json()
+        names = call["workers"]
+        await asyncio.sleep((DECISION_MS + PERIOD_MS * len(names)) / 1000)
+        allowed = self._advise(call["step"], names)
+        self.record.write("advised", step=call["step"], asked=names, allowed=allowed)
+        rows = [[name, f"ticket-{name}"] for name in allowed]
+        return JSONResponse({"eligible": rows, "validityMs": VALIDITY_MS})
+
     async def _await_ready(self, entry: Entry) -> None:
         assert self._session is not None
         until = time.monotonic() + READY_SECONDS
