--- a/review/standin-2/review_site.py
+++ b/review/standin-2/review_site.py
@@ -14,7 +14,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, Self
@@ -36,6 +36,8 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "127.0.0.1"
 READY_SECONDS = 20.0
+# What is left of 120 s is for the end of all processes.
+MAX_SECONDS = 105.0
 REQUEST_SECONDS = 3.0
 DISRUPTED, HELD, NOT_RUN = 1, 0, 2
 PORTS_PER_ENTRY = 4
@@ -175,6 +177,14 @@
 
     async def __aenter__(self) -> Self:
         """Start everything; raise RuntimeError if the entry instances don't answer."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.platform.__aenter__()
         for upstream in self.platform.upstreams:
             upstream.on_event = self._make_listener(upstream.id)
@@ -187,7 +197,6 @@
         for entry in self.entries:
             await entry.start(self.platform.address, advisor)
         await asyncio.gather(*(self._await_ready(entry) for entry in self.entries))
-        return self
 
     async def __aexit__(self, *error: object) -> None:
         """End all processes and servers."""
@@ -280,8 +289,8 @@
     logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     record = Record(folder / "record.txt")
     try:
-        is_broken = asyncio.run(case(record))
-    except Exception as error:
+        is_broken = asyncio.run(_bound(case(record)))
+    except (Exception, asyncio.CancelledError) as error:
         record.write("could-not-run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
@@ -290,6 +299,15 @@
     sys.exit(DISRUPTED if is_broken else HELD)
 
 
+async def _bound(case: Coroutine[Any, Any, bool]) -> bool:
+    """Run a case; end it after a time, or when this process is to stop."""
+    task = asyncio.ensure_future(case)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await asyncio.wait_for(task, MAX_SECONDS)
+
+
 def _free_ports(count: int) -> list[int]:
     found: list[int] = []
     for port in random.SystemRandom().sample(PORTS, len(PORTS)):
