Log orders that get no response, with the reason

Change: the client of upstreams tells each such order to its owner, which logs order-unanswered with the order and the reason.

No logic is changed.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -24,7 +24,7 @@
     decode_upstream_entry,
 )
 
-from ..decision_log import DecisionLog
+from ..decision_log import Decision, DecisionLog
 from ..jobs import (
     HOST_PREFIX,
     WAVE_PROGRESS_PREFIX,
@@ -118,7 +118,7 @@
             ownership.confirm,
             self._lease_record,
         )
-        self._orders = UpstreamOrderClient()
+        self._orders = UpstreamOrderClient(self._log_unanswered)
         self._pollers: dict[str, UpstreamPoller] = {}
         self._wake = asyncio.Event()
         self._order_sender = OrderSender(
@@ -506,6 +506,13 @@
             self._lease_record.is_wanted.clear()
             await self._writer.write_heartbeat()
 
+    def _log_unanswered(self, upstream_id: str, order: str, reason: str) -> None:
+        self._log.write(
+            Decision(
+                "order-unanswered", upstream=upstream_id, reason=f"{order}: {reason}"
+            )
+        )
+
     def _may_order(self, seconds: float) -> bool:
         return self._ownership.holds(self._epoch, seconds)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_chain_model.py
@@ -247,7 +247,7 @@
         )
         orders = OrderClient(chain, self.reach_by_upstream)
         target = "baobablane_daemon.owner._owner.UpstreamOrderClient"
-        with mock.patch(target, lambda: orders):
+        with mock.patch(target, lambda *args: orders):
             owner = Owner(
                 self.store,
                 self.views,
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/owner_model.py
@@ -130,7 +130,7 @@
             "entry-0", "zone", "", "", "", "", "", PlatformLimits(**limits)
         )
         target = "baobablane_daemon.owner._owner.UpstreamOrderClient"
-        with mock.patch(target, lambda: self.upstream):
+        with mock.patch(target, lambda *args: self.upstream):
             self.owner = Owner(
                 self.store,
                 self.views,
