Keep few connections for orders to an upstream, and none that is idle

Acknowledged jobs have nothing running while executors are idle, and executors of 64 channels reset the owner's orders.

Cause: an owner opened a connection for each order under way, without a limit, and kept it for 60 s. A machine that loses power closes none, and an executor notices only those on which it still has a response to send. After some owners all channels were those of lost machines.

Change: OrderChannels gives each upstream five connections at most, of which starts leave one to stops; the most urgent order goes first, stops before starts. A few orders share a connection, and it is closed as soon as no order waits for it. A start is checked (ownership, window, capacity, deadline) once it has its connection, is not sent to an upstream that was lost meanwhile or after 1 s, and counts from its sending.

Why it works: ten owners with all of their connections stay under 64, and an idle one isn't left behind: what is open has a response to come, which the executor notices.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -15,6 +15,7 @@
 
 from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
+from ._order_channels import OrderChannels, OrderKind
 from ._ownership import MAX_CONFIRMATION_AGE_SECONDS, MAX_UNCONFIRMED_SECONDS
 from ._upstream_poller import UpstreamPoller
 
@@ -29,7 +30,7 @@
         self,
         scheduler: Scheduler,
         pollers: Mapping[str, UpstreamPoller],
-        orders: UpstreamOrderClient,
+        channels: OrderChannels,
         advisor_address: str,
         log: DecisionLog,
         epoch: int,
@@ -47,7 +48,7 @@
         self._start_window = start_window
         self._scheduler = scheduler
         self._pollers = pollers
-        self._orders = orders
+        self._channels = channels
         self._advisor = AdvisorClient(advisor_address)
         self._log = log
         self._epoch = epoch
@@ -65,7 +66,10 @@
         """
         try:
             with self._log.metrics.start_seconds.time():
-                result = await self._try_start(order)
+                async with self._channels.take(
+                    order.upstream, OrderKind.START
+                ) as orders:
+                    result = await self._try_start(order, orders)
         except UpstreamFencedError:
             raise
         except Exception as error:
@@ -76,7 +80,11 @@
         if result is not StartResult.STARTED:
             self._on_response()
 
-    async def _try_start(self, order: StartOrder) -> StartResult:
+    async def _try_start(
+        self, order: StartOrder, orders: UpstreamOrderClient | None
+    ) -> StartResult:
+        if orders is None:
+            return StartResult.NOT_SENT
         upstream = self._scheduler.state.upstreams.get(order.upstream)
         poller = self._pollers.get(order.upstream)
         job_run = self._scheduler.state.jobs.get(order.task.job)
@@ -88,6 +96,9 @@
             or upstream.entry.incarnation != order.incarnation
         ):
             return StartResult.LATE
+        if not upstream.is_reachable:
+            # It was lost while the start waited for a connection.
+            return StartResult.NOT_SENT
         if not self._may_order(MAX_CONFIRMATION_AGE_SECONDS):
             # The process was suspended after it had recorded the start.
             return StartResult.LATE
@@ -101,28 +112,36 @@
         deadline_ms = poller.start_deadline_ms(window_seconds)
         if deadline_ms is None:
             return StartResult.LATE
-        result = await self._orders.start(
-            upstream.entry, order, self._epoch, deadline_ms
-        )
+        self._scheduler.start_sent(order, boot_seconds())
+        result = await orders.start(upstream.entry, order, self._epoch, deadline_ms)
         if result is StartResult.FENCED:
             raise UpstreamFencedError(order.upstream)
         return result
 
     async def send_stop(self, order: StopOrder) -> None:
         """Send an order to stop a run, and report a response to the scheduler."""
-        upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
-            return
-        if await self._orders.stop(upstream.entry, order, self._epoch):
-            self._scheduler.stop_answered(order, boot_seconds())
+        async with self._channels.take(order.upstream, OrderKind.STOP) as orders:
+            upstream = self._scheduler.state.upstreams.get(order.upstream)
+            if (
+                orders is None
+                or upstream is None
+                or not self._may_order(MAX_UNCONFIRMED_SECONDS)
+            ):
+                # It is repeated while it is needed.
+                return
+            if await orders.stop(upstream.entry, order, self._epoch):
+                self._scheduler.stop_answered(order, boot_seconds())
 
     async def send_pace(self, order: PaceOrder) -> None:
         """Send a change of a run's pace, and report a missing response."""
-        upstream = self._scheduler.state.upstreams.get(order.upstream)
-        if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
-            return
-        if not await self._orders.set_pace(upstream.entry, order, self._epoch):
-            self._scheduler.pace_unanswered(order)
+        async with self._channels.take(order.upstream, OrderKind.PACE) as orders:
+            upstream = self._scheduler.state.upstreams.get(order.upstream)
+            if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
+                return
+            if orders is None or not await orders.set_pace(
+                upstream.entry, order, self._epoch
+            ):
+                self._scheduler.pace_unanswered(order)
 
     async def request_advice(self, request: AdviceRequest) -> None:
         """Send a request to the placement advisor and apply its answer."""
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import asdict, replace
+from functools import partial
 
 import msgspec
 from baobablane.crashes import Host, encode_host
@@ -40,6 +41,7 @@
 from ._job_deleter import JobDeleter
 from ._lease_record import LeaseRecord
 from ._load_publisher import LoadPublisher
+from ._order_channels import OrderChannels, OrderKind
 from ._order_sender import OrderSender
 from ._owner_message import OwnerMessage
 from ._ownership import Ownership
@@ -119,12 +121,15 @@
             self._lease_record,
         )
         self._orders = UpstreamOrderClient(self._log_unanswered)
+        self._channels = OrderChannels(
+            partial(UpstreamOrderClient, self._log_unanswered)
+        )
         self._pollers: dict[str, UpstreamPoller] = {}
         self._wake = asyncio.Event()
         self._order_sender = OrderSender(
             self._scheduler,
             self._pollers,
-            self._orders,
+            self._channels,
             settings.advisor_address,
             log,
             epoch,
@@ -195,6 +200,7 @@
             failure = self._failure.exception() if self._failure.done() else None
             if failure is not None:
                 self._log.info("owner-failed", epoch=self._epoch, reason=repr(failure))
+            await self._channels.close()
             await self._orders.close()
             await self._instance_client.close()
             await self._order_sender.close()
@@ -315,7 +321,7 @@
             self._wake.set()
         for upstream_id in self._scheduler.upstreams_to_check(now):
             if upstream_id in self._pollers:
-                self._start_task(self._pollers[upstream_id].check())
+                self._start_task(self._check(self._pollers[upstream_id], upstream_id))
         for request in self._scheduler.pop_advice_requests():
             self._start_task(self._order_sender.request_advice(request))
         changed_progress = self._scheduler.pop_dirty_progress()
@@ -522,6 +528,11 @@
         finally:
             self._pollers.pop(upstream_id, None)
 
+    async def _check(self, poller: UpstreamPoller, upstream_id: str) -> None:
+        async with self._channels.take(upstream_id, OrderKind.CHECK) as orders:
+            if orders is not None:
+                await poller.check(orders)
+
     def _start_task(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -89,14 +89,14 @@
                 self._log.error("poll-failed", error, upstream=self._id)
                 await asyncio.sleep(POLL_RETRY_SECONDS)
 
-    async def check(self) -> None:
+    async def check(self, orders: UpstreamOrderClient) -> None:
         """Read the upstream's state now, beside a poll that waits for a task to end."""
         upstream = self._scheduler.state.upstreams.get(self._id)
         if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
             return
         requested_at = boot_seconds()
         try:
-            report = await self._orders.read_runs(upstream.entry, self._fencing_token)
+            report = await orders.read_runs(upstream.entry, self._fencing_token)
         except UpstreamUnreachableError as error:
             self._handle_unreachable(str(error))
             return
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_shrunk_capacity.py
@@ -9,6 +9,7 @@
 from baobablane.scheduling import StartOrder, StartResult
 
 from baobablane_daemon.decision_log import DecisionLog
+from baobablane_daemon.owner._order_channels import OrderChannels
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._upstream_poller import UpstreamPoller
 
@@ -31,7 +32,7 @@
         sender = OrderSender(
             scheduler,
             {"u": poller},
-            client,
+            OrderChannels(lambda: client),
             "",
             rest[1],
             1,
@@ -40,6 +41,6 @@
             lambda zone: math.inf,
         )
         order = StartOrder(TASK, 1, "", "", "u", 1)
-        assert await sender._try_start(order) is expected
+        assert await sender._try_start(order, client) is expected
         assert client.calls == ([] if is_over else ["start"])
         await sender.close()
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_stale_owner.py
@@ -27,6 +27,7 @@
 from baobablane_daemon.decision_log import DecisionLog
 from baobablane_daemon.jobs import boot_seconds
 from baobablane_daemon.owner._lease_record import LEASE_SECONDS
+from baobablane_daemon.owner._order_channels import OrderChannels
 from baobablane_daemon.owner._order_sender import OrderSender
 from baobablane_daemon.owner._ownership import MAX_UNCONFIRMED_SECONDS, Ownership
 from baobablane_daemon.owner._upstream_poller import UpstreamPoller
@@ -43,6 +44,9 @@
         """Start without calls."""
         self.calls = []
 
+    async def close(self):
+        """Close nothing."""
+
     def __getattr__(self, name):
         """Return a call that is recorded under its name."""
 
@@ -108,7 +112,7 @@
         sender = OrderSender(
             scheduler,
             {"u": poller},
-            client,
+            OrderChannels(lambda: client),
             "",
             log,
             1,
@@ -137,7 +141,7 @@
         job_run = sender._scheduler.state.jobs[TASK.job]
         order = StartOrder(TASK, 1, "", "", "u", 1)
         job_run.steps[(0, 0)].finish(0, 0)
-        assert await sender._try_start(order) is StartResult.LATE
+        assert await sender._try_start(order, client) is StartResult.LATE
         assert client.calls == []
         await sender.close()
 
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -327,6 +327,13 @@
             and not should_stop(self.state, run)
         )
 
+    def start_sent(self, order: StartOrder, now: float) -> None:
+        """Count a start from now on, as it may have waited for a connection."""
+        upstream = self.state.upstreams.get(order.upstream)
+        run = upstream.runs.get(order.task) if upstream else None
+        if run is not None and run.number == order.run:
+            run.started_at = now
+
     def start_answered(
         self, order: StartOrder, result: StartResult, now: float
     ) -> None:
