Take a pool for full only if no upstream has room

A job of one queue waits for a placement ticket, and jobs of another queue that come after it never begin, on idle executors.

Cause: what a round could not place was taken for a lack of room unless one of some listed constraints was known to be missing, and advice was not among them. Then all steps of the pool that need as much were skipped. On related paths, such a job also kept upstreams free for itself: as a large job, against accounts beyond their shares, and as a long-running task, which left others without the last room.

Evidence: the waiting jobs begin at once when the advised one is cancelled, and with equal priorities; in test_room_waits the other queue starves whatever the advisor does (allows nobody, allows one that is full, answers with an error, is silent), and with none of the other constraints.

Change: _room_wait.py looks for room itself. FullPools records a step only if no upstream of the round has room for it, whatever else it waits for; room is kept for a step only if those upstreams that it may use are too full. A new reason to wait needs no entry. Gangs are always tried, as they may start where others are limited.

Why it works: a lack of room is shown, not concluded from the absence of other reasons, so no other reason can stop others. test_full_pools is as strict as before, with room in place of the list of constraints, and three more constraints.

--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -9,6 +9,7 @@
 from ._orders import StartOrder
 from ._placement import choose_upstream
 from ._pressure import is_pressed, measure_pressure
+from ._room_wait import MAX_YOUNG_RUNS, find_permitted, waits_for_room
 from ._round_room import RoundRoom, collect_room
 from ._size_classes import LARGEST
 from ._starting import commit_starts, reserve_run
@@ -31,8 +32,6 @@
 # owner may go without a heartbeat, and none is sent before. Once a round has so many,
 # the less urgent jobs follow in the next one, at once.
 MAX_STARTS_PER_ROUND = 200
-# Maximum number of unsettled runs on each upstream of a pool whose upstreams crash.
-MAX_YOUNG_RUNS = 4
 
 GROUP_NAMES = [group.name.lower().replace("_", "-") for group in JobGroup]
 
@@ -114,6 +113,7 @@
     if full.has_no_room_for(pool, step_run.step):
         if (
             not is_beyond
+            and not state.needs_advice(step_run)
             and room.may_hold_more(pool)
             and _is_under_cap(state, step_run)
         ):
@@ -129,14 +129,10 @@
         candidates = state.advised(step_run, healthy, now)
         orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
-        if others:
-            room.full_pools.add(pool)
-        if others and state.usage.allows(job_run.job.account, step_run.step.needs):
-            full.record_no_room(pool, step_run.step)
-            if not is_beyond:
-                room.note_unplaced(pool, step_run.step, len(others))
-            if job_run.may_reserve:
-                room.reserve(pool, step_run.step, len(others))
+        if others and _is_under_cap(state, step_run):
+            full.record_unplaced(pool, step_run.step, healthy, room.young_runs)
+            if waits_for_room(state, step_run, healthy, room.young_runs):
+                _keep_room(state, job_run, step_run, len(others), is_beyond, room)
     # Without a healthy upstream, an ejected one is better than none. A long-running
     # task may always use one, because its failed attempts are not limited.
     is_stuck = step_run.step.is_lasting and bool(others)
@@ -149,6 +145,7 @@
     is_stuck = is_stuck and bool(others) and _is_under_cap(state, step_run)
     if (
         is_stuck
+        and waits_for_room(state, step_run, usable, room.young_runs)
         and pool not in room.lasting_pools
         and reserve_upstream(state, step_run, healthy, usable)
     ):
@@ -156,6 +153,24 @@
     return orders
 
 
+def _keep_room(
+    state: SchedulerState,
+    job_run: JobRun,
+    step_run: StepRun,
+    count: int,
+    is_beyond: bool,
+    room: RoundRoom,
+) -> None:
+    """Keep room from other starts for tasks of which all upstreams are full."""
+    pool, step = state.pool_of(job_run), step_run.step
+    room.full_pools.add(pool)
+    if not is_beyond and not state.needs_advice(step_run):
+        room.note_unplaced(pool, step, count)
+    if job_run.may_reserve:
+        permitted = find_permitted(state, step_run, room.healthy.get(pool, ()))
+        room.reserve(pool, step, count, permitted)
+
+
 def _plan_last_resort(
     state: SchedulerState,
     step_run: StepRun,
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -43,13 +43,17 @@
         others = self.healthy.get(pool) or self.usable.get(pool, [])
         return [*self.reserved.get(pool, []), *others]
 
-    def reserve(self, pool: str, step: Step, count: int) -> None:
-        """Keep some upstreams with much room free for the tasks of a large job."""
+    def reserve(
+        self, pool: str, step: Step, count: int, permitted: list[Upstream]
+    ) -> None:
+        """Keep some upstreams with much room free for the tasks of a large job.
+
+        `permitted` are those that the tasks may use.
+        """
         upstreams = self.healthy.get(pool, [])
         left = self.reservable.setdefault(pool, int(RESERVABLE_PART * len(upstreams)))
-        fitting = [u for u in upstreams if step.needs.fits_in(u.entry.capacity)]
-        fitting.sort(key=lambda upstream: -upstream.room().cpu_millis)
-        for upstream in fitting[:left]:
+        by_room = sorted(permitted, key=lambda upstream: -upstream.room().cpu_millis)
+        for upstream in by_room[:left]:
             if count <= 0:
                 break
             count -= upstream.entry.capacity.cpu_millis // max(1, step.needs.cpu_millis)
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -158,12 +158,16 @@
             )
         )
 
+    def needs_advice(self, step_run: StepRun) -> bool:
+        """Return whether the placement advisor has to allow a step's upstreams."""
+        queue = self.configuration.queues_by_name.get(step_run.job.queue)
+        return queue is not None and queue.needs_advice
+
     def advised(
         self, step_run: StepRun, upstreams: list[Upstream], now: float
     ) -> list[Upstream]:
         """Return the upstreams that the placement advisor allows, if it is needed."""
-        queue = self.configuration.queues_by_name.get(step_run.job.queue)
-        if queue is None or not queue.needs_advice:
+        if not self.needs_advice(step_run):
             return upstreams
         placed = step_run.placed_by_upstream()
         return self.advice.eligible(
--- a/packages/baobablane/baobablane/scheduling/tests/test_full_pools.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_full_pools.py
@@ -4,7 +4,14 @@
 
 from baobablane.scheduling._full_pools import FullPools
 
-from .fleet_model import make_step
+from .fleet_model import ModelFleet, make_step
+
+
+def make_upstreams(cpu):
+    """Return the upstreams of a fleet, each with this much room."""
+    fleet = ModelFleet(cpu=cpu)
+    fleet.renew_all()
+    return list(fleet.scheduler.state.upstreams.values())
 
 
 class TestFullPools:
@@ -14,7 +21,7 @@
     def full(self):
         """Return the full pools of a round in which one step found no room."""
         full = FullPools()
-        full.record_no_room("pool", make_step(cpu=2000))
+        full.record_unplaced("pool", make_step(cpu=2000), make_upstreams(1999), {})
         return full
 
     def test_step_with_equal_or_larger_needs_is_skipped(self, full):
@@ -31,10 +38,27 @@
         assert not full.has_no_room_for("pool", make_step(cpu=9000, is_lasting=True))
         assert not full.has_no_room_for("pool", make_step(cpu=9000, is_filler=True))
 
-    @pytest.mark.parametrize(
-        "fields", [{"required_label": "b"}, {"most_per_upstream": 1}, {"is_gang": True}]
-    )
-    def test_step_with_other_constraints_does_not_mark_the_pool_full(self, fields):
+    def test_gang_is_tried(self, full):
+        assert not full.has_no_room_for("pool", make_step(cpu=9000, is_gang=True))
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {},
+        {"required_label": "b"},
+        {"most_per_upstream": 1},
+        {"is_gang": True},
+        {"is_lasting": True},
+        {"is_filler": True},
+    ],
+)
+class TestOtherConstraints:
+    """Test a step that was not placed although upstreams have room for it."""
+
+    def test_step_does_not_mark_the_pool_full(self, fields):
+        """Guards against steps that wait for what another one lacks."""
         full = FullPools()
-        full.record_no_room("pool", make_step(cpu=1000, **fields))
+        step = make_step(cpu=1000, **fields)
+        full.record_unplaced("pool", step, make_upstreams(1000), {})
         assert not full.has_no_room_for("pool", make_step(cpu=1000))
