Log how old a claim is, and when the leases of a lost upstream end

Change: taken-over has claim_age_seconds, upstream-lost has leases_end_in_seconds.

Result: the tests of the owner pass. No logic is changed.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -240,6 +240,8 @@
             upstreams=len(self._scheduler.state.upstreams),
             unknown_lease_seconds=self._scheduler.state.policy.unknown_lease_seconds,
             inherited_leases=len(self._scheduler.state.inherited_by_upstream),
+            # No lease lasts for longer than some seconds after this.
+            claim_age_seconds=self._began_at - self._ownership.claimed_at,
         )
         self._instance_manager.take_over()
         self._start_task(self._update_lease_record())
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -199,6 +199,10 @@
             incarnation=upstream.entry.incarnation,
             reason=reason,
             runs=len(youngest),
+            leases_end_in_seconds=upstream.latest_lease_expiry(
+                self._scheduler.state.policy.unknown_lease_seconds
+            )
+            - now,
             # Each with its age in seconds.
             youngest_runs={
                 f"{format_task_id(run.task)}#{run.number}": now - run.started_at
