Let no own lease shorten what earlier owners may have granted

Cause: once an owner had granted any lease on an upstream, by when that one runs nothing followed from the owner's own lease alone. An upstream never shortens a lease, so a shorter one of the new owner, of 0 s at worst, changes nothing there; but it replaced the longer bound of the owner before, unknown or told.

Change: latest_lease_expiry is the latest of the own leases, those of earlier owners and those by an earlier clock. What the next owner is told follows. As nobody grants leases before the first owner, that one has no unknown leases to wait for any more; ModelFleet's first owner says so, and the owners after it have the bound as before.

Why it works: each bound is a fact of its own, and no later fact makes any earlier; the only way to a sooner restart is evidence on the earlier owner's end, as before.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -175,7 +175,7 @@
         """
         heartbeat = self._previous_heartbeat
         if heartbeat is None:
-            return None
+            return MAX_RENEWAL_AGE_SECONDS if self._is_first else None
         earlier_age = heartbeat.lease_bounds.earlier_renewal_age
         if earlier_age is None:
             # An older version. Owners before it end sooner than it may.
@@ -204,9 +204,7 @@
     def earlier_renewal_age(self, now: float) -> float:
         """Return `last_renewal_age`, or the least that it can be if it is unknown."""
         age = self.last_renewal_age(now)
-        if self._is_first:
-            age = MAX_RENEWAL_AGE_SECONDS
-        elif age is None:
+        if age is None:
             age = now - self._begun_at - MAX_RENEWAL_SECONDS
         return min(age, MAX_RENEWAL_AGE_SECONDS)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_lease_bound.py
@@ -112,6 +112,16 @@
         ownership._begun_at = NOW
         assert ownership.earlier_renewal_age(NOW + 1.0) <= 1.0 - MAX_UNCONFIRMED_SECONDS
 
+    def test_nobody_renewed_before_the_first_owner(self):
+        """Guards against a first owner that waits for leases of nobody."""
+        views = SimpleNamespace(owner_heartbeat=None, process_ends=ProcessEnds())
+        ownership = Ownership(None, views, DecisionLog("i"), "i-1", True, None)
+        assert ownership.last_renewal_age(NOW) is None
+        ownership._is_first = True
+        ownership._begin_ownership(1, NOW)
+        policy = make_policy(ownership.last_renewal_age(NOW))
+        assert policy.unknown_lease_seconds == 0.0
+
     def test_skipped_epoch_is_unknown(self):
         assert make_ownership(1.5, epoch=5).last_renewal_age(NOW) is None
 
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -236,16 +236,32 @@
         return self.lease is not None and self.lease.has_granted
 
     def latest_lease_expiry(self, unknown_lease_seconds: float) -> float:
-        """Return when an upstream that stays unreachable certainly runs nothing."""
-        if self.lease is not None and (
+        """Return when an upstream that stays unreachable certainly runs nothing.
+
+        An upstream never shortens a lease, so the latest of all bounds counts: those of
+        earlier owners hold on after this one has granted a lease.
+        """
+        return max(
+            self.own_lease_expiry(),
+            self.earlier_owners_expiry(unknown_lease_seconds),
+            self.earlier_lease_until,
+        )
+
+    def own_lease_expiry(self) -> float:
+        """Return when the leases that this owner has granted have expired."""
+        if self.lease is None or not (
             self.lease.has_granted or self.began_after_contact
         ):
-            expiry = self.lease.latest_expiry()
-        elif self.inherited_lease is not None:
-            expiry = self.inherited_lease.expires_at
-        else:
-            expiry = self.owned_since + unknown_lease_seconds
-        return max(expiry, self.earlier_lease_until)
+            return float("-inf")
+        return self.lease.latest_expiry()
+
+    def earlier_owners_expiry(self, unknown_lease_seconds: float) -> float:
+        """Return when the leases of earlier owners have expired."""
+        if self.began_after_contact and self.lease is not None:
+            return float("-inf")
+        if self.inherited_lease is not None:
+            return self.inherited_lease.expires_at
+        return self.owned_since + unknown_lease_seconds
 
     def latest_return(self, policy: SchedulingPolicy) -> float:
         """Return until when it is kept without an entry, as it may have runs."""
--- a/packages/baobablane/baobablane/scheduling/_wait_bounds.py
+++ b/packages/baobablane/baobablane/scheduling/_wait_bounds.py
@@ -58,7 +58,7 @@
     if ends_at == upstream.earlier_lease_until:
         since = RESTART
     else:
-        since = RENEWAL if upstream.has_granted_lease() else TAKEOVER
+        since = RENEWAL if ends_at == upstream.own_lease_expiry() else TAKEOVER
     inherited = upstream.inherited_lease
     if inherited is not None and ends_at == inherited.expires_at:
         return WaitBound(ends_at, EARLIER_RENEWAL, inherited.epoch)
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -30,6 +30,9 @@
 # A start gets a longer lease only if less than this is left of the granted one.
 MIN_START_LEASE_SECONDS = 2.5
 CORE = 1000
+SCHEDULING_POLICY = SchedulingPolicy()
+# No earlier owner can have granted leases.
+FIRST_OWNER = SchedulingPolicy(unknown_lease_seconds=0.0)
 
 
 def make_queue(name="q", pool="pool", priority=0, attempts=2):
@@ -186,14 +189,14 @@
             for n in range(count)
         }
         self.configuration = configuration or make_configuration()
-        self.scheduler = self.make_scheduler()
+        self.scheduler = self.make_scheduler(policy=FIRST_OWNER)
 
-    def make_scheduler(self, inherited=MappingProxyType({})):
+    def make_scheduler(self, inherited=MappingProxyType({}), policy=SCHEDULING_POLICY):
         """Return the scheduler of an owner that has just taken over.
 
         `inherited` is what the owner before it told of leases.
         """
-        scheduler = Scheduler(SchedulingPolicy(), inherited)
+        scheduler = Scheduler(policy, inherited)
         scheduler.set_configuration(self.configuration)
         for upstream in self.upstreams.values():
             scheduler.upstream_listed(upstream.entry, self.now)
--- a/packages/baobablane/baobablane/scheduling/tests/test_settled_chains.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_settled_chains.py
@@ -3,10 +3,10 @@
 import pytest
 
 from baobablane.jobs import JobState, TaskId
-from baobablane.scheduling import Scheduler, SchedulingPolicy
+from baobablane.scheduling import Scheduler
 
 from .crash_model import CrashFleet
-from .fleet_model import add, make_job, make_step
+from .fleet_model import SCHEDULING_POLICY, add, make_job, make_step
 
 DEADLY_JOB = "d" * 16
 DEADLY = TaskId(DEADLY_JOB, 0, 0, 0)
@@ -22,11 +22,9 @@
         """Crash an upstream, which the owner finds out only as a call times out."""
         self.cut_power(name)
 
-    def make_scheduler(self, inherited=()):
+    def make_scheduler(self, inherited=(), policy=SCHEDULING_POLICY):
         """Return the scheduler of an owner that has just taken over."""
-        scheduler = Scheduler(
-            SchedulingPolicy(), dict(inherited), settled_ms=self.told_ms
-        )
+        scheduler = Scheduler(policy, dict(inherited), settled_ms=self.told_ms)
         scheduler.set_configuration(self.configuration)
         for upstream in self.upstreams.values():
             scheduler.upstream_listed(upstream.entry, self.now)
