Count the leases of a new owner from the claim that was stored

Cause: the time of a claim was kept from the first claim of its epoch, however old. A claim without a response, 28 s before the takeover, was conditional on records that had been followed by others since, so it could not be carried out any more; yet the leases of the claim that was stored counted from it and were over at once.

Change: the time of a claim belongs to its epoch and its condition; under another condition a new claim counts from its own sending. Where no lease is left to grant, none is granted: renewals wait for the next heartbeat, and starts are not sent.

Why it works: records after the offset of the earlier claim were read, and it was not among them, so it never will be. Under the same condition either may be the stored one, and the earlier time still counts.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_lease_record.py
@@ -6,7 +6,7 @@
 
 from baobablane.scheduling import InheritedLease, Scheduler
 
-from ..jobs import LeaseBounds, UpstreamBound
+from ..jobs import LeaseBounds, UpstreamBound, boot_seconds
 
 # Outlasts a simultaneous power loss of all entry instances: they run again after 2.2 s,
 # the owner renews all leases 0.3 s later, and the last renewal may be 0.9 s old. A
@@ -94,7 +94,10 @@
         """Return whether leases may be granted, after a bounded wait for that."""
         try:
             async with asyncio.timeout(GRANT_WAIT_SECONDS):
-                while not self.may_grant(upstream_id):
+                while not (
+                    self.may_grant(upstream_id)
+                    and self.lease_seconds(boot_seconds(), LEASE_SECONDS) > 0.0
+                ):
                     self.is_wanted.set()
                     await self._stored_event.wait()
         except TimeoutError:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_ownership.py
@@ -93,8 +93,10 @@
         self._candidacy = candidacy
         self._last_epoch = 0
         self._no_claim_until = 0.0
-        # The epoch that was claimed last, and when that was tried first.
+        # The epoch that was claimed last, on the condition that the records end there,
+        # and when that was tried first.
         self._claimed_epoch = 0
+        self._claimed_offset = 0
         self.claimed_at = 0.0
         # Nobody has owned before the claim.
         self._is_first = False
@@ -278,8 +280,11 @@
             return
         heartbeat = self._previous_heartbeat = self._views.owner_heartbeat
         epoch = heartbeat.epoch + 1 if heartbeat else 1
-        if epoch != self._claimed_epoch:
-            self._claimed_epoch, self.claimed_at = epoch, now
+        if (epoch, next_offset) != (self._claimed_epoch, self._claimed_offset):
+            # Claims under another condition can't be carried out any more: the records
+            # since then were read.
+            self._claimed_epoch, self._claimed_offset = epoch, next_offset
+            self.claimed_at = now
         self._inherited = _decode_inherited(heartbeat)
         self.settled_ms = heartbeat.lease_bounds.settled_ms if heartbeat else 0
         self._is_first = heartbeat is None
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -116,10 +116,11 @@
         ):
             return None
         now = boot_seconds()
+        seconds = self._lease_record.lease_seconds(now, LEASE_SECONDS)
+        if seconds <= 0.0:
+            return None
         deadline_ms = upstream.lease.deadline_for_start(
-            now,
-            MIN_START_LEASE_SECONDS,
-            self._lease_record.lease_seconds(now, LEASE_SECONDS),
+            now, MIN_START_LEASE_SECONDS, seconds
         )
         if math.isinf(max_seconds):
             return deadline_ms
@@ -150,7 +151,8 @@
         deadline_ms = None
         if may_grant and upstream.is_reachable and upstream.lease is not None:
             seconds = self._lease_record.lease_seconds(requested_at, LEASE_SECONDS)
-            deadline_ms = upstream.lease.extend(requested_at, seconds)
+            if seconds > 0.0:
+                deadline_ms = upstream.lease.extend(requested_at, seconds)
         report = await self._orders.renew_leases(
             entry, self._fencing_token, deadline_ms, upstream.recorded_end, wait_ms
         )
