Count a job as begun once an upstream has begun a task of it

Cause: a job's record said running from the planned start on, which is stored before the order is sent. A rejection put the task back, but states only advance.

Change: a job is running once a start of it was acknowledged, a report lists a run of it, or an end of it is reported. A job that is set apart is so if its record shows such a task.

Why it works: the count follows what an executor said, so an order that is rejected, not sent or without a response changes nothing, and whichever owner sees the run first records it.

In test_scheduler the record before the start is pending and the one after it running; in test_kept_progress one more record comes after the start.

--- a/packages/baobablane/baobablane/scheduling/_job_apart.py
+++ b/packages/baobablane/baobablane/scheduling/_job_apart.py
@@ -33,7 +33,9 @@
         known = self.progress
         if known.state.is_final():
             return JobProgress(known.state)
-        if known.state is JobState.PENDING and (known.tasks or known.first_open):
+        if known.state is JobState.PENDING and (
+            known.first_open or any(map(_has_begun, known.tasks.values()))
+        ):
             known.state = JobState.RUNNING
         return known
 
@@ -97,3 +99,13 @@
         prefix = f"{task.occurrence}.{task.step}."
         tasks = self.progress.tasks
         return [other for key, other in tasks.items() if key.startswith(prefix)]
+
+
+def _has_begun(task: Task) -> bool:
+    """Return whether a record shows that an upstream has begun a task."""
+    return bool(
+        task.state is TaskState.DONE
+        or task.failed_run
+        or task.checkpoint
+        or task.stalls
+    )
--- a/packages/baobablane/baobablane/scheduling/_job_run.py
+++ b/packages/baobablane/baobablane/scheduling/_job_run.py
@@ -93,12 +93,6 @@
         """Yield the steps whose predecessors are done."""
         return filter(self._are_predecessors_done, self.steps.values())
 
-    def has_started(self) -> bool:
-        """Return whether any task was started."""
-        return self._first_open > 0 or any(
-            step_run.tasks for step_run in self.steps.values()
-        )
-
     def is_complete(self) -> bool:
         """Return whether every task of every occurrence is done."""
         return self._first_open >= self.occurrences()
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -77,6 +77,7 @@
         upstream.orphan_runs[row.task] = row.run
         return
     run.was_seen = True
+    state.note_begun(row.task.job)
     if run.confirmed_at is None and run.unknown_since is not None:
         run.unknown_since = None
         run.confirmed_at = now
@@ -127,6 +128,7 @@
     if job_run is None or found is None:
         _apply_end_apart(state, upstream, ended)
         return
+    state.note_begun(ended.task.job)
     step_run, task = found
     if task.state is TaskState.DONE or not _is_relevant_end(step_run, task, ended):
         return
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -393,8 +393,6 @@
             job_run = self.state.jobs.get(job_id)
             if job_run is not None:
                 try:
-                    if job_run.state is JobState.PENDING and job_run.has_started():
-                        job_run.state = JobState.RUNNING
                     changed[job_id] = job_run.progress()
                 except Exception as error:
                     self.state.set_apart(job_id, error)
--- a/packages/baobablane/baobablane/scheduling/_start_results.py
+++ b/packages/baobablane/baobablane/scheduling/_start_results.py
@@ -41,6 +41,7 @@
         run.confirmed_at = now
         run.was_seen = True
         upstream.last_seen_at = now
+        state.note_begun(order.task.job)
     elif result is StartResult.UNKNOWN:
         run.unknown_since = now
         upstream.is_reachable = False
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -243,6 +243,16 @@
             self.ejections.record_inconclusive(upstream.id)
         return run
 
+    def note_begun(self, job_id: str) -> None:
+        """Note that an upstream has begun a task of a job.
+
+        An order alone doesn't show that: the upstream may have rejected it.
+        """
+        job_run = self.jobs.get(job_id)
+        if job_run is not None and job_run.state is JobState.PENDING:
+            job_run.state = JobState.RUNNING
+            self.dirty_jobs.add(job_id)
+
     def requeue(self, upstream: Upstream, task: TaskId, reason: str) -> None:
         """Return a task to the waiting state after its run was lost."""
         run = self.remove_run(upstream, task)
--- a/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_kept_progress.py
@@ -119,6 +119,8 @@
     def test_progress_is_recorded_whatever_the_error_interrupted(self, fleet):
         add(fleet, make_job(name=BAD))
         fleet.place()
+        # That it has begun.
+        assert set(fleet.record()) == {BAD}
         assert fleet.record() == {}
         set_apart(fleet)
         assert fleet.record()[BAD].tasks["0.0.0"].state is TaskState.STARTED
--- a/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_scheduler.py
@@ -44,7 +44,10 @@
         (order,) = fleet.scheduler.plan_starts(fleet.now, 0)
         recorded = fleet.scheduler.pop_dirty_progress()[JOB]
         assert recorded.tasks["0.0.0"].run == order.run == 1
-        assert recorded.state is JobState.RUNNING
+        # Nothing shows yet that the upstream begins it.
+        assert recorded.state is JobState.PENDING
+        fleet.send(order)
+        assert fleet.scheduler.pop_dirty_progress()[JOB].state is JobState.RUNNING
 
     def test_occurrences_start_when_they_are_due(self, fleet):
         job = make_job()
