Handle the errors of repeated appends that nobody waits for

Seen: under lost writes, processes print "Task exception was never retrieved" with a whole traceback for each attempt that fails after another was answered (nine at one takeover).

Cause: append_repeatedly returns with the first answer and cancels the other attempts. Their errors were never read.

Change: each error is read, and the first one of an append logged in one structured line.

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_repeated_append.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_repeated_append.py
@@ -1,6 +1,7 @@
 """Send an append again when its response is overdue."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 from baobablane_platform import (
@@ -15,6 +16,8 @@
 # Typical time until a stored record is read back.
 READ_BACK_SECONDS = 0.15
 
+_logger = logging.getLogger("baobablane.appends")
+
 
 async def append_repeatedly(
     send: Callable[[float], Awaitable[object]],
@@ -33,6 +36,7 @@
     records were read back.
     """
     attempts: set[asyncio.Task[float]] = set()
+    all_attempts: list[asyncio.Task[float]] = []
     first_sent_at = now = boot_seconds()
     give_up_at, repeat_at = now + seconds, now
     is_rejected = may_be_stored = False
@@ -40,7 +44,9 @@
     try:
         while now < give_up_at:
             if not attempts or (now >= repeat_at and not is_rejected):
-                attempts.add(_start_attempt(send, forecast, give_up_at - now))
+                attempt = _start_attempt(send, forecast, give_up_at - now)
+                attempts.add(attempt)
+                all_attempts.append(attempt)
                 repeat_at = now + forecast.repeat_delay(now, now - first_sent_at)
             can_repeat = len(attempts) < max_attempts_at_once and not is_rejected
             until = min(repeat_at, give_up_at) if can_repeat else give_up_at
@@ -66,6 +72,7 @@
     finally:
         for attempt in attempts:
             attempt.cancel()
+        _retrieve_errors(all_attempts)
     raise StoreUnknownOutcomeError(f"append has unknown outcome: {error}")
 
 
@@ -75,6 +82,24 @@
     return asyncio.get_running_loop().create_task(_attempt(send, forecast, seconds))
 
 
+def _retrieve_errors(attempts: list["asyncio.Task[float]"]) -> None:
+    """Retrieve the errors of attempts that nobody waits for, and log the first one.
+
+    An attempt may fail in the step in which another is answered, or as it is cancelled.
+    """
+    is_logged = False
+
+    def retrieve(attempt: "asyncio.Task[float]") -> None:
+        nonlocal is_logged
+        error = None if attempt.cancelled() else attempt.exception()
+        if error is not None and not is_logged:
+            is_logged = True
+            _logger.info("append-repetition-failed", extra={"reason": repr(error)})
+
+    for attempt in attempts:
+        attempt.add_done_callback(retrieve)
+
+
 async def _attempt(
     send: Callable[[float], Awaitable[object]], forecast: AppendForecast, seconds: float
 ) -> float:
