Settle lost starts of steps with an allowance without ending work

The executor carries out a start late and then the stop, 2.7 s after the start was sent: a task at work ends for which nobody had a reason.

Change: a start keeps its deadline. A task that is listed before a stop was sent is not stopped any more.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -112,7 +112,7 @@
         deadline_ms = poller.start_deadline_ms(window_seconds)
         if deadline_ms is None:
             return StartResult.LATE
-        self._scheduler.start_sent(order, boot_seconds())
+        self._scheduler.start_sent(order, deadline_ms, boot_seconds())
         result = await orders.start(upstream.entry, order, self._epoch, deadline_ms)
         if result is StartResult.FENCED:
             raise UpstreamFencedError(order.upstream)
--- a/packages/baobablane/baobablane/scheduling/_incarnations.py
+++ b/packages/baobablane/baobablane/scheduling/_incarnations.py
@@ -123,6 +123,7 @@
             if run.confirmed_at is not None and not run.was_seen:
                 # Only the earlier incarnation confirmed that it rejects a late start.
                 run.confirmed_at, run.needs_stop = None, True
+            run.start_deadline_ms = None
             _expect_earlier_lease(state, replacement, run, now)
             replacement.add(run)
     state.upstreams[entry.id] = replacement
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -82,6 +82,9 @@
         run.unknown_since = None
         run.confirmed_at = now
         state.last_message_loss_at = now
+        if run.stop_sent_at is None:
+            # It was started late, and nothing that is on its way ends it.
+            run.needs_stop = False
     if run.is_lasting and row.percent >= READY_PERCENT > run.percent:
         state.ejections.record_success(upstream.id)
     if row.percent != run.percent:
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -327,12 +327,16 @@
             and not should_stop(self.state, run)
         )
 
-    def start_sent(self, order: StartOrder, now: float) -> None:
-        """Count a start from now on, as it may have waited for a connection."""
+    def start_sent(self, order: StartOrder, deadline_ms: int, now: float) -> None:
+        """Count a start from now on, as it may have waited for a connection.
+
+        `deadline_ms` is its lease deadline, in ms of the upstream's clock.
+        """
         upstream = self.state.upstreams.get(order.upstream)
         run = upstream.runs.get(order.task) if upstream else None
         if run is not None and run.number == order.run:
             run.started_at = now
+            run.start_deadline_ms = deadline_ms
 
     def start_answered(
         self, order: StartOrder, result: StartResult, now: float
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -45,6 +45,9 @@
     # The upstream does not run it, but its start may still arrive; a stop rules that
     # out.
     needs_stop: bool = False
+    # The lease deadline of its start, in ms of the upstream's clock, after which the
+    # start is rejected; None if it was not sent by this owner to this incarnation.
+    start_deadline_ms: int | None = None
     # Progress as last reported; -1 before the first report.
     percent: int = -1
     percent_changed_at: float = 0.0
--- a/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
+++ b/packages/baobablane/baobablane/scheduling/tests/fleet_model.py
@@ -264,6 +264,7 @@
         result = StartResult.LATE
         deadline = self.grant_start(order.upstream)
         if deadline is not None:
+            self.scheduler.start_sent(order, round(deadline * 1000), self.now)
             model = self.upstreams[order.upstream]
             result = model.start(order, self.epoch, deadline, self.now)
         self.scheduler.start_answered(order, result, self.now)
