Settle starts over the renewals of an upstream that takes no more connections

Cause: a reset and silence were the same to the owner. An upstream of which others have used up the channels answers renewals, so its leases never end, and takes no stop.

Change: the client tells a reset (UpstreamResetError) from silence. A stop that is reset goes over the connection of the renewals, which is open, between two of them and only to the incarnation that reported over it; eight at most for each renewal.

Why it works: the wait for an outcome ends as soon as the upstream answers anything. A silent upstream gets no stops there, so renewals do not wait behind them.

A timer of a connection queue may fire early by the clock's resolution; it is taken for due then.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_channels.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_channels.py
@@ -24,6 +24,8 @@
 # waited for some time: to send a few over the same connection takes a few ms.
 ORDERS_PER_CHANNEL = 3
 PATIENCE_SECONDS = 0.02
+# A timer may fire early by the resolution of the clock.
+CLOCK_SLACK = 0.001
 # An order that waits for longer is planned anew: the upstream has not responded for
 # as long.
 MAX_WAIT_SECONDS = 1.0
@@ -160,7 +162,7 @@
             return False
         return (
             len(self._waiters) > self._used_by_others * ORDERS_PER_CHANNEL
-            or asyncio.get_running_loop().time() >= waiter.impatient_at
+            or asyncio.get_running_loop().time() >= waiter.impatient_at - CLOCK_SLACK
         )
 
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_order_sender.py
@@ -11,7 +11,12 @@
     StartResult,
     StopOrder,
 )
-from baobablane_platform import AdvisorClient, UpstreamFencedError, UpstreamOrderClient
+from baobablane_platform import (
+    AdvisorClient,
+    UpstreamFencedError,
+    UpstreamOrderClient,
+    UpstreamResetError,
+)
 
 from ..decision_log import DecisionLog
 from ..jobs import boot_seconds
@@ -129,7 +134,14 @@
             ):
                 # It is repeated while it is needed.
                 return
-            if await orders.stop(upstream.entry, order, self._epoch):
+            try:
+                is_confirmed = await orders.stop(upstream.entry, order, self._epoch)
+            except UpstreamResetError:
+                # Others may use up its connections; that of the renewals is open.
+                if poller := self._pollers.get(order.upstream):
+                    poller.add_stop(order)
+                return
+            if is_confirmed:
                 self._scheduler.stop_answered(order, boot_seconds())
 
     async def send_pace(self, order: PaceOrder) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_upstream_poller.py
@@ -9,6 +9,7 @@
     LeaseTracker,
     RenewalReport,
     Scheduler,
+    StopOrder,
 )
 from baobablane_platform import (
     UpstreamFencedError,
@@ -33,6 +34,9 @@
 # Interval of lease renewals while the ends of tasks can't be recorded.
 RECORD_WAIT_SECONDS = 0.8
 
+# Stops that are sent between two renewals. The others are repeated.
+MAX_STOPS_PER_POLL = 8
+
 # At most this many runs are logged when their upstream is lost.
 MAX_LOGGED_RUNS = 5
 
@@ -68,6 +72,8 @@
         self._is_reachable = False
         # Rows of the latest report that could not be decoded; each is logged once.
         self._malformed_rows: set[str] = set()
+        # Stops for which the upstream takes no connection.
+        self._unsent_stops: list[StopOrder] = []
 
     async def run(self) -> None:
         """Poll until the upstream is removed, or raise UpstreamFencedError."""
@@ -79,7 +85,9 @@
     async def _poll_until_removed(self) -> None:
         while self._id in self._scheduler.state.upstreams:
             try:
-                await self._poll()
+                await self._send_stops()
+                if self._id in self._scheduler.state.upstreams:
+                    await self._poll()
             except UpstreamUnreachableError as error:
                 self._handle_unreachable(str(error))
                 await asyncio.sleep(POLL_RETRY_SECONDS)
@@ -89,6 +97,14 @@
                 self._log.error("poll-failed", error, upstream=self._id)
                 await asyncio.sleep(POLL_RETRY_SECONDS)
 
+    def add_stop(self, order: StopOrder) -> None:
+        """Send a stop before the next renewal, for which a connection is open.
+
+        A stop of which there are too many is left out: it is repeated.
+        """
+        if order not in self._unsent_stops[:MAX_STOPS_PER_POLL]:
+            self._unsent_stops = [*self._unsent_stops, order][:MAX_STOPS_PER_POLL]
+
     async def check(self, orders: UpstreamOrderClient) -> None:
         """Read the upstream's state now, beside a poll that waits for a task to end."""
         upstream = self._scheduler.state.upstreams.get(self._id)
@@ -161,6 +177,17 @@
         if current is not None and current.applied_end > current.recorded_end:
             await self._wait_until_recorded()
 
+    async def _send_stops(self) -> None:
+        stops, self._unsent_stops = self._unsent_stops, []
+        for order in stops:
+            upstream = self._scheduler.state.upstreams.get(self._id)
+            if upstream is None or not self._may_order(MAX_UNCONFIRMED_SECONDS):
+                return
+            if await self._orders.stop_between_renewals(
+                upstream.entry, order, self._fencing_token
+            ):
+                self._scheduler.stop_answered(order, boot_seconds())
+
     def _apply(self, report: RenewalReport, requested_at: float) -> None:
         now = boot_seconds()
         self._log_malformed_rows(report)
