Await a report after the deadline before a lost start is settled

Cause: the deadline was compared with the extrapolated clock of the executor, so the stop could go out before a report that had been made after it.

Change: the clock of the latest report counts, which is applied by then.

Measured: the new test fails before and passes now.

--- a/packages/baobablane/baobablane/scheduling/_lease_tracker.py
+++ b/packages/baobablane/baobablane/scheduling/_lease_tracker.py
@@ -23,6 +23,11 @@
         """Return whether this owner has granted a lease."""
         return self._deadline_ms > 0
 
+    @property
+    def read_clock_ms(self) -> int:
+        """Return the latest reading of the upstream's clock."""
+        return self._clock_ms
+
     def observe_clock(self, read_at: float, clock_ms: int) -> None:
         """Update the reading of the upstream's clock; ignore one behind the latest."""
         if clock_ms >= self._clock_ms:
--- a/packages/baobablane/baobablane/scheduling/_stop_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_stop_planning.py
@@ -43,22 +43,20 @@
             # The stop is repeated until the run is known to have ended.
             upstream.may_need_stops = True
             if _is_stop_due(state, run, now) and not _may_end_work(
-                state, upstream, run, now
+                state, upstream, run
             ):
                 run.stop_sent_at = now
                 orders.append(StopOrder(run.task, run.number, upstream.id))
     return orders
 
 
-def _may_end_work(
-    state: SchedulerState, upstream: Upstream, run: Run, now: float
-) -> bool:
+def _may_end_work(state: SchedulerState, upstream: Upstream, run: Run) -> bool:
     """Return whether a first stop may end a late start that the step can't miss.
 
     Load pattern: an upstream leaves orders unanswered and carries them out late. The
     stop that settles a start may arrive after it, and ends a task at work while others
-    of its step are away. After the deadline of the start, it no longer begins: by then
-    it is listed, and goes on, or the stop ends nothing.
+    of its step are away. After the deadline of the start, it no longer begins: a report
+    after that lists it, and it goes on, or the stop ends nothing.
     """
     if not run.needs_stop or run.stop_sent_at is not None:
         return False
@@ -70,7 +68,7 @@
     may_miss = job_run.job.steps[run.task.step].may_miss
     if not may_miss or _count_others_away(state, job_run, run) < may_miss:
         return False
-    return upstream.lease.clock_at(now) <= run.start_deadline_ms
+    return upstream.lease.read_clock_ms <= run.start_deadline_ms
 
 
 def _count_others_away(state: SchedulerState, job_run: JobRun, run: Run) -> int:
--- a/packages/baobablane/baobablane/scheduling/tests/test_settling_stops.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_settling_stops.py
@@ -84,6 +84,16 @@
         assert play.run(10.0) == []
         assert play.run_numbers() == dict.fromkeys(range(TASKS), 1)
 
+    def test_deadline_says_nothing_before_the_next_report(self, fleet):
+        """Guards against a stop on its way to a task that is about to be listed."""
+        play = Play(fleet, 3)
+        play.run(0.5)
+        play.carry_out()
+        fleet.now = max(deadline for _, deadline in play.late) + 0.3
+        assert fleet.send_stops() == []
+        assert play.run(5.0) == []
+        assert play.run_numbers() == dict.fromkeys(range(TASKS), 1)
+
     @pytest.mark.parametrize("lost", [2, 3, TASKS])
     def test_task_that_never_begins_is_started_again(self, fleet, lost):
         """Guards against a task that waits for ever for a start that was lost."""
