--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
@@ -58,6 +58,7 @@
     process: asyncio.subprocess.Process
     # Where the process writes its log.
     log_path: Path
+    metrics_address: str
 
     def events(self):
         """Return the names of the events in its log."""
@@ -66,14 +67,16 @@
         return [json.loads(line)["event"] for line in lines if line.startswith("{")]
 
 
-async def start_process(deployment, folder, name):
+async def start_process(deployment, folder, name, limits=None):
     """Start an entry instance that can be watched, and wait until it is ready."""
     address = f"{HOST}:{find_free_port()}"
+    ports = [find_free_port(), find_free_port()]
     settings = {
         "node": name,
         "zone": "zone-a",
         "ip": HOST,
-        "portRange": [find_free_port(), find_free_port()],
+        "portRange": ports,
+        "limits": limits or {},
         "listenAddrs": {"front": address},
         "platform": {"address": deployment.platform.address},
         "cloud": {"address": deployment.platform.address},
@@ -89,20 +92,20 @@
             stdout=log,
             stderr=log,
         )
-    entry = EntryProcess(address, process, log_path)
+    entry = EntryProcess(address, process, log_path, f"{HOST}:{ports[0]}")
     await deployment.wait_for(lambda: deployment.is_ready(entry))
     return entry
 
 
 @asynccontextmanager
-async def run_processes(folder, count):
+async def run_processes(folder, count, limits=None):
     """Run a stand-in platform and entry instances as processes."""
     async with run_deployment(0, PlatformLimits()) as deployment:
         entries = []
         try:
             for number in range(count):
                 name = f"entry{number}"
-                entries.append(await start_process(deployment, folder, name))
+                entries.append(await start_process(deployment, folder, name, limits))
             yield deployment, entries
         finally:
             for entry in entries:
