Refuse heads as they grow beyond the limit

Seen: 30 clients that send one head without an end took 204 to 594 MiB of an instance for which 128 are allowed, at the callers' and the metrics port.

Cause: the HTTP parser keeps a target, or the name or value of a field, until its end, and neither it nor the server library counts bytes or fields. The configuration's limit for heads was not read.

Change: connections read at most 16 KiB at once and parse it in pieces of at most 4 KiB, none of which reaches beyond a head. A head is counted before each piece is parsed, and refused with 431 beyond 16,384 bytes, or what the configuration allows if that is more. No field is kept that a legal head could not hold, so the fields need no limit of their own for one connection.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -1,12 +1,14 @@
-"""Bound the time for which a client's connection has no whole request."""
+"""Bound what a client's connection holds, and for how long without a request."""
 
 import asyncio
 import socket
 from asyncio import TimerHandle
+from collections.abc import Callable
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from ._connection_limit import ConnectionLimit
+from ._message_meter import MessageMeter
 
 # Longer than clients keep a connection that they opened for a request and don't use.
 FIRST_REQUEST_SECONDS = 30.0
@@ -22,10 +24,16 @@
 SLOW_REQUEST_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 )
+LARGE_HEAD_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+# All connections read into it, as each read is parsed before the next one.
+READ_BUFFER = bytearray(16 * 1024)
 
 
-class BoundedConnection(HttpToolsProtocol):
-    """Close a connection on which no request comes, or only a part of one.
+class BoundedConnection(HttpToolsProtocol, asyncio.BufferedProtocol):
+    """Close a connection on which no request comes, or too much for one.
 
     One with a request that is being answered is left alone, and so is an idle one after
     its first request, unless too many are open: a close might meet the client's next
@@ -34,6 +42,8 @@
 
     # Shared by the connections of all servers of a process.
     limit: ConnectionLimit
+    # Returns the size of the largest head that is allowed.
+    max_head_bytes: Callable[[], int]
     _timer: TimerHandle | None = None
     # Whether a part of a request has arrived, and not yet its end.
     _is_receiving = False
@@ -44,6 +54,7 @@
         """Expect the first request."""
         super().connection_made(transport)
         _probe_client(transport.get_extra_info("socket"))
+        self._meter = MessageMeter(self.max_head_bytes)
         if self.limit.add(transport):
             self.logger.warning("Connection closed: too many are open")
         self._timer = self.loop.call_later(
@@ -57,9 +68,24 @@
         self.limit.remove(self.transport)
         super().connection_lost(exc)
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the memory for the next read."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take what was read."""
+        self.data_received(bytes(memoryview(READ_BUFFER)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """Read a part of a request."""
-        super().data_received(data)
+        """Parse a part of a request, or of several ones."""
+        while data and not self.transport.is_closing():
+            piece = self._meter.next_piece(data)
+            if self._meter.exceeds_limit(piece):
+                self._close("a head is too large", LARGE_HEAD_RESPONSE)
+                break
+            super().data_received(piece)
+            self._meter.note_parsed(piece)
+            data = data[len(piece) :]
         if not self.transport.is_closing():
             self._watch()
 
@@ -69,11 +95,13 @@
             self._is_receiving = True
             self._stop_timer()
         self._has_head = False
+        self._meter.begin_head()
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Note that the head has arrived."""
         self._has_head = True
+        self._meter.end_head()
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -126,9 +154,12 @@
             self._timer = None
 
 
-def limit_connections(limit: ConnectionLimit) -> type[BoundedConnection]:
-    """Return the class of the connections that share a limit."""
-    return type("LimitedConnection", (BoundedConnection,), {"limit": limit})
+def limit_connections(
+    limit: ConnectionLimit, max_head_bytes: Callable[[], int]
+) -> type[BoundedConnection]:
+    """Return the class of the connections that share limits."""
+    members = {"limit": limit, "max_head_bytes": staticmethod(max_head_bytes)}
+    return type("LimitedConnection", (BoundedConnection,), members)
 
 
 def _probe_client(client: socket.socket) -> None:
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
@@ -0,0 +1,58 @@
+"""Count what an HTTP parser takes in without handing it on."""
+
+from collections.abc import Callable
+
+# The size up to which the platform's callers may send a head, unless the configuration
+# allows more.
+DEFAULT_MAX_HEAD_BYTES = 16_384
+# So small that many connections can be between two pieces.
+MAX_PIECE_BYTES = 4_096
+END_OF_HEAD = b"\r\n\r\n"
+LINE_BREAKS = b"\r\n"
+
+
+class MessageMeter:
+    """Bound the part of a message that the parser keeps until it is complete.
+
+    The parser has no limits of its own: it keeps a target, or a field's name or value,
+    until its end has arrived.
+    """
+
+    def __init__(self, max_head_bytes: Callable[[], int]) -> None:
+        """Start before the first message."""
+        self._max_head_bytes = max_head_bytes
+        self._is_in_head = False
+        self._head_bytes = 0
+        # The end of the piece before, in which the end of a head may have begun.
+        self._tail = b""
+
+    def next_piece(self, data: bytes) -> bytes:
+        """Return what to parse next: it reaches beyond the end of no head."""
+        window = self._tail + data[:MAX_PIECE_BYTES]
+        end = window.find(END_OF_HEAD)
+        size = end + len(END_OF_HEAD) if end >= 0 else len(window)
+        return data[: size - len(self._tail)]
+
+    def exceeds_limit(self, piece: bytes) -> bool:
+        """Return whether the head, with a piece that is to be parsed, is too large."""
+        bytes_with_piece = self._head_bytes + len(piece)
+        return self._is_in_head and bytes_with_piece > self._max_head_bytes()
+
+    def begin_head(self) -> None:
+        """Note that a message begins."""
+        self._is_in_head = True
+        self._head_bytes = 0
+
+    def end_head(self) -> None:
+        """Note that the head has arrived."""
+        self._is_in_head = False
+
+    def note_parsed(self, piece: bytes) -> None:
+        """Note that a piece has been parsed."""
+        if self._is_in_head:
+            # Empty lines may come before a head.
+            is_first = not self._head_bytes
+            self._head_bytes += len(piece.lstrip(LINE_BREAKS) if is_first else piece)
+        window = self._tail + piece
+        is_end = window.endswith(END_OF_HEAD)
+        self._tail = b"" if is_end else window[1 - len(END_OF_HEAD) :]
--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -118,12 +118,19 @@
 
     limit = ConnectionLimit()
     servers = [
-        _make_server(app, address, is_leaving, limit) for address in sorted(addresses)
+        _make_server(app, address, is_leaving, limit, actions.max_head_bytes)
+        for address in sorted(addresses)
     ]
     if settings.metrics_address:
         metrics = make_asgi_app(registry=log.metrics.registry)
         servers.append(
-            _make_server(metrics, settings.metrics_address, is_leaving, limit)
+            _make_server(
+                metrics,
+                settings.metrics_address,
+                is_leaving,
+                limit,
+                actions.max_head_bytes,
+            )
         )
     loop = asyncio.get_running_loop()
     ownership_task = loop.create_task(ownership.run())
@@ -245,8 +252,15 @@
     address: str,
     is_leaving: Callable[[], bool],
     limit: ConnectionLimit,
+    max_head_bytes: Callable[[], int],
 ) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
     return make_server(
-        app, host, int(port), FINISH_TIMEOUT_SECONDS, is_leaving, limit=limit
+        app,
+        host,
+        int(port),
+        FINISH_TIMEOUT_SECONDS,
+        is_leaving,
+        limit=limit,
+        max_head_bytes=max_head_bytes,
     )
--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -10,6 +10,7 @@
 from ._closing_connections import close_connections
 from ._connection_limit import ConnectionLimit
 from ._embedded_server import EmbeddedServer
+from ._message_meter import DEFAULT_MAX_HEAD_BYTES
 
 # A request that meets the end of its connection gets no response, so clients should be
 # the first to close one that is idle. HTTP clients and load balancers commonly do so
@@ -27,13 +28,14 @@
     is_leaving: Callable[[], bool] = lambda: False,
     max_connections: int = MAX_CONNECTIONS,
     limit: ConnectionLimit | None = None,
+    max_head_bytes: Callable[[], int] = lambda: DEFAULT_MAX_HEAD_BYTES,
 ) -> uvicorn.Server:
     """Return an HTTP server without signal handlers or access log.
 
     While `is_leaving`, or with more than `max_connections`, each response ends its
     connection. At the `limit`, which servers may share, new connections end those that
-    have been idle for longest. The server waits up to `stop_seconds` for open requests
-    when it stops.
+    have been idle for longest. A head larger than `max_head_bytes` is refused. The
+    server waits up to `stop_seconds` for open requests when it stops.
     """
 
     def should_close() -> bool:
@@ -44,7 +46,7 @@
         host=host,
         port=port,
         loop="asyncio",
-        http=limit_connections(limit or ConnectionLimit()),
+        http=limit_connections(limit or ConnectionLimit(), max_head_bytes),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -16,6 +16,7 @@
     StoreRejectedError,
 )
 
+from .._message_meter import DEFAULT_MAX_HEAD_BYTES
 from ..decision_log import Decision, DecisionLog
 from ._append_forecast import MAX_ACCEPT_SECONDS
 from ._clock import boot_seconds
@@ -83,6 +84,17 @@
             and views.operator_tail.age() < self._max_configuration_age_seconds
         )
 
+    def max_head_bytes(self) -> int:
+        """Return the size of the largest head that a request may have.
+
+        A configuration can raise it, but not lower it: while a new one spreads, callers
+        may still go by the one before.
+        """
+        configuration = self._views.configuration
+        if configuration is None:
+            return DEFAULT_MAX_HEAD_BYTES
+        return max(configuration.max_head_bytes, DEFAULT_MAX_HEAD_BYTES)
+
     def configuration(
         self, target: str, checks_keys: bool, accepts_job: bool
     ) -> Configuration:
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import json
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -296,6 +297,26 @@
             await play.deployment.wait_for(is_answered)
             crowd.close()
 
+    async def test_head_that_only_the_configuration_allows(self, tmp_path):
+        limit_bytes = 40_000
+        async with run_play(tmp_path) as play:
+            store = play.deployment.platform.store
+            _, value = store.partition("keyed.op", 0).newest["config"]
+            configuration = json.loads(value)
+            configuration["version"] += 1
+            configuration["limits"] = {"maxHeaderBytes": limit_bytes}
+            store.put("keyed.op", "config", json.dumps(configuration).encode())
+            head = START + b"a: " + b"x" * (limit_bytes - 200) + b"\r\n\r\n"
+            head = head.replace(b"GET / ", b"GET /baobablane/ready ")
+
+            async def is_answered():
+                crowd = Crowd(play.entry.address)
+                await crowd.play(range(1), lambda _: [head])
+                crowd.close()
+                return crowd.clients[0].status == 200
+
+            await play.deployment.wait_for(is_answered)
+
     async def test_requests_in_a_row_are_all_answered_in_order(self, tmp_path):
         count = 200
         async with run_play(tmp_path) as play:
--- /dev/null
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
@@ -0,0 +1,68 @@
+"""Test the bounds on what the HTTP parser keeps of one message."""
+
+from baobablane_daemon._message_meter import MAX_PIECE_BYTES, MessageMeter
+
+HEAD = b"GET / HTTP/1.1\r\nHost: q.example\r\n\r\n"
+MAX_HEAD_BYTES = 100
+
+
+def make_meter():
+    """Return a meter of heads with a small limit."""
+    return MessageMeter(lambda: MAX_HEAD_BYTES)
+
+
+def split(meter, data):
+    """Return the pieces of data."""
+    pieces = []
+    while data:
+        piece = meter.next_piece(data)
+        meter.note_parsed(piece)
+        pieces.append(piece)
+        data = data[len(piece) :]
+    return pieces
+
+
+class TestPieces:
+    """Test where data are divided."""
+
+    def test_no_piece_reaches_beyond_the_end_of_a_head(self):
+        assert split(make_meter(), HEAD * 3) == [HEAD] * 3
+
+    def test_end_of_a_head_may_arrive_in_parts(self):
+        for cut in range(1, len(HEAD)):
+            meter = make_meter()
+            assert split(meter, HEAD[:cut]) == [HEAD[:cut]]
+            assert split(meter, HEAD[cut:] + HEAD) == [HEAD[cut:], HEAD]
+
+    def test_pieces_are_bounded(self):
+        pieces = split(make_meter(), bytes(3 * MAX_PIECE_BYTES))
+        assert max(map(len, pieces)) <= MAX_PIECE_BYTES
+
+
+class TestHeadSize:
+    """Test the size of a head."""
+
+    def test_head_of_the_largest_size_is_allowed_in_any_parts(self):
+        for part_bytes in (1, 7, MAX_HEAD_BYTES):
+            meter = make_meter()
+            for start in range(0, MAX_HEAD_BYTES, part_bytes):
+                piece = bytes(min(part_bytes, MAX_HEAD_BYTES - start))
+                assert not meter.exceeds_limit(piece)
+                if start == 0:
+                    meter.begin_head()
+                meter.note_parsed(piece)
+            assert meter.exceeds_limit(b"x")
+
+    def test_each_head_counts_by_itself(self):
+        meter = make_meter()
+        for _ in range(3):
+            meter.begin_head()
+            meter.note_parsed(bytes(MAX_HEAD_BYTES))
+            meter.end_head()
+            assert not meter.exceeds_limit(bytes(MAX_HEAD_BYTES))
+
+    def test_empty_lines_before_a_head_are_no_part_of_it(self):
+        meter = make_meter()
+        meter.begin_head()
+        meter.note_parsed(b"\r\n" + b"x" * (MAX_HEAD_BYTES - 1))
+        assert not meter.exceeds_limit(b"x")
--- a/packages/baobablane/baobablane/deployment/_configuration.py
+++ b/packages/baobablane/baobablane/deployment/_configuration.py
@@ -18,6 +18,7 @@
     accounts_by_name: Mapping[str, ClientAccount] = field(default_factory=dict)
     accounts_by_key: Mapping[str, ClientAccount] = field(default_factory=dict)
     max_body_bytes: int = 262_144
+    max_head_bytes: int = 16_384
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest prefix of the path, or None."""
