Close connections that send empty lines in place of a request

Seen: 30 clients could send 8 MiB of empty lines each, before a first request or after one, and would have gone on: nothing ended them.

Cause: the HTTP parser skips line breaks before a request without a callback, so no request begins and no bound applies. After the first request each byte even began the time of an idle connection anew.

Change: bytes between two messages are counted; beyond 256 the connection gets 400 and is closed. Clients send one empty line at most.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -28,6 +28,9 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
+BAD_REQUEST_RESPONSE = (
+    b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
 # All connections read into it, as each read is parsed before the next one.
 READ_BUFFER = bytearray(16 * 1024)
 
@@ -80,11 +83,13 @@
         """Parse a part of a request, or of several ones."""
         while data and not self.transport.is_closing():
             piece = self._meter.next_piece(data)
-            if self._meter.exceeds_limit(piece):
+            if self._meter.is_head_too_large(piece):
                 self._close("a head is too large", LARGE_HEAD_RESPONSE)
                 break
             super().data_received(piece)
             self._meter.note_parsed(piece)
+            if self._meter.has_too_many_empty_lines():
+                self._close("no request came, but empty lines", BAD_REQUEST_RESPONSE)
             data = data[len(piece) :]
         if not self.transport.is_closing():
             self._watch()
@@ -107,6 +112,7 @@
     def on_message_complete(self) -> None:
         """Note that a request has arrived as a whole."""
         self._is_receiving = False
+        self._meter.end_message()
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
--- a/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
@@ -9,6 +9,8 @@
 MAX_PIECE_BYTES = 4_096
 END_OF_HEAD = b"\r\n\r\n"
 LINE_BREAKS = b"\r\n"
+# Between two messages. Clients send one empty line at most (RFC 9112, section 2.2).
+MAX_EMPTY_BYTES = 256
 
 
 class MessageMeter:
@@ -23,6 +25,10 @@
         self._max_head_bytes = max_head_bytes
         self._is_in_head = False
         self._head_bytes = 0
+        self._is_between_messages = True
+        # Whether the latest piece brought the end of a message.
+        self._has_just_ended = False
+        self._empty_bytes = 0
         # The end of the piece before, in which the end of a head may have begun.
         self._tail = b""
 
@@ -33,26 +39,40 @@
         size = end + len(END_OF_HEAD) if end >= 0 else len(window)
         return data[: size - len(self._tail)]
 
-    def exceeds_limit(self, piece: bytes) -> bool:
+    def is_head_too_large(self, piece: bytes) -> bool:
         """Return whether the head, with a piece that is to be parsed, is too large."""
         bytes_with_piece = self._head_bytes + len(piece)
         return self._is_in_head and bytes_with_piece > self._max_head_bytes()
 
+    def has_too_many_empty_lines(self) -> bool:
+        """Return whether too many bytes came before a message, or instead of one."""
+        return self._empty_bytes > MAX_EMPTY_BYTES
+
     def begin_head(self) -> None:
         """Note that a message begins."""
         self._is_in_head = True
         self._head_bytes = 0
+        self._is_between_messages = False
+        self._empty_bytes = 0
 
     def end_head(self) -> None:
         """Note that the head has arrived."""
         self._is_in_head = False
 
+    def end_message(self) -> None:
+        """Note that the whole message has arrived."""
+        self._is_between_messages = True
+        self._has_just_ended = True
+
     def note_parsed(self, piece: bytes) -> None:
         """Note that a piece has been parsed."""
         if self._is_in_head:
             # Empty lines may come before a head.
             is_first = not self._head_bytes
             self._head_bytes += len(piece.lstrip(LINE_BREAKS) if is_first else piece)
+        elif self._is_between_messages and not self._has_just_ended:
+            self._empty_bytes += len(piece)
+        self._has_just_ended = False
         window = self._tail + piece
         is_end = window.endswith(END_OF_HEAD)
         self._tail = b"" if is_end else window[1 - len(END_OF_HEAD) :]
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
@@ -1,6 +1,10 @@
 """Test the bounds on what the HTTP parser keeps of one message."""
 
-from baobablane_daemon._message_meter import MAX_PIECE_BYTES, MessageMeter
+from baobablane_daemon._message_meter import (
+    MAX_EMPTY_BYTES,
+    MAX_PIECE_BYTES,
+    MessageMeter,
+)
 
 HEAD = b"GET / HTTP/1.1\r\nHost: q.example\r\n\r\n"
 MAX_HEAD_BYTES = 100
@@ -47,11 +51,11 @@
             meter = make_meter()
             for start in range(0, MAX_HEAD_BYTES, part_bytes):
                 piece = bytes(min(part_bytes, MAX_HEAD_BYTES - start))
-                assert not meter.exceeds_limit(piece)
+                assert not meter.is_head_too_large(piece)
                 if start == 0:
                     meter.begin_head()
                 meter.note_parsed(piece)
-            assert meter.exceeds_limit(b"x")
+            assert meter.is_head_too_large(b"x")
 
     def test_each_head_counts_by_itself(self):
         meter = make_meter()
@@ -59,10 +63,41 @@
             meter.begin_head()
             meter.note_parsed(bytes(MAX_HEAD_BYTES))
             meter.end_head()
-            assert not meter.exceeds_limit(bytes(MAX_HEAD_BYTES))
+            assert not meter.is_head_too_large(bytes(MAX_HEAD_BYTES))
 
     def test_empty_lines_before_a_head_are_no_part_of_it(self):
         meter = make_meter()
         meter.begin_head()
         meter.note_parsed(b"\r\n" + b"x" * (MAX_HEAD_BYTES - 1))
-        assert not meter.exceeds_limit(b"x")
+        assert not meter.is_head_too_large(b"x")
+
+
+class TestEmptyLines:
+    """Test bytes between messages, from which the parser makes nothing."""
+
+    def test_some_empty_lines_are_allowed_before_each_message(self):
+        meter = make_meter()
+        for _ in range(3):
+            meter.note_parsed(bytes(MAX_EMPTY_BYTES))
+            assert not meter.has_too_many_empty_lines()
+            meter.begin_head()
+            meter.end_head()
+            meter.end_message()
+            meter.note_parsed(HEAD)
+
+    def test_more_are_too_many(self):
+        meter = make_meter()
+        for _ in range(MAX_EMPTY_BYTES):
+            meter.note_parsed(b"\n")
+        assert not meter.has_too_many_empty_lines()
+        meter.note_parsed(b"\n")
+        assert meter.has_too_many_empty_lines()
+
+    def test_a_message_is_none(self):
+        """Guards against a body that counts as empty lines."""
+        meter = make_meter()
+        meter.begin_head()
+        meter.end_head()
+        meter.note_parsed(HEAD)
+        meter.note_parsed(bytes(10 * MAX_EMPTY_BYTES))
+        assert not meter.has_too_many_empty_lines()
