Count trailers and chunk sizes as they arrive, and drop the fields

Seen: 30 clients whose trailers have no end took 207 (one value) to 402 MiB (fields) of an instance for which 128 are allowed; 390 MiB at the metrics port.

Cause: the parser keeps an unfinished field as in a head, and the server library appends each field of a trailer to those of the request.

Change: fields of trailers are dropped, and bytes of a body's message that are not of the body are counted since its latest byte; beyond the limit of a head the request gets 431, unless its response has begun, and the connection is closed.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -90,6 +90,8 @@
             self._meter.note_parsed(piece)
             if self._meter.has_too_many_empty_lines():
                 self._close("no request came, but empty lines", BAD_REQUEST_RESPONSE)
+            elif self._meter.is_framing_too_large():
+                self._refuse_body("a trailer is too large", LARGE_HEAD_RESPONSE)
             data = data[len(piece) :]
         if not self.transport.is_closing():
             self._watch()
@@ -109,6 +111,16 @@
         self._meter.end_head()
         super().on_headers_complete()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a field of the head; those of a trailer are of no use."""
+        if not self._has_head:
+            super().on_header(name, value)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._meter.note_body()
+        super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Note that a request has arrived as a whole."""
         self._is_receiving = False
@@ -148,6 +160,10 @@
         response = b"" if self._has_head else SLOW_REQUEST_RESPONSE
         self._close("a request did not arrive as a whole", response)
 
+    def _refuse_body(self, reason: str, response: bytes) -> None:
+        """End a request whose body is arriving, and which may have a response."""
+        self._close(reason, b"" if self.cycle.response_started else response)
+
     def _close(self, reason: str, response: bytes) -> None:
         self.logger.warning("Connection closed: %s", reason)
         if response:
--- a/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
@@ -26,8 +26,12 @@
         self._is_in_head = False
         self._head_bytes = 0
         self._is_between_messages = True
+        # Of chunk sizes and trailers since the latest byte of the body.
+        self._framing_bytes = 0
         # Whether the latest piece brought the end of a message.
         self._has_just_ended = False
+        # Whether the latest piece brought the end of a head, or bytes of a body.
+        self._has_handed_on = False
         self._empty_bytes = 0
         # The end of the piece before, in which the end of a head may have begun.
         self._tail = b""
@@ -44,6 +48,10 @@
         bytes_with_piece = self._head_bytes + len(piece)
         return self._is_in_head and bytes_with_piece > self._max_head_bytes()
 
+    def is_framing_too_large(self) -> bool:
+        """Return whether a body goes on with more than a head of other bytes."""
+        return self._framing_bytes > self._max_head_bytes()
+
     def has_too_many_empty_lines(self) -> bool:
         """Return whether too many bytes came before a message, or instead of one."""
         return self._empty_bytes > MAX_EMPTY_BYTES
@@ -58,6 +66,13 @@
     def end_head(self) -> None:
         """Note that the head has arrived."""
         self._is_in_head = False
+        self._has_handed_on = True
+        self._framing_bytes = 0
+
+    def note_body(self) -> None:
+        """Note that bytes of the body have arrived."""
+        self._has_handed_on = True
+        self._framing_bytes = 0
 
     def end_message(self) -> None:
         """Note that the whole message has arrived."""
@@ -70,9 +85,12 @@
             # Empty lines may come before a head.
             is_first = not self._head_bytes
             self._head_bytes += len(piece.lstrip(LINE_BREAKS) if is_first else piece)
-        elif self._is_between_messages and not self._has_just_ended:
+        elif not self._is_between_messages:
+            if not self._has_handed_on:
+                self._framing_bytes += len(piece)
+        elif not self._has_just_ended:
             self._empty_bytes += len(piece)
-        self._has_just_ended = False
+        self._has_just_ended = self._has_handed_on = False
         window = self._tail + piece
         is_end = window.endswith(END_OF_HEAD)
         self._tail = b"" if is_end else window[1 - len(END_OF_HEAD) :]
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
@@ -101,3 +101,30 @@
         meter.note_parsed(HEAD)
         meter.note_parsed(bytes(10 * MAX_EMPTY_BYTES))
         assert not meter.has_too_many_empty_lines()
+
+
+class TestFraming:
+    """Test bytes of a body's message that are not of the body."""
+
+    def begin_body(self):
+        """Return a meter of a message whose head has arrived."""
+        meter = make_meter()
+        meter.begin_head()
+        meter.end_head()
+        meter.note_parsed(HEAD)
+        return meter
+
+    def test_trailer_may_be_as_large_as_a_head(self):
+        meter = self.begin_body()
+        meter.note_parsed(bytes(MAX_HEAD_BYTES))
+        assert not meter.is_framing_too_large()
+        meter.note_parsed(b"x")
+        assert meter.is_framing_too_large()
+
+    def test_chunks_begin_the_count_anew(self):
+        meter = self.begin_body()
+        for _ in range(10):
+            meter.note_parsed(bytes(MAX_HEAD_BYTES))
+            meter.note_body()
+            meter.note_parsed(bytes(10 * MAX_HEAD_BYTES))
+            assert not meter.is_framing_too_large()
