Parse a request only once the response before it was sent

Seen: 30 clients that send small requests in a row and read no response took 460 MiB (callers' port) and 285 MiB (metrics) of an instance for which 128 are allowed; the users saw 2,033 MiB, and no ordinary job accepted afterwards.

Cause: the server library parses everything that one read of up to 256 KiB brought: thousands of requests, each with a scope of its own, and it reads on whenever a request waits for its body. Responses are kept up to 64 KiB and more for each connection, without a time.

Change: a piece that is parsed ends with its message, and the next one waits, at most one read of 16 KiB, until the response has left the process; reading pauses meanwhile. A response of which the client takes nothing for 10 s resets the connection.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -15,6 +15,9 @@
 # From the first byte of a request to the end of its head, and from a response to the
 # end of a body that it did not wait for. Longer than callers wait for a response.
 REQUEST_SECONDS = 10.0
+# From when a response could not be sent as a whole, if the client takes no more of it.
+# Longer than callers wait for a response.
+UNREAD_SECONDS = 10.0
 # Time after which the kernel gives up a connection whose client acknowledges nothing,
 # and the idle time after which it begins to ask. Longer than a network is interrupted
 # while its connections survive.
@@ -48,6 +51,11 @@
     # Returns the size of the largest head that is allowed.
     max_head_bytes: Callable[[], int]
     _timer: TimerHandle | None = None
+    # While a response is not sent.
+    _unread_timer: TimerHandle | None = None
+    # What was read and has to wait, and whether reading is paused for it.
+    _unparsed = b""
+    _is_held = False
     # Whether a part of a request has arrived, and not yet its end.
     _is_receiving = False
     # Whether the head of the latest request has arrived.
@@ -58,6 +66,8 @@
         super().connection_made(transport)
         _probe_client(transport.get_extra_info("socket"))
         self._meter = MessageMeter(self.max_head_bytes)
+        # What the kernel doesn't take is noted at once.
+        transport.set_write_buffer_limits(high=0)
         if self.limit.add(transport):
             self.logger.warning("Connection closed: too many are open")
         self._timer = self.loop.call_later(
@@ -67,6 +77,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timers."""
         self._stop_timer()
+        self._stop_unread_timer()
         self._unset_keepalive_if_required()
         self.limit.remove(self.transport)
         super().connection_lost(exc)
@@ -80,9 +91,17 @@
         self.data_received(bytes(memoryview(READ_BUFFER)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of a request, or of several ones."""
-        while data and not self.transport.is_closing():
-            piece = self._meter.next_piece(data)
+        """Take a part of a request, or of several ones."""
+        self._unparsed += data
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parse what has arrived, up to a request that has to wait."""
+        while (
+            self._unparsed and not self.transport.is_closing() and not self._must_wait()
+        ):
+            piece = self._meter.next_piece(self._unparsed)
+            self._unparsed = self._unparsed[len(piece) :]
             if self._meter.is_head_too_large(piece):
                 self._close("a head is too large", LARGE_HEAD_RESPONSE)
                 break
@@ -92,9 +111,21 @@
                 self._close("no request came, but empty lines", BAD_REQUEST_RESPONSE)
             elif self._meter.is_framing_too_large():
                 self._refuse_body("a trailer is too large", LARGE_HEAD_RESPONSE)
-            data = data[len(piece) :]
-        if not self.transport.is_closing():
-            self._watch()
+        if self.transport.is_closing():
+            self._unparsed = b""
+            return
+        if self._unparsed:
+            self._is_held = True
+            self.flow.pause_reading()
+        elif self._is_held:
+            self._is_held = False
+            self.flow.resume_reading()
+        self._watch()
+
+    def _must_wait(self) -> bool:
+        """Return whether the response before the next request isn't sent."""
+        is_deciding = self._is_answering() and not self._is_receiving
+        return is_deciding or self.flow.write_paused
 
     def on_message_begin(self) -> None:
         """Note that a request begins."""
@@ -108,7 +139,7 @@
     def on_headers_complete(self) -> None:
         """Note that the head has arrived."""
         self._has_head = True
-        self._meter.end_head()
+        self._meter.end_head(_read_body_bytes(self.headers))
         super().on_headers_complete()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -118,7 +149,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        self._meter.note_body()
+        self._meter.note_body(len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
@@ -130,8 +161,32 @@
     def on_response_complete(self) -> None:
         """Expect the rest of the request, or the next one."""
         super().on_response_complete()
-        if not self.transport.is_closing():
-            self._watch()
+        self._parse()
+
+    def pause_writing(self) -> None:
+        """Read nothing more until the client has taken what was sent."""
+        super().pause_writing()
+        self._await_client(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Go on with the next request."""
+        super().resume_writing()
+        self._stop_unread_timer()
+        self._parse()
+
+    def _await_client(self, unsent_bytes: int) -> None:
+        self._unread_timer = self.loop.call_later(
+            UNREAD_SECONDS, self._check_unread, unsent_bytes
+        )
+
+    def _check_unread(self, unsent_bytes: int) -> None:
+        """End the connection if the client has taken nothing for the whole time."""
+        still_unsent_bytes = self.transport.get_write_buffer_size()
+        if still_unsent_bytes < unsent_bytes:
+            self._await_client(still_unsent_bytes)
+            return
+        self.logger.warning("Connection closed: a response was not read")
+        self.transport.abort()
 
     def _watch(self) -> None:
         """Set the timer for what the connection waits for."""
@@ -175,6 +230,11 @@
             self._timer.cancel()
             self._timer = None
 
+    def _stop_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
 
 def limit_connections(
     limit: ConnectionLimit, max_head_bytes: Callable[[], int]
@@ -184,6 +244,15 @@
     return type("LimitedConnection", (BoundedConnection,), members)
 
 
+def _read_body_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    """Return the size of a body that its head tells, or 0.
+
+    The parser has refused heads that tell it twice, or in another form.
+    """
+    sizes = [int(value) for name, value in headers if name == b"content-length"]
+    return sizes[0] if sizes else 0
+
+
 def _probe_client(client: socket.socket) -> None:
     """Let the kernel find out that a client is gone without a word."""
     client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_message_meter.py
@@ -9,6 +9,8 @@
 MAX_PIECE_BYTES = 4_096
 END_OF_HEAD = b"\r\n\r\n"
 LINE_BREAKS = b"\r\n"
+# A body of nothing but ends of heads would otherwise be parsed in pieces of 4 bytes.
+MIN_CHUNKED_BYTES = 64
 # Between two messages. Clients send one empty line at most (RFC 9112, section 2.2).
 MAX_EMPTY_BYTES = 256
 
@@ -26,6 +28,8 @@
         self._is_in_head = False
         self._head_bytes = 0
         self._is_between_messages = True
+        # Of a body whose size its head tells; otherwise 0.
+        self._body_bytes_left = 0
         # Of chunk sizes and trailers since the latest byte of the body.
         self._framing_bytes = 0
         # Whether the latest piece brought the end of a message.
@@ -37,9 +41,16 @@
         self._tail = b""
 
     def next_piece(self, data: bytes) -> bytes:
-        """Return what to parse next: it reaches beyond the end of no head."""
+        """Return what to parse next: it reaches beyond the end of no message.
+
+        Only a chunked body that ends within the first `MIN_CHUNKED_BYTES` does not
+        end its piece.
+        """
+        if self._body_bytes_left:
+            return data[: self._body_bytes_left]
         window = self._tail + data[:MAX_PIECE_BYTES]
-        end = window.find(END_OF_HEAD)
+        is_chunked_body = not self._is_in_head and not self._is_between_messages
+        end = window.find(END_OF_HEAD, MIN_CHUNKED_BYTES if is_chunked_body else 0)
         size = end + len(END_OF_HEAD) if end >= 0 else len(window)
         return data[: size - len(self._tail)]
 
@@ -63,19 +74,22 @@
         self._is_between_messages = False
         self._empty_bytes = 0
 
-    def end_head(self) -> None:
-        """Note that the head has arrived."""
+    def end_head(self, body_bytes: int) -> None:
+        """Note that the head has arrived, and the size of the body if it tells that."""
         self._is_in_head = False
+        self._body_bytes_left = body_bytes
         self._has_handed_on = True
         self._framing_bytes = 0
 
-    def note_body(self) -> None:
+    def note_body(self, size_bytes: int) -> None:
         """Note that bytes of the body have arrived."""
+        self._body_bytes_left = max(0, self._body_bytes_left - size_bytes)
         self._has_handed_on = True
         self._framing_bytes = 0
 
     def end_message(self) -> None:
         """Note that the whole message has arrived."""
+        self._body_bytes_left = 0
         self._is_between_messages = True
         self._has_just_ended = True
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_bounds.py
@@ -15,6 +15,7 @@
     FIRST_REQUEST_SECONDS,
     REQUEST_SECONDS,
     UNACKNOWLEDGED_MS,
+    UNREAD_SECONDS,
 )
 from baobablane_daemon._serving import KEEP_ALIVE_SECONDS, make_server
 from baobablane_daemon.jobs.tests.virtual_time import run_in_virtual_time
@@ -225,6 +226,61 @@
         run(scenario)
 
 
+class TestUnreadResponses:
+    """Test clients that don't take their responses."""
+
+    # More than kernels keep for one connection.
+    RESPONSE_BYTES = 32 * 1024 * 1024
+
+    async def respond(self, scope, receive, send):
+        """Send a large response."""
+        await Response(bytes(self.RESPONSE_BYTES))(scope, receive, send)
+
+    def test_connection_ends_after_a_time(self):
+        async def scenario(connect, server):
+            _, writer = await connect()
+            writer.transport.pause_reading()
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            writer.write(HEAD)
+            while not server.server_state.connections:
+                await asyncio.sleep(0.01)
+            while server.server_state.connections:
+                await asyncio.sleep(0.1)
+            seconds = loop.time() - started_at
+            assert seconds == pytest.approx(UNREAD_SECONDS, abs=SLACK_SECONDS)
+
+        run(scenario, self.respond)
+
+    def test_slow_reader_gets_all_of_it(self):
+        async def scenario(connect, server):
+            reader, writer = await connect()
+            writer.write(HEAD)
+            await reader.readuntil(b"\r\n\r\n")
+            for _ in range(8):
+                await asyncio.sleep(UNREAD_SECONDS / 2)
+                await reader.readexactly(self.RESPONSE_BYTES // 8)
+
+        run(scenario, self.respond)
+
+    def test_requests_behind_it_are_not_begun(self):
+        """Guards against memory for requests whose responses nobody reads."""
+        begun = []
+
+        async def respond(scope, receive, send):
+            begun.append(scope["path"])
+            await self.respond(scope, receive, send)
+
+        async def scenario(connect, server):
+            _, writer = await connect()
+            writer.transport.pause_reading()
+            writer.write(HEAD * 1000)
+            await asyncio.sleep(UNREAD_SECONDS / 2)
+            assert begun == ["/"]
+
+        run(scenario, respond)
+
+
 class TestDeadClients:
     """Test the options by which the kernel finds clients that are gone."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_message_meter.py
@@ -3,6 +3,7 @@
 from baobablane_daemon._message_meter import (
     MAX_EMPTY_BYTES,
     MAX_PIECE_BYTES,
+    MIN_CHUNKED_BYTES,
     MessageMeter,
 )
 
@@ -38,6 +39,23 @@
             assert split(meter, HEAD[:cut]) == [HEAD[:cut]]
             assert split(meter, HEAD[cut:] + HEAD) == [HEAD[cut:], HEAD]
 
+    def test_piece_of_a_body_ends_with_it(self):
+        meter = make_meter()
+        meter.begin_head()
+        meter.end_head(10)
+        meter.note_parsed(HEAD)
+        assert meter.next_piece(bytes(4) + HEAD) == bytes(4) + HEAD[:6]
+        meter.note_body(4)
+        assert meter.next_piece(bytes(6) + HEAD) == bytes(6)
+
+    def test_chunked_body_of_ends_of_heads_is_parsed_in_few_pieces(self):
+        """Guards against a body that takes the processor of the whole machine."""
+        meter = make_meter()
+        meter.begin_head()
+        meter.end_head(0)
+        pieces = split(meter, b"\r\n\r\n" * MAX_PIECE_BYTES)
+        assert len(pieces) <= 4 * MAX_PIECE_BYTES / MIN_CHUNKED_BYTES
+
     def test_pieces_are_bounded(self):
         pieces = split(make_meter(), bytes(3 * MAX_PIECE_BYTES))
         assert max(map(len, pieces)) <= MAX_PIECE_BYTES
@@ -62,7 +80,7 @@
         for _ in range(3):
             meter.begin_head()
             meter.note_parsed(bytes(MAX_HEAD_BYTES))
-            meter.end_head()
+            meter.end_head(0)
             assert not meter.is_head_too_large(bytes(MAX_HEAD_BYTES))
 
     def test_empty_lines_before_a_head_are_no_part_of_it(self):
@@ -81,7 +99,7 @@
             meter.note_parsed(bytes(MAX_EMPTY_BYTES))
             assert not meter.has_too_many_empty_lines()
             meter.begin_head()
-            meter.end_head()
+            meter.end_head(0)
             meter.end_message()
             meter.note_parsed(HEAD)
 
@@ -97,7 +115,7 @@
         """Guards against a body that counts as empty lines."""
         meter = make_meter()
         meter.begin_head()
-        meter.end_head()
+        meter.end_head(0)
         meter.note_parsed(HEAD)
         meter.note_parsed(bytes(10 * MAX_EMPTY_BYTES))
         assert not meter.has_too_many_empty_lines()
@@ -110,7 +128,7 @@
         """Return a meter of a message whose head has arrived."""
         meter = make_meter()
         meter.begin_head()
-        meter.end_head()
+        meter.end_head(0)
         meter.note_parsed(HEAD)
         return meter
 
@@ -125,6 +143,6 @@
         meter = self.begin_body()
         for _ in range(10):
             meter.note_parsed(bytes(MAX_HEAD_BYTES))
-            meter.note_body()
+            meter.note_body(1)
             meter.note_parsed(bytes(10 * MAX_HEAD_BYTES))
             assert not meter.is_framing_too_large()
