Run no request whose client broke off before the end of its body

Seen by reading, while bounding bodies: at the product's own callers' port, a client that breaks off within a body had the part that had arrived run as if it were the whole body.

Cause: the end of the connection is a message without more_body, which was taken for the last part.

Change: it ends the request, with a line body-broken-off.

The platform's callers were not concerned, their body is read by the library.

--- a/packages/baobablane-daemon/baobablane_daemon/edge/_callers.py
+++ b/packages/baobablane-daemon/baobablane_daemon/edge/_callers.py
@@ -5,11 +5,12 @@
 
 import msgspec
 from baobablane.errors import ResultCode, describe, outcome_of
-from starlette.requests import Request
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 from starlette.routing import Route, Router
 from starlette.types import Receive, Scope, Send
 
+from ..decision_log import Decision
 from ..engine import CallerAnswer, CallerRequest, CallerService, Engine
 
 MAX_BODY_BYTES = 16_000_000
@@ -31,7 +32,14 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP request."""
         arrived_at = self._engine.now()
-        request = await _read_request(scope, receive, self._engine, arrived_at)
+        try:
+            request = await _read_request(scope, receive, self._engine, arrived_at)
+        except ClientDisconnect:
+            # Only a part of the body has arrived, and nobody reads a response.
+            self._engine.decisions.write(
+                Decision("body-broken-off", queue=scope["path_params"]["queue"])
+            )
+            return
         if isinstance(request, CallerRequest):
             answer = await self._caller_service.serve(request)
         else:
@@ -120,10 +128,16 @@
 
 
 async def _read_body(receive: Receive) -> bytes | None:
+    """Return the body, or None if it is too large; raise ClientDisconnect without one.
+
+    The body has not arrived as a whole if its client has broken off.
+    """
     chunks: list[bytes] = []
     size = 0
     while True:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ClientDisconnect
         chunk: bytes = message.get("body", b"")
         size += len(chunk)
         # Discard the received chunks immediately and don't read the rest of the body.
