Bound what all connections hold together

Seen: 600 clients with bodies of 250 kB that are stopped short, in pieces, or whole took 221, 252 and 149 MiB of an instance for which 128 are allowed, and 619 of its 512 descriptors. Heads of 16 KiB that stop short of the limit, which the limit of one connection allows: 189 MiB with 300 clients. The users saw 366 to 946 MiB with 900 to 4,300 bodies.

Cause: nothing counted what connections hold together. A connection whose body was arriving counted as one that is being answered, so no limit ended it. A closed connection kept its request until the garbage collector found it.

Change: one limit for all ports of a process, derived from the memory and the descriptors that its settings name, of open connections and of what they hold beyond 16 KiB each. Beyond it the connection whose client has stood still for longest goes, with a 503 if its request has not arrived as a whole, so that the job certainly never runs; a whole request never goes, and one connection alone may hold any amount. What is kept of a request is freed with its response or its connection.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -34,6 +34,15 @@
 BAD_REQUEST_RESPONSE = (
     b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 )
+# The request has not arrived as a whole, so it certainly will not run.
+BUSY_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+# What a field of a head takes in memory beside its bytes.
+FIELD_BYTES = 256
+# Of a request that arrives in smaller parts, so many count as progress.
+PROGRESS_BYTES = 1_024
 # All connections read into it, as each read is parsed before the next one.
 READ_BUFFER = bytearray(16 * 1024)
 
@@ -56,6 +65,10 @@
     # What was read and has to wait, and whether reading is paused for it.
     _unparsed = b""
     _is_held = False
+    # What is kept of the request until its response is complete.
+    _request_bytes = 0
+    # What has arrived since the latest progress.
+    _arrived_bytes = 0
     # Whether a part of a request has arrived, and not yet its end.
     _is_receiving = False
     # Whether the head of the latest request has arrived.
@@ -68,8 +81,7 @@
         self._meter = MessageMeter(self.max_head_bytes)
         # What the kernel doesn't take is noted at once.
         transport.set_write_buffer_limits(high=0)
-        if self.limit.add(transport):
-            self.logger.warning("Connection closed: too many are open")
+        self.limit.add(self)
         self._timer = self.loop.call_later(
             FIRST_REQUEST_SECONDS, self._close, "no request came", b""
         )
@@ -79,7 +91,10 @@
         self._stop_timer()
         self._stop_unread_timer()
         self._unset_keepalive_if_required()
-        self.limit.remove(self.transport)
+        self.limit.remove(self)
+        self._unparsed = b""
+        if not self._is_deciding():
+            self._drop_request()
         super().connection_lost(exc)
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -102,11 +117,14 @@
         ):
             piece = self._meter.next_piece(self._unparsed)
             self._unparsed = self._unparsed[len(piece) :]
+            self._arrived_bytes += len(piece)
             if self._meter.is_head_too_large(piece):
                 self._close("a head is too large", LARGE_HEAD_RESPONSE)
                 break
             super().data_received(piece)
             self._meter.note_parsed(piece)
+            if self._keeps_request():
+                self._request_bytes += len(piece)
             if self._meter.has_too_many_empty_lines():
                 self._close("no request came, but empty lines", BAD_REQUEST_RESPONSE)
             elif self._meter.is_framing_too_large():
@@ -120,12 +138,34 @@
         elif self._is_held:
             self._is_held = False
             self.flow.resume_reading()
-        self._watch()
+        self._note_held()
+        if not self.transport.is_closing():
+            self._watch()
+
+    def _drop_request(self) -> None:
+        """Free what is kept of a request.
+
+        The connection refers to it until the next one begins, and a closed one until
+        the garbage collector finds it.
+        """
+        self._request_bytes = 0
+        if self.headers is not None:
+            self.headers.clear()
+        if self.cycle is not None:
+            self.cycle.scope["headers"] = []
+            self.cycle.body.clear()
+
+    def _note_held(self) -> None:
+        unsent_bytes = self.transport.get_write_buffer_size()
+        self.limit.hold(self, self._request_bytes + len(self._unparsed) + unsent_bytes)
+
+    def _keeps_request(self) -> bool:
+        """Return whether a part of a request has arrived that is still of use."""
+        return self._is_answering() or (self._is_receiving and not self._has_head)
 
     def _must_wait(self) -> bool:
         """Return whether the response before the next request isn't sent."""
-        is_deciding = self._is_answering() and not self._is_receiving
-        return is_deciding or self.flow.write_paused
+        return self._is_deciding() or self.flow.write_paused
 
     def on_message_begin(self) -> None:
         """Note that a request begins."""
@@ -134,6 +174,7 @@
             self._stop_timer()
         self._has_head = False
         self._meter.begin_head()
+        self._request_bytes = 0
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -145,6 +186,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a field of the head; those of a trailer are of no use."""
         if not self._has_head:
+            self._request_bytes += FIELD_BYTES
             super().on_header(name, value)
 
     def on_body(self, body: bytes) -> None:
@@ -161,17 +203,21 @@
     def on_response_complete(self) -> None:
         """Expect the rest of the request, or the next one."""
         super().on_response_complete()
+        if not self._is_answering():
+            self._drop_request()
         self._parse()
 
     def pause_writing(self) -> None:
         """Read nothing more until the client has taken what was sent."""
         super().pause_writing()
+        self._note_held()
         self._await_client(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Go on with the next request."""
         super().resume_writing()
         self._stop_unread_timer()
+        self._arrived_bytes = PROGRESS_BYTES
         self._parse()
 
     def _await_client(self, unsent_bytes: int) -> None:
@@ -188,14 +234,32 @@
         self.logger.warning("Connection closed: a response was not read")
         self.transport.abort()
 
+    def evict(self) -> None:
+        """Close the connection, with a rejection if a request is arriving."""
+        reason = "others need the memory or the descriptor"
+        if self.transport.is_closing() or self.transport.get_write_buffer_size():
+            self._close(reason, b"")
+            self.transport.abort()
+        elif self._is_receiving and self._has_head:
+            self._refuse_body(reason, BUSY_RESPONSE)
+        else:
+            self._close(reason, BUSY_RESPONSE if self._is_receiving else b"")
+        # Many may be evicted before the event loop reports that the first one is lost.
+        self._drop_request()
+
     def _watch(self) -> None:
         """Set the timer for what the connection waits for."""
+        if self._is_deciding():
+            self.limit.note_busy(self)
+        else:
+            has_progressed = self._arrived_bytes >= PROGRESS_BYTES
+            self.limit.note_waiting(self, has_progressed)
+            if has_progressed:
+                self._arrived_bytes = 0
         if self._is_answering():
+            # The application has times of its own for a body.
             self._stop_timer()
-            self.limit.note_busy(self.transport)
-            return
-        self.limit.note_idle(self.transport)
-        if self._is_receiving:
+        elif self._is_receiving:
             # Further parts don't begin its time anew.
             if self._timer is None:
                 self._unset_keepalive_if_required()
@@ -207,6 +271,10 @@
                     self.timeout_keep_alive, self.timeout_keep_alive_handler
                 )
 
+    def _is_deciding(self) -> bool:
+        """Return whether a request that has arrived as a whole is being answered."""
+        return self._is_answering() and not self._is_receiving
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
--- a/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_platform_process.py
@@ -19,7 +19,7 @@
 from prometheus_client import make_asgi_app
 from starlette.types import ASGIApp
 
-from ._connection_limit import ConnectionLimit
+from ._connection_limit import ConnectionLimit, derive_limit
 from ._serving import make_server, wait_for_stop
 from .decision_log import DecisionLog, guard_standard_error
 from .jobs import (
@@ -45,6 +45,8 @@
 )
 
 GC_THRESHOLD_ALLOCATIONS = 20_000
+# Of the connections that may be open, so many stay open after a response.
+KEPT_CONNECTIONS_SHARE = 0.8
 # The balancer routes elsewhere after two failed checks of one second each.
 BALANCER_DETECTION_SECONDS = 2.3
 # Without an owner, a claim is sent for so long. The end of the ownership is announced
@@ -116,7 +118,7 @@
         # The balancer routes new connections elsewhere, but open ones stay.
         return not actions.is_ready()
 
-    limit = ConnectionLimit()
+    limit = derive_limit(settings.memory_mb, settings.descriptors)
     servers = [
         _make_server(app, address, is_leaving, limit, actions.max_head_bytes)
         for address in sorted(addresses)
@@ -261,6 +263,7 @@
         int(port),
         FINISH_TIMEOUT_SECONDS,
         is_leaving,
+        max_connections=int(limit.max_open * KEPT_CONNECTIONS_SHARE),
         limit=limit,
         max_head_bytes=max_head_bytes,
     )
--- a/packages/baobablane-daemon/baobablane_daemon/_process.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_process.py
@@ -15,7 +15,7 @@
 from ._connection_limit import ConnectionLimit
 from ._serving import make_server, wait_for_stop
 from .decision_log import DecisionLog, guard_standard_error
-from .edge import make_callers_app, make_operators_app
+from .edge import MAX_BODY_BYTES, make_callers_app, make_operators_app
 from .engine import (
     AtMostOnce,
     CallerService,
@@ -39,6 +39,8 @@
 STREAMS = (CONFIG_STREAM, MEMBERSHIP_STREAM, JOURNAL_STREAM, DEFERRED_STREAM)
 TICK_INTERVAL_SECONDS = 0.025
 LEAVE_TIMEOUT_SECONDS = 5.0
+# Of requests that are arriving or being answered, at all ports together.
+MAX_HELD_BYTES = 16 * MAX_BODY_BYTES
 STOP_POLL_INTERVAL_SECONDS = 0.05
 
 
@@ -79,7 +81,7 @@
     ]
     host, stop_seconds = str(instance.host), settings.timing.stop_seconds
     callers = make_callers_app(engine, caller_service)
-    limit = ConnectionLimit()
+    limit = ConnectionLimit(max_held_bytes=MAX_HELD_BYTES)
     servers = [
         make_server(callers, host, instance.callers_port, stop_seconds, limit=limit),
         make_server(
--- a/packages/baobablane-daemon/baobablane_daemon/_serving.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_serving.py
@@ -18,6 +18,8 @@
 KEEP_ALIVE_SECONDS = 600
 # Half of the descriptors that an entry instance has at the least.
 MAX_CONNECTIONS = 2000
+BACKLOG_SHARE = 0.2
+MIN_BACKLOG = 16
 
 
 def make_server(
@@ -37,6 +39,7 @@
     have been idle for longest. A head larger than `max_head_bytes` is refused. The
     server waits up to `stop_seconds` for open requests when it stops.
     """
+    limit = limit or ConnectionLimit()
 
     def should_close() -> bool:
         return is_leaving() or len(server.server_state.connections) > max_connections
@@ -46,7 +49,9 @@
         host=host,
         port=port,
         loop="asyncio",
-        http=limit_connections(limit or ConnectionLimit(), max_head_bytes),
+        http=limit_connections(limit, max_head_bytes),
+        # Accepted at once, before any of them counts.
+        backlog=max(MIN_BACKLOG, int(limit.max_open * BACKLOG_SHARE)),
         ws="none",
         lifespan="off",
         log_config=None,
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
@@ -32,6 +32,9 @@
 BODY = b'{"spec":"1","steps":[{"count":1,"cpu":1000}]' + b" " * BODY_BYTES + b"}"
 BODY_PIECE_BYTES = 4_000
 REQUESTS_BYTES = MIB
+# Clients that stop within heads of a size that the configuration allows.
+HEAD_CLIENTS = 300
+MAX_HEAD_BYTES = 16_384
 # Far more than a request line is followed by in practice, and what nobody keeps.
 EMPTY_LINE_BYTES = 8 * MIB
 
@@ -140,6 +143,12 @@
             )
             assert not any(client.has_sent_all for client in clients)
 
+    async def test_stopped_short_of_the_limit(self, tmp_path):
+        """Guards against fields that take much more memory than their bytes."""
+        fields = b"a:\r\n" * (MAX_HEAD_BYTES // 4 - len(START))
+        async with run_play(tmp_path) as play:
+            await play.run(play.entry.address, HEAD_CLIENTS, lambda _: [START + fields])
+
     async def test_metrics_port(self, tmp_path):
         head, part, size = HEADS["value"]
         async with run_play(tmp_path) as play:
@@ -280,12 +289,11 @@
             crowd.close()
 
     async def test_largest_head(self, tmp_path):
-        limit_bytes = 16_384
         head = (
             f"GET {PATH_PREFIX} HTTP/1.1\r\nHost: {QUEUE_HOST}\r\n"
             f"Authorization: Bearer {API_KEY}\r\n"
         ).encode()
-        fields = b"a:\r\n" * ((limit_bytes - len(head) - 2) // 4)
+        fields = b"a:\r\n" * ((MAX_HEAD_BYTES - len(head) - 2) // 4)
         async with run_play(tmp_path) as play:
             crowd = Crowd(play.entry.address)
             await crowd.play(range(1), lambda _: [head + fields + b"\r\n"])
