Bound messages to the port at which others watch the owner

Seen: 30 clients that announce a message of 8 GiB there and send 4 MiB of it took 168 MiB of an instance for which 128 are allowed.

Cause: the socket publishes, but ZeroMQ takes messages of any size from subscribers, and allocates what they announce.

Change: messages of more than 1,000 bytes close the connection; a subscription has one byte. A test of 600 connections to that port shows 624 descriptors where 512 are allowed: the library accepts by itself. A further test shows that a job whose body was rejected with 503 is answered with 410.

--- a/packages/baobablane-daemon/baobablane_daemon/owner/_direct_link.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_direct_link.py
@@ -39,6 +39,8 @@
         self._context = zmq.asyncio.Context()
         self._socket = self._context.socket(zmq.PUB)
         self._socket.sndhwm = MAX_QUEUED_MESSAGES
+        # Watchers only subscribe.
+        self._socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self.is_open = True
         try:
             self._socket.bind(f"tcp://{address}")
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
@@ -28,6 +28,8 @@
 # Clients that stop within bodies: more than the machine has descriptors and memory for.
 BODY_CLIENTS = 600
 BODY_BYTES = 250_000
+# More than the machine has room for, but no more than it has memory for.
+HELD_CLIENTS = 60
 # The configuration allows 262,144 bytes.
 BODY = b'{"spec":"1","steps":[{"count":1,"cpu":1000}]' + b" " * BODY_BYTES + b"}"
 BODY_PIECE_BYTES = 4_000
@@ -56,6 +58,9 @@
     "value": (CHUNKED + b"a: ", b"x" * 1024, ENDLESS_BYTES),
     "fields": (CHUNKED, b"a: b\r\n", ENDLESS_FIELD_BYTES),
 }
+# Of the protocol that ZeroMQ speaks (ZMTP 3.0), and the head of a message of 8 GiB.
+ZMTP_GREETING = b"\xff" + bytes(8) + b"\x7f\x03\x00NULL" + bytes(48)
+ZMTP_LARGE_MESSAGE = ZMTP_GREETING + b"\x06" + (8 << 30).to_bytes(8, "big")
 EMPTY_LINES = {"crlf": b"\r\n", "lf": b"\n"}
 
 
@@ -246,6 +251,27 @@
         async with run_play(tmp_path) as play:
             await play.run(play.entry.address, BODY_CLIENTS, pieces_of)
 
+    async def test_job_of_a_rejected_body_does_not_exist(self, tmp_path):
+        """Guards against a rejection of a job that is stored all the same."""
+        async with run_play(tmp_path) as play:
+            crowd = Crowd(play.entry.address)
+            # One after the other, so that each has been read when it is rejected.
+            for number in range(HELD_CLIENTS):
+                pieces = [post_head(number, len(BODY)) + BODY[:-1]]
+                await crowd.play([number], lambda _, pieces=pieces: pieces)
+
+            async def is_rejected():
+                return any(client.status for client in crowd.clients)
+
+            await play.deployment.wait_for(is_rejected)
+            for number, client in enumerate(crowd.clients):
+                if client.status:
+                    assert client.status == 503
+                    path = PATH_PREFIX + job_id(number)
+                    status, _ = await play.deployment.call(play.entry, "GET", path)
+                    assert status == 410
+            crowd.close()
+
     async def test_whole(self, tmp_path):
         """Guards against a rejection of a job that is stored all the same."""
 
@@ -271,6 +297,37 @@
             await play.run(play.entry.address, BODY_CLIENTS, pieces_of)
 
 
+class TestFeedPort:
+    """Test the port at which other instances watch the owner."""
+
+    async def open_feed(self, play):
+        """Wait until the port is open, which is soon after the start."""
+
+        async def is_open():
+            crowd = Crowd(play.entry.feed_address)
+            await crowd.play(range(1), lambda _: [])
+            crowd.close()
+            return bool(crowd.clients)
+
+        await play.deployment.wait_for(is_open)
+
+    async def test_messages_without_an_end(self, tmp_path):
+        async with run_play(tmp_path) as play:
+            await self.open_feed(play)
+            await play.run(
+                play.entry.feed_address,
+                CLIENTS,
+                lambda _: repeat(ZMTP_LARGE_MESSAGE, bytes(1024), ENDLESS_BYTES),
+            )
+
+    async def test_many_connections(self, tmp_path):
+        async with run_play(tmp_path) as play:
+            await self.open_feed(play)
+            await play.run(
+                play.entry.feed_address, BODY_CLIENTS, lambda _: [ZMTP_GREETING]
+            )
+
+
 class TestCalm:
     """Test single requests at the limits, which nothing here may refuse."""
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_platform_processes.py
@@ -59,6 +59,8 @@
     # Where the process writes its log.
     log_path: Path
     metrics_address: str
+    # Where other instances watch the owner.
+    feed_address: str
 
     def events(self):
         """Return the names of the events in its log."""
@@ -92,7 +94,8 @@
             stdout=log,
             stderr=log,
         )
-    entry = EntryProcess(address, process, log_path, f"{HOST}:{ports[0]}")
+    metrics_address, feed_address = (f"{HOST}:{port}" for port in ports)
+    entry = EntryProcess(address, process, log_path, metrics_address, feed_address)
     await deployment.wait_for(lambda: deployment.is_ready(entry))
     return entry
 
