Split probes and refusals from the bounded connection

An evicted connection also kept the requests that waited. Change: _client_probe.py and _refusals.py; an evicted connection drops them.

--- a/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_bounded_connection.py
@@ -1,14 +1,15 @@
 """Bound what a client's connection holds, and for how long without a request."""
 
 import asyncio
-import socket
 from asyncio import TimerHandle
 from collections.abc import Callable
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from ._client_probe import probe_client
 from ._connection_limit import ConnectionLimit
 from ._message_meter import MessageMeter
+from ._refusals import BAD_REQUEST, BUSY, LARGE_HEAD, SLOW_REQUEST
 
 # Longer than clients keep a connection that they opened for a request and don't use.
 FIRST_REQUEST_SECONDS = 30.0
@@ -18,27 +19,6 @@
 # From when a response could not be sent as a whole, if the client takes no more of it.
 # Longer than callers wait for a response.
 UNREAD_SECONDS = 10.0
-# Time after which the kernel gives up a connection whose client acknowledges nothing,
-# and the idle time after which it begins to ask. Longer than a network is interrupted
-# while its connections survive.
-UNACKNOWLEDGED_MS = 20_000
-PROBE_AFTER_SECONDS = 20
-PROBE_INTERVAL_SECONDS = 5
-SLOW_REQUEST_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-)
-LARGE_HEAD_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
-BAD_REQUEST_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-)
-# The request has not arrived as a whole, so it certainly will not run.
-BUSY_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
 # What a field of a head takes in memory beside its bytes.
 FIELD_BYTES = 256
 # Of a request that arrives in smaller parts, so many count as progress.
@@ -77,7 +57,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Expect the first request."""
         super().connection_made(transport)
-        _probe_client(transport.get_extra_info("socket"))
+        probe_client(transport.get_extra_info("socket"))
         self._meter = MessageMeter(self.max_head_bytes)
         # What the kernel doesn't take is noted at once.
         transport.set_write_buffer_limits(high=0)
@@ -119,16 +99,16 @@
             self._unparsed = self._unparsed[len(piece) :]
             self._arrived_bytes += len(piece)
             if self._meter.is_head_too_large(piece):
-                self._close("a head is too large", LARGE_HEAD_RESPONSE)
+                self._close("a head is too large", LARGE_HEAD)
                 break
             super().data_received(piece)
             self._meter.note_parsed(piece)
             if self._keeps_request():
                 self._request_bytes += len(piece)
             if self._meter.has_too_many_empty_lines():
-                self._close("no request came, but empty lines", BAD_REQUEST_RESPONSE)
+                self._close("no request came, but empty lines", BAD_REQUEST)
             elif self._meter.is_framing_too_large():
-                self._refuse_body("a trailer is too large", LARGE_HEAD_RESPONSE)
+                self._refuse_body("a trailer is too large", LARGE_HEAD)
         if self.transport.is_closing():
             self._unparsed = b""
             return
@@ -241,10 +221,11 @@
             self._close(reason, b"")
             self.transport.abort()
         elif self._is_receiving and self._has_head:
-            self._refuse_body(reason, BUSY_RESPONSE)
+            self._refuse_body(reason, BUSY)
         else:
-            self._close(reason, BUSY_RESPONSE if self._is_receiving else b"")
+            self._close(reason, BUSY if self._is_receiving else b"")
         # Many may be evicted before the event loop reports that the first one is lost.
+        self._unparsed = b""
         self._drop_request()
 
     def _watch(self) -> None:
@@ -280,7 +261,7 @@
 
     def _give_up(self) -> None:
         # A request with a head has been answered, as it isn't being answered.
-        response = b"" if self._has_head else SLOW_REQUEST_RESPONSE
+        response = b"" if self._has_head else SLOW_REQUEST
         self._close("a request did not arrive as a whole", response)
 
     def _refuse_body(self, reason: str, response: bytes) -> None:
@@ -319,12 +300,3 @@
     """
     sizes = [int(value) for name, value in headers if name == b"content-length"]
     return sizes[0] if sizes else 0
-
-
-def _probe_client(client: socket.socket) -> None:
-    """Let the kernel find out that a client is gone without a word."""
-    client.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    tcp = socket.IPPROTO_TCP
-    client.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS)
-    client.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
-    client.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/packages/baobablane-daemon/baobablane_daemon/_connection_limit.py
+++ b/packages/baobablane-daemon/baobablane_daemon/_connection_limit.py
@@ -21,7 +21,6 @@
 CONNECTIONS_DESCRIPTOR_SHARE = 5 / 8
 # The smallest machine of the users.
 DEFAULT_MEMORY_MB = 300.0
-DEFAULT_DESCRIPTORS = 4_100
 
 
 class Connection(Protocol):
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_bounds.py
@@ -14,9 +14,9 @@
 from baobablane_daemon._bounded_connection import (
     FIRST_REQUEST_SECONDS,
     REQUEST_SECONDS,
-    UNACKNOWLEDGED_MS,
     UNREAD_SECONDS,
 )
+from baobablane_daemon._client_probe import UNACKNOWLEDGED_MS
 from baobablane_daemon._serving import KEEP_ALIVE_SECONDS, make_server
 from baobablane_daemon.jobs.tests.virtual_time import run_in_virtual_time
 
--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_limit.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_connection_limit.py
@@ -14,7 +14,6 @@
 from starlette.responses import Response
 
 from baobablane_daemon._connection_limit import (
-    DEFAULT_DESCRIPTORS,
     DEFAULT_MEMORY_MB,
     FREE_BYTES,
     MAX_OPEN_CONNECTIONS,
@@ -28,6 +27,8 @@
 
 HEAD = b"GET / HTTP/1.1\r\nHost: q.example\r\n\r\n"
 HANG_TIMEOUT_SECONDS = 60.0
+# Of the users' smallest machine.
+DEFAULT_DESCRIPTORS = 4_100
 
 
 class Clients:
