Let one check of endless crowds serve all their tests

Cause: six tests repeated the same play and the same check. Change: Play.run_endless holds both; crowds, bounds and checks are as they were.

--- a/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/tests/test_client_crowds.py
@@ -125,6 +125,11 @@
             self.check_bounds()
         return crowd.clients
 
+    async def run_endless(self, address, head, part, size):
+        """Play a crowd that repeats a part, and check that it is cut short."""
+        clients = await self.run(address, CLIENTS, lambda _: repeat(head, part, size))
+        assert not any(client.has_sent_all for client in clients)
+
 
 @asynccontextmanager
 async def run_play(folder):
@@ -141,12 +146,8 @@
 
     @pytest.mark.parametrize("kind", HEADS)
     async def test_callers_port(self, kind, tmp_path):
-        head, part, size = HEADS[kind]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.address, CLIENTS, lambda _: repeat(head, part, size)
-            )
-            assert not any(client.has_sent_all for client in clients)
+            await play.run_endless(play.entry.address, *HEADS[kind])
 
     async def test_stopped_short_of_the_limit(self, tmp_path):
         """Guards against fields that take much more memory than their bytes."""
@@ -155,12 +156,8 @@
             await play.run(play.entry.address, HEAD_CLIENTS, lambda _: [START + fields])
 
     async def test_metrics_port(self, tmp_path):
-        head, part, size = HEADS["value"]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.metrics_address, CLIENTS, lambda _: repeat(head, part, size)
-            )
-            assert not any(client.has_sent_all for client in clients)
+            await play.run_endless(play.entry.metrics_address, *HEADS["value"])
 
 
 class TestEmptyLines:
@@ -170,23 +167,15 @@
     async def test_before_the_first_request(self, kind, tmp_path):
         line = EMPTY_LINES[kind]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.address,
-                CLIENTS,
-                lambda _: repeat(line, line, EMPTY_LINE_BYTES),
-            )
-            assert not any(client.has_sent_all for client in clients)
+            await play.run_endless(play.entry.address, line, line, EMPTY_LINE_BYTES)
 
     @pytest.mark.parametrize("kind", EMPTY_LINES)
     async def test_before_a_later_request(self, kind, tmp_path):
         line = EMPTY_LINES[kind]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.address,
-                CLIENTS,
-                lambda _: repeat(WHOLE_GET, line, EMPTY_LINE_BYTES),
+            await play.run_endless(
+                play.entry.address, WHOLE_GET, line, EMPTY_LINE_BYTES
             )
-            assert not any(client.has_sent_all for client in clients)
 
 
 class TestTrailers:
@@ -194,20 +183,12 @@
 
     @pytest.mark.parametrize("kind", TRAILERS)
     async def test_callers_port(self, kind, tmp_path):
-        head, part, size = TRAILERS[kind]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.address, CLIENTS, lambda _: repeat(head, part, size)
-            )
-            assert not any(client.has_sent_all for client in clients)
+            await play.run_endless(play.entry.address, *TRAILERS[kind])
 
     async def test_metrics_port(self, tmp_path):
-        head, part, size = TRAILERS["fields"]
         async with run_play(tmp_path) as play:
-            clients = await play.run(
-                play.entry.metrics_address, CLIENTS, lambda _: repeat(head, part, size)
-            )
-            assert not any(client.has_sent_all for client in clients)
+            await play.run_endless(play.entry.metrics_address, *TRAILERS["fields"])
 
 
 class TestUnreadResponses:
