Show that a gang after one crash keeps an executor from all other work

Cause: a gang that is suspected of a crash reserves an executor on which one of its tasks fits, and waits for room that tasks that last never free.

--- a/review/standin-3/site3.py
+++ b/review/standin-3/site3.py
@@ -19,7 +19,11 @@
 from typing import Any
 
 import aiohttp
-from baobablane_standin.platform import PlatformStandin, StandinSettings
+from baobablane_standin.platform import (
+    PlatformStandin,
+    StandinSettings,
+    StandinUpstream,
+)
 from baobablane_standin.platform._deployment import API_KEY, HOST, QUEUE_HOST
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -228,6 +232,20 @@
                     return next(e for e in self.entries if e.name == name)
                 await asyncio.sleep(0.05)
 
+    def add_label(self, upstream: StandinUpstream, label: str) -> None:
+        """List an executor with one more label, also after it has started again."""
+
+        def register(previous_id: str) -> None:
+            if previous_id != upstream.id:
+                self.platform.store.put("keyed.servers", previous_id, b"")
+            entry = upstream.registration(1)
+            entry["labels"] = ["a", f"rack-{upstream.instance}", label]
+            content = json.dumps(entry).encode()
+            self.platform.store.put("keyed.servers", upstream.id, content)
+
+        upstream.on_return = register
+        register(upstream.id)
+
     def end_due_runs(self) -> None:
         """Record the runs that have ended by now."""
         for upstream in self.platform.upstreams:
