Show that a submission runs after its cancelling was answered 410

Cause: a cancellation of an id that is not stored yet is not stored, so an append that the store carries out later brings a job that nobody cancelled.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONPATH=target/deps:packages/baobablane-standin:review/standin-3 PYTHONDONTWRITEBYTECODE=1 \
-    python3 -c "import baobablane_standin.platform, order_proxy, site3"
+    python3 -c "import baobablane_standin.platform, order_proxy, site3, store_proxy"
--- a/review/standin-3/site3.py
+++ b/review/standin-3/site3.py
@@ -149,6 +149,8 @@
         self.record = record
         self.platform = PlatformStandin(StandinSettings(upstreams, cores))
         self.entries: list[Entry] = []
+        # Where an entry instance reaches the store, if not at its own address.
+        self.store_by_entry: dict[str, str] = {}
         self._entry_count = entries
         self._folder = tempfile.TemporaryDirectory(prefix="baobablane-review-")
         self._session: aiohttp.ClientSession | None = None
@@ -179,7 +181,8 @@
         for number in range(self._entry_count):
             taken = ports[number * PORTS_PER_ENTRY :][:PORTS_PER_ENTRY]
             entry = Entry(f"entry-{number}", Path(self._folder.name), taken)
-            entry.write_settings(self.platform.address, self.platform.address)
+            store = self.store_by_entry.get(entry.name, self.platform.address)
+            entry.write_settings(store, self.platform.address)
             self.entries.append(entry)
             await entry.start()
         async with asyncio.timeout(START_SECONDS):
