Count in case 13 only starts that follow the cancellation's answer

Cause: without the disruption, the check took a start that came before the cancellation, and was stopped at once, for a late one after 3 s. Change: the check compares with the starts that it has already seen. Formatting of the shared stand-ins.

--- a/review/13/play.py
+++ b/review/13/play.py
@@ -61,26 +61,32 @@
     if status not in (200, 410):
         raise NotRunError(f"the cancellation was answered {status}")
     cancelled_at = record.now()
-    late = []
+    known = len(find_starts(site))
+    late = 0
     while record.now() < cancelled_at + LATE_SECONDS + 6.0:
         await asyncio.sleep(0.05)
         site.end_due_runs()
-        starts = [s for u in site.platform.upstreams for s in u.starts]
-        if len(starts) > len(late):
+        count = len(find_starts(site))
+        if count > known:
             seconds = record.now() - cancelled_at
-            record.write(f"{len(starts)} starts, {seconds:.2f} s after the answer")
-            if seconds > CANCEL_SECONDS:
-                late = starts
+            record.write(f"{count} starts, {seconds:.2f} s after the answer")
+            late += count - known if seconds > CANCEL_SECONDS else 0
+            known = count
     await site.call(other, "GET", path)
     if has_trouble and not proxy.was_carried_out:
         raise NotRunError("the append was not carried out late")
     if late:
         return (
-            f"UNASKED: {len(late)} tasks started more than {CANCEL_SECONDS:.0f} s after "
-            f"the cancelling was answered {status}"
+            f"UNASKED: {late} tasks started more than {CANCEL_SECONDS:.0f} s "
+            f"after the cancelling was answered {status}"
         )
     return ""
 
 
+def find_starts(site: Site) -> list[tuple[str, int]]:
+    """Return the task and number of each run that an executor has started."""
+    return [start for upstream in site.platform.upstreams for start in upstream.starts]
+
+
 if __name__ == "__main__":
     sys.exit(run_case(FOLDER, play))
--- a/review/14/play.py
+++ b/review/14/play.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from baobablane_standin.platform import API_KEY, extra_path_prefix
+from baobablane_standin.platform import API_KEY, StandinUpstream, extra_path_prefix
 from site3 import NotRunError, Record, Site, run_case
 
 FOLDER = Path(__file__).resolve().parent
@@ -25,9 +25,8 @@
         await site.start_entries()
         await asyncio.sleep(1.0)
         noted: set[tuple[str, int]] = set()
-        failed: dict[tuple[str, int], int] = {}
         for upstream in site.platform.upstreams:
-            watch(upstream, noted, failed)
+            watch(upstream, noted)
         body = {"spec": "700 fail", "steps": [{"cpu": 1000, "estimatedMs": 700}]}
         path = extra_path_prefix(0) + JOB
         status, _ = await site.call(site.entries[0], "POST", path, body)
@@ -53,13 +52,13 @@
             await site.call(site.entries[0], "GET", path)
         if late:
             return (
-                f"BUDGET: {late} starts after {MAX_ATTEMPTS} runs of the task had ended "
-                "`failed` and these ends had been taken note of"
+                f"BUDGET: {late} starts after {MAX_ATTEMPTS} runs of the task had "
+                "ended `failed` and these ends had been taken note of"
             )
         return ""
 
 
-def watch(upstream, noted: set[tuple[str, int]], failed: dict) -> None:
+def watch(upstream: StandinUpstream, noted: set[tuple[str, int]]) -> None:
     """Note which failed ends of an executor are acknowledged."""
     listen = upstream.on_event
     numbers: dict[int, tuple[str, int]] = {}
--- a/review/standin-3/order_proxy.py
+++ b/review/standin-3/order_proxy.py
@@ -80,9 +80,7 @@
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(NEVER_SECONDS)
         status, answer = await self._forward(request, content)
-        return web.Response(
-            status=status, body=answer, content_type="application/json"
-        )
+        return web.Response(status=status, body=answer, content_type="application/json")
 
     async def _carry_out_late(
         self, request: web.Request, content: bytes, body: dict[str, Any], delay: float
@@ -93,9 +91,7 @@
             f"carried out late: {request.path} {_name(body)}: {status} {answer!r}"
         )
 
-    async def _forward(
-        self, request: web.Request, content: bytes
-    ) -> tuple[int, bytes]:
+    async def _forward(self, request: web.Request, content: bytes) -> tuple[int, bytes]:
         assert self._session is not None
         names = ("Baobablane-Expected-Instance", "Content-Type")
         headers = {n: request.headers[n] for n in names if n in request.headers}
