Store the cancellation of an unknown job before 410

The append of the job had no response and was carried out late; 410 was answered since a read of the topic did not show the job, and nothing was written that could meet it. Logs of the instance asked: `job-unknown`, no `cancellation-confirmed`; a cancellation put into the store held in both orders on the old code, so the owner was not at fault.

Such a cancellation is stored, then the topic is read once more. What can't be kept is answered 222 (503).

--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -4,9 +4,20 @@
 import math
 from collections.abc import Callable
 
+from baobablane.admission import (
+    early_cancellation_limit,
+    may_keep_early_cancellation,
+)
 from baobablane.deployment import Configuration, Queue
 from baobablane.errors import RejectedError, ResultCode
-from baobablane.jobs import Job, JobState, ShownCount, ShownState, encode_job
+from baobablane.jobs import (
+    Job,
+    JobState,
+    ShownCount,
+    ShownState,
+    encode_cancellation,
+    encode_job,
+)
 from baobablane_platform import (
     CallerAccess,
     CallerWait,
@@ -21,7 +32,7 @@
 from ._append_forecast import MAX_ACCEPT_SECONDS
 from ._clock import boot_seconds
 from ._denials import MAX_LOGGED_CHARACTERS, Denials
-from ._job_queries import JobQueries
+from ._job_queries import JobQueries, catch_up_until
 from ._job_writer import JobWriter
 from ._load_rejection import LoadRejection
 from ._view_limits import (
@@ -66,6 +77,7 @@
             settings.limits.configuration_seconds - CONFIGURATION_MARGIN_SECONDS
         )
         self._max_record_bytes = settings.limits.max_record_bytes
+        self._early_cancellation_limit = early_cancellation_limit(settings.memory_mb)
         self._views = views
         self._job_writer = job_writer
         self._log = log
@@ -134,8 +146,7 @@
 
         With the code ACCEPTANCE_UNKNOWN, the job may be stored; otherwise it is not.
         """
-        if job.id in self._views.job_table.jobs_by_id:
-            self._log_decision("job-known", job, queue.name)
+        if self._is_known(job, queue):
             return
         reason = self._find_store_fault()
         if reason:
@@ -143,8 +154,7 @@
             self._log_decision("job-refused", job, queue.name, reason)
             raise RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
         await self._load_rejection.check(job, queue)
-        if job.id in self._views.job_table.jobs_by_id:
-            self._log_decision("job-known", job, queue.name)
+        if self._is_known(job, queue):
             return
         record = KeyedRecord(job.id, encode_job(job))
         if record.size_bytes() > self._max_record_bytes:
@@ -168,6 +178,21 @@
             self._views.on_change(job.id)
         self._log_decision("job-accepted", job, queue.name)
 
+    def _is_known(self, job: Job, queue: Queue) -> bool:
+        """Return whether a job is stored; raise RejectedError if it was cancelled.
+
+        A job that was cancelled before it was stored never runs, so it is not accepted.
+        """
+        table = self._views.job_table
+        if job.id in table.jobs_by_id:
+            self._log_decision("job-known", job, queue.name)
+            return True
+        if job.id in table.cancelled:
+            detail = "the job was cancelled before it was submitted"
+            self._log_decision("job-refused", job, queue.name, detail)
+            raise RejectedError(ResultCode.CANCELLED, detail)
+        return False
+
     def _store_silence(self) -> float:
         """Return the seconds since a followed topic last brought data, the longest.
 
@@ -201,45 +226,75 @@
         """
         return await self._queries.state(job_id, wait)
 
-    async def cancel(self, job_id: str, wait: CallerWait) -> JobState | None:
-        """Cancel a job; return its state, or None if it certainly does not exist.
+    async def cancel(
+        self, job_id: str, wait: CallerWait, account: str = ""
+    ) -> JobState | None:
+        """Cancel a job for an account; return its state, or None if there is no job.
 
         Only the owner's record decides whether the job was cancelled or had ended
         before. If that record takes long, the state is not final yet, although the
-        cancellation is stored. A job in a final state is left unchanged. Raise
-        RejectedError if the state can't be read or the cancellation can't be stored;
-        with the code ACCEPTANCE_UNKNOWN, it may be stored.
+        cancellation is stored. A job in a final state is left unchanged. The append of
+        an unknown job may be carried out later, so its cancellation is stored as well.
+        Raise RejectedError if the state can't be read or the cancellation can't be
+        stored; with the code ACCEPTANCE_UNKNOWN, it may be stored.
         """
         decide_until = boot_seconds() + CANCEL_DECISION_SECONDS
         shown = await self._queries.state(job_id, wait)
-        if shown is None:
-            return None
-        if shown.state.is_final():
+        if shown is not None and shown.state.is_final():
             return shown.state
         if job_id not in self._views.job_table.cancelled:
-            await self._store_cancellation(job_id, wait)
+            if shown is None:
+                await self._store_early_cancellation(job_id, wait, account)
+            else:
+                await self._store_cancellation(job_id, wait, account)
         state = await self._await_decision(job_id, decide_until)
-        reason = f"the job is {state.name.lower()}" if state is not None else "deleted"
+        reason = f"the job is {state.name.lower()}" if state else "no such job"
         self._log.write(
             Decision("cancellation-confirmed", request=job_id, reason=reason)
         )
         return state
 
-    async def _store_cancellation(self, job_id: str, wait: CallerWait) -> None:
-        record = KeyedRecord(CANCEL_PREFIX + job_id, b"1")
+    async def _store_early_cancellation(
+        self, job_id: str, wait: CallerWait, account: str
+    ) -> None:
+        """Store the cancellation of an unknown job, and read if a job came before it.
+
+        Raise RejectedError at once if too many are kept or wait to be stored.
+        """
+        counts = self._views.job_table.early_cancellations.count_by_account
+        limit = self._early_cancellation_limit
+        if not self._job_writer.is_writing(CANCEL_PREFIX + job_id) and not (
+            self._job_writer.can_defer()
+            and may_keep_early_cancellation(counts, account, limit)
+        ):
+            reason = f"{counts.total()} cancellations of unknown jobs, at most {limit}"
+            code = ResultCode.CANCELLATIONS_FULL
+            raise self._make_cancel_error(code, job_id, reason)
+        await self._store_cancellation(job_id, wait, account, is_early=True)
+        try:
+            # An append of the job may have been carried out before this one.
+            await catch_up_until(self._views.jobs_tail, wait.until(APPEND_SHARE))
+        except (StoreError, TimeoutError) as error:
+            code, reason = ResultCode.ACCEPTANCE_UNKNOWN, f"stored, but {error!r}"
+            raise self._make_cancel_error(code, job_id, reason) from error
+
+    async def _store_cancellation(
+        self, job_id: str, wait: CallerWait, account: str, is_early: bool = False
+    ) -> None:
+        record = KeyedRecord(CANCEL_PREFIX + job_id, encode_cancellation(account))
         reason = self._find_store_fault()
         if reason and not self._job_writer.is_writing(record.key):
             code = ResultCode.LOG_UNAVAILABLE
             raise self._make_cancel_error(code, job_id, reason)
         try:
-            await self._write(record, wait)
+            await self._write(record, wait, is_early)
         except StoreRejectedError as error:
             code = ResultCode.LOG_UNAVAILABLE
             raise self._make_cancel_error(code, job_id, str(error)) from error
         except (StoreError, TimeoutError) as error:
             code = ResultCode.ACCEPTANCE_UNKNOWN
             raise self._make_cancel_error(code, job_id, repr(error)) from error
-        if self._views.job_table.cancel(job_id):
+        if self._views.job_table.cancel(job_id, account):
             self._views.on_change(job_id)
 
     async def _await_decision(self, job_id: str, until: float) -> JobState | None:
@@ -253,7 +308,9 @@
             state = self._views.job_table.state(job_id)
         return state
 
-    async def _write(self, record: KeyedRecord, wait: CallerWait) -> None:
+    async def _write(
+        self, record: KeyedRecord, wait: CallerWait, is_deferred: bool = False
+    ) -> None:
         """Store a record, or raise a StoreError or TimeoutError.
 
         After a TimeoutError, it is still written.
@@ -263,15 +320,17 @@
         is_repeated = self._job_writer.is_writing(record.key)
         async with asyncio.timeout_at(wait.until(APPEND_SHARE)):
             try:
-                await self._job_writer.write(record)
+                await self._job_writer.write(record, is_deferred)
             except StoreError as error:
                 if not is_repeated:
                     raise
-                await self._write_again(record, error)
+                await self._write_again(record, is_deferred, error)
 
-    async def _write_again(self, record: KeyedRecord, earlier: StoreError) -> None:
+    async def _write_again(
+        self, record: KeyedRecord, is_deferred: bool, earlier: StoreError
+    ) -> None:
         try:
-            await self._job_writer.write(record)
+            await self._job_writer.write(record, is_deferred)
         except StoreRejectedError as error:
             raise earlier from error
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_job_writer.py
@@ -22,10 +22,17 @@
 MAX_BYTES_PER_APPEND = 256_000
 # An append without a response, and its repetition.
 MAX_ATTEMPTS_AT_ONCE = 4
+# Records that can wait are appended at most this often, so that the writes of all entry
+# instances stay below the limit of the store. One batch of them may wait.
+DEFERRED_INTERVAL_SECONDS = 0.25
+MAX_DEFERRED_RECORDS = MAX_RECORDS_PER_APPEND
 
 
 class JobWriter:
-    """Append the records of jobs in batches that are as large as possible."""
+    """Append the records of jobs in batches that are as large as possible.
+
+    Deferred records wait for the next batch of their own, and delay no others.
+    """
 
     def __init__(self, store: StoreClient) -> None:
         """Start without records; they are appended only while `run` runs."""
@@ -34,22 +41,34 @@
         self._unsent: list[KeyedRecord] = []
         self._futures_by_key: dict[str, asyncio.Future[None]] = {}
         self._wake = asyncio.Event()
+        self._deferred_by_key: dict[str, KeyedRecord] = {}
+        self._deferred_wake = asyncio.Event()
         self._in_flight: set[asyncio.Task[None]] = set()
 
-    async def write(self, record: KeyedRecord) -> None:
+    async def write(self, record: KeyedRecord, is_deferred: bool = False) -> None:
         """Write a record and return once it is stored, or raise a StoreError.
 
         StoreRejectedError means that the record is not stored, StoreUnknownOutcomeError
-        that it may be.
+        that it may be. A deferred record goes with the others as soon as it is written
+        again without `is_deferred`.
         """
         future = self._futures_by_key.get(record.key)
         if future is None:
             future = asyncio.get_running_loop().create_future()
             self._futures_by_key[record.key] = future
-            self._unsent.append(record)
-            self._wake.set()
+            if is_deferred:
+                self._deferred_by_key[record.key] = record
+                self._deferred_wake.set()
+            else:
+                self._send_soon(record)
+        elif not is_deferred and record.key in self._deferred_by_key:
+            self._send_soon(self._deferred_by_key.pop(record.key))
         await asyncio.shield(future)
 
+    def can_defer(self) -> bool:
+        """Return whether one more deferred record may wait."""
+        return len(self._deferred_by_key) < MAX_DEFERRED_RECORDS
+
     def is_writing(self, key: str) -> bool:
         """Return whether the write of a record is open."""
         return key in self._futures_by_key
@@ -61,11 +80,9 @@
     async def run(self) -> None:
         """Append waiting records until cancelled."""
         try:
-            while True:
-                await self._wake.wait()
-                self._wake.clear()
-                while self._unsent:
-                    await self._start_append()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._append_unsent())
+                tasks.create_task(self._append_deferred())
         finally:
             for task in self._in_flight:
                 task.cancel()
@@ -75,6 +92,28 @@
                     StoreUnknownOutcomeError("the process stopped during the append"),
                 )
 
+    def _send_soon(self, record: KeyedRecord) -> None:
+        self._unsent.append(record)
+        self._wake.set()
+
+    async def _append_unsent(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._unsent:
+                await self._start_append()
+
+    async def _append_deferred(self) -> None:
+        """Append the deferred records, one batch after the other."""
+        while True:
+            await self._deferred_wake.wait()
+            self._deferred_wake.clear()
+            while self._deferred_by_key:
+                batch = list(self._deferred_by_key.values())
+                self._deferred_by_key.clear()
+                await self._append(batch)
+                await asyncio.sleep(DEFERRED_INTERVAL_SECONDS)
+
     async def _start_append(self) -> None:
         while len(self._in_flight) >= self.forecast.max_in_flight(boot_seconds()):
             await asyncio.wait(self._in_flight, return_when=asyncio.FIRST_COMPLETED)
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_views.py
@@ -8,7 +8,13 @@
 from baobablane.admission import decode_load
 from baobablane.crashes import Host, decode_host
 from baobablane.deployment import Configuration, Wave
-from baobablane.jobs import JobState, JobTable, decode_job, decode_progress
+from baobablane.jobs import (
+    JobState,
+    JobTable,
+    decode_cancellation,
+    decode_job,
+    decode_progress,
+)
 from baobablane.maintenance import WaveProgress, decode_wave_progress
 from baobablane.sizing import BurstStarts, decode_burst_starts
 from baobablane_platform import (
@@ -223,8 +229,8 @@
         if record.key.startswith(CANCEL_PREFIX):
             job_id = record.key.removeprefix(CANCEL_PREFIX)
             if record.value is None:
-                self.job_table.remove(job_id)
-            elif self.job_table.cancel(job_id):
+                self.job_table.remove_cancellation(job_id)
+            elif self.job_table.cancel(job_id, decode_cancellation(record.value)):
                 self.on_change(job_id)
             return
         if record.value is None:
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/caller.py
@@ -70,7 +70,7 @@
         self.views = Views(self.store, log, follows_progress)
         self.job_writer = JobWriter(self.store)
         self.views.on_job_read = self.job_writer.confirm_stored
-        settings = SimpleNamespace(limits=PlatformLimits())
+        settings = SimpleNamespace(limits=PlatformLimits(), memory_mb=300.0)
         actions = JobActions(settings, self.views, self.job_writer, log)
         self.actions = actions
         self._app = make_platform_app(
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -42,7 +42,7 @@
 
 def make_actions(views, log=None):
     """Return the actions of an instance whose writer can't write."""
-    settings = SimpleNamespace(limits=PlatformLimits())
+    settings = SimpleNamespace(limits=PlatformLimits(), memory_mb=300.0)
     writer = SimpleNamespace(forecast=AppendForecast())
     return JobActions(
         settings, views, writer, log or DecisionLog("entry-0", io.BytesIO())
@@ -130,7 +130,7 @@
         table.set_progress(JOB.id, JobProgress(JobState.RUNNING))
         actions = make_actions(views)
 
-        async def write(record):
+        async def write(record, is_deferred):
             self.written.append(record.key)
             on_write(table)
 
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_job_deleter.py
@@ -1,11 +1,11 @@
-"""Delete the records of jobs that ended long ago.
+"""Delete the records of jobs that ended long ago, and of cancellations without jobs.
 
 Load pattern: for some seconds, the store answers no append to the topic of jobs, or
 takes 60 times as long. Deletions can wait, but tasks that could be placed can't.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from baobablane_platform import (
     KeyedRecord,
@@ -17,11 +17,11 @@
 
 from ..decision_log import DecisionLog
 from ..jobs import CANCEL_PREFIX, JOBS_TOPIC, boot_seconds
-from ._ended_jobs import EndedJobs
 from ._ownership import MAX_CONFIRMATION_AGE_SECONDS
 from ._progress_writer import ProgressWriter
+from ._retention_queue import RetentionQueue
 
-# With MAX_JOBS_PER_DELETION, a thousand jobs a second may end for good.
+# With MAX_IDS_PER_DELETION, a thousand jobs a second may end for good.
 DELETION_INTERVAL_SECONDS = 0.1
 
 
@@ -32,17 +32,23 @@
         self,
         store: StoreClient,
         writer: ProgressWriter,
-        ended: EndedJobs,
+        ended: RetentionQueue,
+        early_cancellations: RetentionQueue,
+        is_known: Callable[[str], bool],
         log: DecisionLog,
         may_order: Callable[[float], bool],
     ) -> None:
-        """Use the owner's store client and writer; `ended` holds the jobs to delete.
+        """Use the owner's store client and writer.
 
+        Delete the jobs in `ended`, and the cancellations in `early_cancellations`
+        unless `is_known` returns that their job has arrived, with which they end.
         `may_order` returns whether the ownership was confirmed in the last seconds.
         """
         self._store = store
         self._writer = writer
         self._ended = ended
+        self._early_cancellations = early_cancellations
+        self._is_known = is_known
         self._log = log
         self._may_order = may_order
 
@@ -56,19 +62,24 @@
             # The store doesn't fence tombstones of jobs, so that a newer owner could
             # not stop them.
             if self._may_order(MAX_CONFIRMATION_AGE_SECONDS):
-                await self._delete_due()
+                await self._delete_due(self._ended, self._delete_jobs)
+                await self._delete_due(
+                    self._early_cancellations, self._delete_cancellations
+                )
             await asyncio.sleep(DELETION_INTERVAL_SECONDS)
 
-    async def _delete_due(self) -> None:
-        """Delete the records that are due; requeue the jobs if that fails.
+    async def _delete_due(
+        self, queue: RetentionQueue, delete: Callable[[list[str]], Awaitable[None]]
+    ) -> None:
+        """Delete the records that are due; requeue their ids if that fails.
 
-        Requeued jobs are due after another full retention.
+        Requeued ids are due after another full retention.
         """
-        due = self._ended.pop_due(boot_seconds())
+        due = queue.pop_due(boot_seconds())
         if not due:
             return
         try:
-            await self._delete(due)
+            await delete(due)
         except (StoreFencedError, StoreSequenceError):
             raise
         except StoreError as error:
@@ -79,9 +90,18 @@
             return
         now = boot_seconds()
         for job_id in due:
-            self._ended.add(job_id, now)
+            queue.add(job_id, now)
+
+    async def _delete_cancellations(self, job_ids: list[str]) -> None:
+        records = [
+            KeyedRecord(CANCEL_PREFIX + job_id, None)
+            for job_id in job_ids
+            if not self._is_known(job_id)
+        ]
+        if records:
+            await self._store.append(JOBS_TOPIC, 0, records)
 
-    async def _delete(self, job_ids: list[str]) -> None:
+    async def _delete_jobs(self, job_ids: list[str]) -> None:
         records = [KeyedRecord(job_id, None) for job_id in job_ids]
         records += [KeyedRecord(CANCEL_PREFIX + job_id, None) for job_id in job_ids]
         # The job is deleted before its progress: a job without progress counts as new.
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -35,7 +35,6 @@
     unix_ms,
 )
 from ._candidacy import is_large
-from ._ended_jobs import EndedJobs
 from ._event_log import log_events
 from ._instance_manager import InstanceManager
 from ._job_deleter import JobDeleter
@@ -46,6 +45,7 @@
 from ._owner_message import OwnerMessage
 from ._ownership import Ownership
 from ._progress_writer import ProgressWriter
+from ._retention_queue import RetentionQueue
 from ._round_watch import RoundWatch
 from ._takeover_policy import make_policy
 from ._takeover_reads import read_topics
@@ -156,9 +156,17 @@
         self._changed_job_ids: list[str] = []
         self._metrics_set_at = float("-inf")
         self._round_watch = RoundWatch(log)
-        self._ended_jobs = EndedJobs(settings.limits.state_retention_seconds)
+        retention_seconds = settings.limits.state_retention_seconds
+        self._ended_jobs = RetentionQueue(retention_seconds)
+        self._early_cancellations = RetentionQueue(retention_seconds)
         self._job_deleter = JobDeleter(
-            store, self._writer, self._ended_jobs, log, self._may_order
+            store,
+            self._writer,
+            self._ended_jobs,
+            self._early_cancellations,
+            lambda job_id: job_id in views.job_table.jobs_by_id,
+            log,
+            self._may_order,
         )
         self._load_publisher = LoadPublisher(
             self._scheduler, self._instance_manager.instances, self._writer, log, epoch
@@ -278,6 +286,8 @@
             self._scheduler.add_job(job, progress, now)
             if job.id in job_table.cancelled:
                 self._scheduler.cancel_job(job.id)
+        for job_id in job_table.early_cancellations.account_by_id:
+            self._early_cancellations.add(job_id, now)
         await self._writer.write_heartbeat()
 
     async def _read_topics(self, tail: TopicTail) -> bool:
@@ -425,6 +435,8 @@
         for job_id in job_ids:
             job = job_table.jobs_by_id.get(job_id)
             progress = job_table.progress_by_id.get(job_id)
+            if job is None and job_id in job_table.cancelled:
+                self._early_cancellations.add(job_id, now)
             # The view may lag behind this owner's latest records.
             if job is None or job_id in self._ended_jobs:
                 continue
--- a/packages/baobablane/baobablane/admission/__init__.py
+++ b/packages/baobablane/baobablane/admission/__init__.py
@@ -4,6 +4,10 @@
 from ._backlog import Backlog, WaitingRequest
 from ._class_floor import ClassFloor
 from ._drain_meter import DrainMeter
+from ._early_cancellation_limit import (
+    early_cancellation_limit,
+    may_keep_early_cancellation,
+)
 from ._job_demand import JobDemand, describe_demand
 from ._load_codec import MAX_LOAD_RECORD_BYTES, decode_load, encode_load
 from ._load_summary import LoadSummary
@@ -30,6 +34,8 @@
     "decide_rejection",
     "decode_load",
     "describe_demand",
+    "early_cancellation_limit",
     "encode_load",
+    "may_keep_early_cancellation",
     "summarize_load",
 ]
--- a/packages/baobablane/baobablane/errors/_result_code.py
+++ b/packages/baobablane/baobablane/errors/_result_code.py
@@ -35,6 +35,7 @@
     KEY_REUSED = 219
     FIELD_OUT_OF_RANGE = 220
     BODY_TOO_SLOW = 221
+    CANCELLATIONS_FULL = 222
     CONNECTION_LOST = 300
     TIMEOUT = 301
     ANSWER_CROSSED = 302
@@ -109,6 +110,9 @@
     ResultCode.BODY_TOO_SLOW: ResultDescription(
         408, "the body did not arrive in time", True
     ),
+    ResultCode.CANCELLATIONS_FULL: ResultDescription(
+        503, "too many cancellations of unknown jobs are kept", True
+    ),
     ResultCode.UNKNOWN_REQUEST: ResultDescription(404, "no such request", False),
     ResultCode.DEFERRED_NOT_ALLOWED: ResultDescription(
         400, "this queue takes no deferred work", False
--- a/packages/baobablane/baobablane/jobs/__init__.py
+++ b/packages/baobablane/baobablane/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Re-export jobs, their steps and tasks, and their progress."""
 
+from ._cancellation_codec import decode_cancellation, encode_cancellation
 from ._check_job import MAX_TASKS_PER_OCCURRENCE, check_job
 from ._codec import decode_job, decode_progress, encode_job, encode_progress
 from ._job import Job
@@ -27,8 +28,10 @@
     "TaskId",
     "TaskState",
     "check_job",
+    "decode_cancellation",
     "decode_job",
     "decode_progress",
+    "encode_cancellation",
     "encode_job",
     "encode_progress",
 ]
--- a/packages/baobablane/baobablane/jobs/_job_table.py
+++ b/packages/baobablane/baobablane/jobs/_job_table.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from ._early_cancellations import EarlyCancellations
 from ._job import Job
 from ._job_state import JobState
 from ._progress import JobProgress
@@ -21,6 +22,8 @@
         # States from records of their own; progress may be unknown or older.
         self.state_by_id: dict[str, JobState] = {}
         self.cancelled: set[str] = set()
+        # Those of `cancelled` that no job is known of.
+        self.early_cancellations = EarlyCancellations()
         self._pending_by_queue: dict[str, set[str]] = {}
 
     def accept(self, job: Job) -> bool:
@@ -28,19 +31,30 @@
         if job.id in self.jobs_by_id:
             return False
         self.jobs_by_id[job.id] = job
+        self.early_cancellations.discard(job.id)
         if not job.is_periodic():
             self._pending_by_queue.setdefault(job.queue, set()).add(job.id)
             self._discard_unless_pending(job.id)
         return True
 
-    def cancel(self, job_id: str) -> bool:
-        """Record a cancellation and return whether it is new."""
+    def cancel(self, job_id: str, account: str = "") -> bool:
+        """Record a cancellation and return whether it is new.
+
+        `account` has asked for it; that counts as long as the job is unknown.
+        """
         if job_id in self.cancelled:
             return False
         self.cancelled.add(job_id)
+        if job_id not in self.jobs_by_id:
+            self.early_cancellations.add(job_id, account)
         self._discard_unless_pending(job_id)
         return True
 
+    def remove_cancellation(self, job_id: str) -> None:
+        """Remove a cancellation whose record was deleted; the job, if any, stays."""
+        self.cancelled.discard(job_id)
+        self.early_cancellations.discard(job_id)
+
     def set_progress(self, job_id: str, progress: JobProgress) -> None:
         """Replace a job's progress."""
         self.progress_by_id[job_id] = progress
@@ -60,7 +74,7 @@
         job = self.jobs_by_id.pop(job_id, None)
         self.state_by_id.pop(job_id, None)
         self.progress_by_id.pop(job_id, None)
-        self.cancelled.discard(job_id)
+        self.remove_cancellation(job_id)
         if job is not None:
             self._pending_by_queue.get(job.queue, set()).discard(job_id)
 
