Check what the owner counts as used against the runs that it knows

Each 5 s the owner compares the sums over its runs with what is counted for each upstream, account, job and standing, logs `counts-differ` with the runs known, and counts the differences.

The tests of the scheduler pass with the check (93 s).

--- a/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
+++ b/packages/baobablane-daemon/baobablane_daemon/decision_log/_process_metrics.py
@@ -30,6 +30,11 @@
             "Errors that cost a log line instead of the process",
             registry=self.registry,
         )
+        self.miscounts = Counter(
+            "baobablane_miscounts",
+            "Counts of resources that differed from the known runs, at each check",
+            registry=self.registry,
+        )
         self.accept_seconds = Histogram(
             "baobablane_accept_seconds",
             "Time from a job's arrival until it is stored",
--- a/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/_owner.py
@@ -66,6 +66,8 @@
 # allowance of an account is full again after a few seconds without arrivals.
 SHARE_HISTORY_MS = 60_000
 METRICS_INTERVAL_SECONDS = 1.0
+# A walk over all runs, which takes milliseconds.
+COUNT_CHECK_INTERVAL_SECONDS = 5.0
 # Others suspect an owner that has sent nothing for several times as long.
 MESSAGE_INTERVAL_SECONDS = 0.1
 
@@ -155,6 +157,7 @@
         self._max_progress_bytes = settings.limits.max_record_bytes - MAX_KEY_BYTES
         self._changed_job_ids: list[str] = []
         self._metrics_set_at = float("-inf")
+        self._counts_checked_at = now
         self._round_watch = RoundWatch(log)
         retention_seconds = settings.limits.state_retention_seconds
         self._ended_jobs = RetentionQueue(retention_seconds)
@@ -359,6 +362,7 @@
         for start in starts:
             self._start_task(self._order_sender.send_start(start))
         self._set_account_metrics(now)
+        self._check_counts(now)
 
     def _shorten_lease_bound(self) -> None:
         """Apply what has been read since the takeover on the end of the last owner."""
@@ -380,6 +384,11 @@
                 standings.running_cores(), standings.waiting_cores()
             )
 
+    def _check_counts(self, now: float) -> None:
+        if now - self._counts_checked_at >= COUNT_CHECK_INTERVAL_SECONDS:
+            self._counts_checked_at = now
+            self._log.metrics.miscounts.inc(self._scheduler.check_counts())
+
     async def _record_progress(
         self,
         progress_by_job: dict[str, JobProgress],
--- a/packages/baobablane/baobablane/scheduling/_account_standings.py
+++ b/packages/baobablane/baobablane/scheduling/_account_standings.py
@@ -72,6 +72,18 @@
         """Subtract the cores of a run."""
         self._count_run(run, pool, -run.needs.cpu_millis / 1000)
 
+    def counted_cores(self) -> dict[str, float]:
+        """Return the cores that are counted for all short runs, by account.
+
+        Unlike `running_cores`, it shows what is wrong with the counts.
+        """
+        totals: dict[str, float] = defaultdict(float)
+        for pool in self._running_by_pool.values():
+            for cores_by_account in (pool.entitled, pool.excess):
+                for account, cores in cores_by_account.items():
+                    totals[account] += cores
+        return totals
+
     def observe(
         self,
         jobs: Iterable[JobRun],
--- a/packages/baobablane/baobablane/scheduling/_account_usage.py
+++ b/packages/baobablane/baobablane/scheduling/_account_usage.py
@@ -34,6 +34,10 @@
         left_millis = limits.cap.cpu_millis - self._used[account].cpu_millis
         return max(0.0, left_millis / 1000)
 
+    def used(self) -> Mapping[str, Resources]:
+        """Return the resources that are counted as used, by account."""
+        return self._used
+
     def add(self, account: str, needs: Resources) -> None:
         """Add the resources of a run."""
         if account:
--- a/packages/baobablane/baobablane/scheduling/_crash_evidence.py
+++ b/packages/baobablane/baobablane/scheduling/_crash_evidence.py
@@ -22,7 +22,7 @@
 from ._state import SchedulerState
 from ._step_run import StepRun
 from ._trials import is_held
-from ._upstream import Run, Upstream
+from ._upstream import Run, Upstream, run_name
 from ._wait_bound import WaitBound
 from ._wait_evidence import describe_wait, keep_lost_run
 
@@ -53,7 +53,7 @@
         upstream.entry.incarnation,
         now if since is None else since,
         frozenset(run.task for run in trials or unsettled),
-        tuple(_run_name(run) for run in upstream.runs.values())[:MAX_NAMED_RUNS],
+        tuple(run_name(run) for run in upstream.runs.values())[:MAX_NAMED_RUNS],
         sum(
             run.needs.cpu_millis / 1000 * max(0.0, now - run.started_at)
             for run in upstream.runs.values()
@@ -337,7 +337,3 @@
         if lost is not None:
             lost.is_explained = True
         withdraw_losses(state, loss.upstream, f"caused by a task of {task_id.job}")
-
-
-def _run_name(run: Run) -> str:
-    return f"{'.'.join(map(str, run.task))}#{run.number}"
--- a/packages/baobablane/baobablane/scheduling/_scheduler.py
+++ b/packages/baobablane/baobablane/scheduling/_scheduler.py
@@ -9,6 +9,7 @@
 from ..deployment import NO_RESOURCES, Configuration, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState
 from ._advice import AdviceRequest
+from ._count_audit import log_miscounts
 from ._crash_evidence import (
     clear_settled,
     confirm_crash,
@@ -389,6 +390,13 @@
         }
         self.state.advice.apply_answer(request, tickets, valid_until, incarnations)
 
+    def check_counts(self) -> int:
+        """Log which counts differ from the known runs, and return how many do.
+
+        It takes as long as a walk over all runs.
+        """
+        return log_miscounts(self.state)
+
     def pop_dirty_progress(self) -> dict[str, JobProgress]:
         """Return the progress of the jobs that changed since the previous call."""
         changed: dict[str, JobProgress] = {}
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -217,13 +217,13 @@
     def add(self, run: Run) -> None:
         """Add a run and count its resources as used."""
         self.runs[run.task] = run
-        self.used = self.used + _counted_resources(run)
+        self.used = self.used + counted_resources(run)
 
     def remove(self, task: TaskId) -> Run | None:
         """Remove a run and free its resources; return None if it is unknown."""
         run = self.runs.pop(task, None)
         if run is not None:
-            self.used = self.used - _counted_resources(run)
+            self.used = self.used - counted_resources(run)
         return run
 
     def room(self) -> Resources:
@@ -276,7 +276,13 @@
         )
 
 
-def _counted_resources(run: Run) -> Resources:
+def counted_resources(run: Run) -> Resources:
+    """Return what a run takes of its upstream's capacity."""
     if run.is_filler:
         return Resources(0, run.needs.memory_mb, run.needs.gpus)
     return run.needs
+
+
+def run_name(run: Run) -> str:
+    """Return the name of a run for the log."""
+    return f"{'.'.join(map(str, run.task))}#{run.number}"
--- a/soak/_soak.py
+++ b/soak/_soak.py
@@ -15,6 +15,7 @@
 from ._border_check import BorderCheck
 from ._breach import Breach
 from ._callers import CALL_TIMEOUT_SECONDS, Callers
+from ._count_check import find_miscounts
 from ._event import Event
 from ._faults import Faults
 from ._history import History
@@ -143,6 +144,8 @@
             for status in process.unexpected_ends:
                 detail = f"{name} ended by itself with status {status}"
                 self.history.add(Breach("no-end", self.history.now(), detail, name))
+        for breach in find_miscounts(self._folder, self.history.now()):
+            self.history.add(breach)
 
     async def _wait(self, what: str, condition: Callable[[], Awaitable[bool]]) -> None:
         """Wait until a condition holds, or take it for a broken promise."""
