Place no copy of a task beside its own run

An upstream's table holds one run of a task: a copy placed on the upstream that has just responded again replaced the first run's entry, whose resources were never freed; a gang that did not fit beside its own lost members removed their entries as it gave up.

Neither starts nor trials use an upstream that has a run of the task, and adding a second run raises DuplicateRunError.

--- a/packages/baobablane/baobablane/errors/__init__.py
+++ b/packages/baobablane/baobablane/errors/__init__.py
@@ -3,6 +3,7 @@
 from ._error import (
     BaobablaneError,
     ConflictError,
+    DuplicateRunError,
     InputError,
     InputProblem,
     JobLimitError,
@@ -17,6 +18,7 @@
 __all__ = [
     "BaobablaneError",
     "ConflictError",
+    "DuplicateRunError",
     "InputError",
     "InputProblem",
     "JobLimitError",
--- a/packages/baobablane/baobablane/errors/_error.py
+++ b/packages/baobablane/baobablane/errors/_error.py
@@ -80,6 +80,16 @@
         super().__init__(detail)
 
 
+class DuplicateRunError(BaobablaneError, ValueError):
+    """Report a second run of a task on one upstream."""
+
+    code = ResultCode.INTERNAL_ERROR
+
+    def __init__(self, upstream: str, run: str) -> None:
+        """Name the upstream and the run that is there."""
+        super().__init__(f"upstream {upstream} has run {run} already")
+
+
 class JobLimitError(BaobablaneError, ValueError):
     """Report a field of a job that is out of its range."""
 
--- a/packages/baobablane/baobablane/scheduling/_placement.py
+++ b/packages/baobablane/baobablane/scheduling/_placement.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Mapping
 
 from ..deployment import Resources
-from ..jobs import Step
+from ..jobs import Step, TaskId
 from ._step_run import StepRun
 from ._upstream import Upstream
 
@@ -55,6 +55,15 @@
     return best
 
 
+def without_own_run(upstreams: Collection[Upstream], task: TaskId) -> list[Upstream]:
+    """Return the upstreams that may not run a task already.
+
+    A task that may run twice waits for its copy while its first run may still exist.
+    Beside that, a copy is of no use, and an upstream's table holds one run of a task.
+    """
+    return [upstream for upstream in upstreams if task not in upstream.runs]
+
+
 def may_run(step: Step, upstream: Upstream, room: Resources) -> bool:
     """Return whether an upstream has the label and the room that a task needs."""
     if step.required_label and step.required_label not in upstream.entry.labels:
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -7,7 +7,7 @@
 from ._lasting_room import reserve_upstream
 from ._late_crashes import held_indexes
 from ._orders import StartOrder
-from ._placement import choose_upstream
+from ._placement import choose_upstream, without_own_run
 from ._pressure import is_pressed, measure_pressure
 from ._room_wait import MAX_YOUNG_RUNS, find_permitted, waits_for_room
 from ._round_room import RoundRoom, collect_room
@@ -347,8 +347,12 @@
     job, step = step_run.job, step_run.step
     if job.account and not state.usage.allows(job.account, step.needs):
         return None
-    avoided_id = state.last_failed_on.get(step_run.task_id(index), "")
+    task_id = step_run.task_id(index)
+    avoided_id = state.last_failed_on.get(task_id, "")
     upstream = choose_upstream(step_run, candidates, placed, avoided_id)
+    if upstream is not None and task_id in upstream.runs:
+        others = without_own_run(candidates, task_id)
+        upstream = choose_upstream(step_run, others, placed, avoided_id)
     if upstream is None:
         return None
     placed[upstream.id] = placed.get(upstream.id, 0) + 1
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -18,7 +18,7 @@
 from ._last_resort import find_last_resort
 from ._lasting_room import keep_upstreams, room_without_short_runs
 from ._orders import StartOrder
-from ._placement import choose_upstream, may_run
+from ._placement import choose_upstream, may_run, without_own_run
 from ._round_room import RoundRoom
 from ._starting import commit_starts, reserve_run
 from ._state import SchedulerState
@@ -301,6 +301,7 @@
         placed: dict[str, int],
     ) -> Upstream | None:
         step = step_run.step
+        upstreams = without_own_run(upstreams, step_run.task_id(index))
         if step.is_gang:
             return choose_upstream(step_run, upstreams, placed, "")
         losses = step_run.task(index).losses
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..deployment import NO_RESOURCES, Resources, UpstreamEntry
+from ..errors import DuplicateRunError
 from ..jobs import TaskId
 from ._inherited_lease import InheritedLease
 from ._lease_tracker import LeaseTracker
@@ -215,7 +216,14 @@
         )
 
     def add(self, run: Run) -> None:
-        """Add a run and count its resources as used."""
+        """Add a run and count its resources as used.
+
+        Raise DuplicateRunError if the task has a run here, whose resources would stay
+        counted for good.
+        """
+        known = self.runs.get(run.task)
+        if known is not None:
+            raise DuplicateRunError(self.id, run_name(known))
         self.runs[run.task] = run
         self.used = self.used + counted_resources(run)
 
