--- a/packages/baobablane/baobablane/admission/_summarize.py
+++ b/packages/baobablane/baobablane/admission/_summarize.py
@@ -130,18 +130,18 @@
         for step_run in job_run.steps.values()
         if not step_run.step.is_lasting
     )
-    queue = scheduler.state.configuration.queues_by_name.get(job_run.job.queue)
+    rules = scheduler.state.rules_of(job_run.job)
     if not waiting:
         return
     pool.waiting += waiting
-    if queue is None:
+    if rules is None:
         # It is placed after all others.
         return
     work = job_run.work(scheduler.state.run_times)
-    objective = objective_seconds(queue, work.critical_path_ms)
+    objective = objective_seconds(rules, work.critical_path_ms)
     age_seconds = (unix_ms - job_run.latest_due_ms()) / 1000
     earliest_end = age_seconds + work.remaining_path_ms / 1000
-    key = (job_run.job.account, queue.priority)
+    key = (job_run.job.account, rules.priority)
     account = pool.accounts.setdefault(key, _AccountSums())
     if earliest_end <= objective:
         account.in_time += waiting
--- a/packages/baobablane/baobablane/deployment/__init__.py
+++ b/packages/baobablane/baobablane/deployment/__init__.py
@@ -6,6 +6,7 @@
 from ._limits import PlatformLimits
 from ._pool import Pool
 from ._queue import Queue
+from ._queue_rules import QueueRules
 from ._resources import NO_RESOURCES, Resources
 from ._upstream_entry import UpstreamEntry
 from ._wave import Wave
@@ -19,6 +20,7 @@
     "PlatformLimits",
     "Pool",
     "Queue",
+    "QueueRules",
     "Resources",
     "UpstreamEntry",
     "Wave",
--- a/packages/baobablane/baobablane/deployment/_queue.py
+++ b/packages/baobablane/baobablane/deployment/_queue.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ._queue_rules import QueueRules
+
 
 @dataclass(frozen=True, slots=True)
 class Queue:
@@ -22,3 +24,13 @@
     is_public: bool
     # Whether steps may run only on upstreams that the placement advisor returns.
     needs_advice: bool = False
+
+    def rules(self) -> QueueRules:
+        """Return what a job that is accepted now takes with it."""
+        return QueueRules(
+            self.priority,
+            self.max_attempts,
+            self.slack_factor,
+            self.target_latency_ms,
+            self.needs_advice,
+        )
--- a/packages/baobablane/baobablane/jobs/_job.py
+++ b/packages/baobablane/baobablane/jobs/_job.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..deployment import QueueRules
 from ._step import Step
 
 
@@ -22,6 +23,9 @@
     interval_ms: int = 0
     # Number of occurrences of a periodic job; 0 for a job that runs once.
     occurrences: int = 0
+    # Those of its queue, which may be dropped while the job waits or runs. None in
+    # records of earlier builds.
+    rules: QueueRules | None = None
 
     def is_periodic(self) -> bool:
         """Return whether the job runs at set times instead of once on acceptance."""
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -280,11 +280,10 @@
     if next(job_run.startable_steps(), None) is None:
         return None
     job = job_run.job
-    queue = state.configuration.queues_by_name.get(job.queue)
     pool = state.pool_of(job_run)
     return urgency_key(
         job_run,
-        queue,
+        state.rules_of(job),
         unix_ms,
         state.standings.standing(pool, job.account, job.id, job_run.has_begun()),
         state.run_times,
--- a/packages/baobablane/baobablane/scheduling/_pool_demand.py
+++ b/packages/baobablane/baobablane/scheduling/_pool_demand.py
@@ -75,11 +75,11 @@
 
 
 def _due_cores(state: SchedulerState, job_run: JobRun, unix_ms: int) -> float:
-    queue = state.configuration.queues_by_name.get(job_run.job.queue)
-    if queue is None:
+    rules = state.rules_of(job_run.job)
+    if rules is None:
         return 0.0
     work = job_run.work(state.run_times)
-    objective = objective_seconds(queue, work.critical_path_ms)
+    objective = objective_seconds(rules, work.critical_path_ms)
     seconds_left = job_run.latest_due_ms() / 1000 + objective - unix_ms / 1000
     critical_path_seconds = work.remaining_path_ms / 1000
     if seconds_left < critical_path_seconds / 2:
--- a/packages/baobablane/baobablane/scheduling/_reconciliation.py
+++ b/packages/baobablane/baobablane/scheduling/_reconciliation.py
@@ -178,12 +178,8 @@
     if task is None:
         return
     state.dirty_jobs.add(ended.task.job)
-    queue = state.configuration.queues_by_name.get(apart.job.queue)
-    if (
-        queue is not None
-        and not apart.job.steps[ended.task.step].is_lasting
-        and task.failures >= queue.max_attempts
-    ):
+    is_lasting = apart.job.steps[ended.task.step].is_lasting
+    if not is_lasting and state.is_out_of_attempts(apart.job, task.failures):
         state.finish_apart(apart, JobState.FAILED, f"{task.failures} failed runs")
 
 
@@ -290,8 +286,7 @@
     state.last_failed_on[ended.task] = upstream.id
     if step_run.step.is_lasting:
         return
-    queue = state.configuration.queues_by_name.get(step_run.job.queue)
-    if queue is not None and task.failures >= queue.max_attempts:
+    if state.is_out_of_attempts(step_run.job, task.failures):
         state.finish_job(
             state.jobs[ended.task.job], JobState.FAILED, f"{task.failures} failed runs"
         )
--- a/packages/baobablane/baobablane/scheduling/_relocation_room.py
+++ b/packages/baobablane/baobablane/scheduling/_relocation_room.py
@@ -48,8 +48,7 @@
             )
             if self._has_room(step_run, upstream, placed.get(upstream.id, 0))
         ]
-        queue = self._state.configuration.queues_by_name.get(step_run.job.queue)
-        if queue is not None and queue.needs_advice:
+        if self._state.needs_advice(step_run):
             fitting = self._state.advice.known_allowed(step_run.key(), fitting)
         if not fitting:
             return False
--- a/packages/baobablane/baobablane/scheduling/_state.py
+++ b/packages/baobablane/baobablane/scheduling/_state.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Mapping
 
-from ..deployment import Configuration, UpstreamEntry
+from ..deployment import Configuration, Queue, QueueRules, UpstreamEntry
 from ..jobs import Job, JobProgress, JobState, TaskId, TaskState
 from ..routing import EjectionPolicy, EjectionTable
 from ._account_standings import AccountStandings
@@ -27,6 +27,8 @@
 from ._urgency import objective_seconds
 from ._wait_table import WaitTable
 
+# Of a job whose queue is gone and whose record has no rules: each queue allows one.
+MIN_ATTEMPTS = 1
 # Tasks rarely fail on a healthy upstream, so two failures are enough to eject one.
 EJECTION_POLICY = EjectionPolicy(
     min_failures=2.0, min_failure_ratio=0.3, min_excess_over_peers=0.2
@@ -160,8 +162,8 @@
 
     def needs_advice(self, step_run: StepRun) -> bool:
         """Return whether the placement advisor has to allow a step's upstreams."""
-        queue = self.configuration.queues_by_name.get(step_run.job.queue)
-        return queue is not None and queue.needs_advice
+        rules = self.rules_of(step_run.job)
+        return rules is not None and rules.needs_advice
 
     def advised(
         self, step_run: StepRun, upstreams: list[Upstream], now: float
@@ -189,18 +191,31 @@
             if lost.pool == pool and lost.is_down_after_trial(now)
         }
 
+    def rules_of(self, job: Job) -> Queue | QueueRules | None:
+        """Return the rules of a job's queue in the configuration in force.
+
+        If the queue was dropped, those hold under which the job was accepted. None if
+        an earlier build has accepted it, which did not record them.
+        """
+        return self.configuration.queues_by_name.get(job.queue) or job.rules
+
+    def is_out_of_attempts(self, job: Job, failures: int) -> bool:
+        """Return whether a task of a job has failed as often as it may."""
+        rules = self.rules_of(job)
+        return failures >= (rules.max_attempts if rules else MIN_ATTEMPTS)
+
     def pool_of(self, job_run: JobRun) -> str:
         """Return the pool of a job's queue in the configuration in force."""
         queue = self.configuration.queues_by_name.get(job_run.job.queue)
         return queue.pool if queue else job_run.job.pool
 
     def due_ms(self, job_run: JobRun) -> float | None:
-        """Return when a job should be done, in Unix ms, or None for unknown queues."""
-        queue = self.configuration.queues_by_name.get(job_run.job.queue)
-        if queue is None:
+        """Return when a job should be done, in Unix ms, or None for unknown rules."""
+        rules = self.rules_of(job_run.job)
+        if rules is None:
             return None
         critical_path_ms = job_run.work(self.run_times).critical_path_ms
-        objective_ms = objective_seconds(queue, critical_path_ms) * 1000
+        objective_ms = objective_seconds(rules, critical_path_ms) * 1000
         return job_run.latest_due_ms() + objective_ms
 
     def add_upstream(
--- a/packages/baobablane/baobablane/scheduling/_urgency.py
+++ b/packages/baobablane/baobablane/scheduling/_urgency.py
@@ -10,7 +10,7 @@
 
 from enum import IntEnum
 
-from ..deployment import Queue
+from ..deployment import Queue, QueueRules
 from ._job_run import JobRun
 from ._run_times import RunTimes
 
@@ -43,7 +43,7 @@
     EXCESS_IN_TIME = 3
     EXCESS_LATE = 4
     USELESS = 5
-    UNKNOWN_QUEUE = 6
+    UNKNOWN_RULES = 6
 
 
 # Groups of jobs that can meet their objective.
@@ -54,14 +54,14 @@
 }
 
 
-def objective_seconds(queue: Queue, critical_path_ms: float) -> float:
+def objective_seconds(rules: Queue | QueueRules, critical_path_ms: float) -> float:
     """Return the time within which a job should be done, in seconds."""
-    return (queue.slack_factor * critical_path_ms + queue.target_latency_ms) / 1000
+    return (rules.slack_factor * critical_path_ms + rules.target_latency_ms) / 1000
 
 
 def urgency_key(
     job_run: JobRun,
-    queue: Queue | None,
+    rules: Queue | QueueRules | None,
     unix_ms: int,
     standing: float,
     run_times: RunTimes,
@@ -75,10 +75,10 @@
     accepted_ms = float(job_run.job.accepted_ms)
     if job_run.is_lasting:
         return (float(JobGroup.LASTING), 0.0, 0.0, FIRST_RANK, accepted_ms, 0.0)
-    if queue is None:
-        return (float(JobGroup.UNKNOWN_QUEUE), 0.0, 0.0, FIRST_RANK, accepted_ms, 0.0)
+    if rules is None:
+        return (float(JobGroup.UNKNOWN_RULES), 0.0, 0.0, FIRST_RANK, accepted_ms, 0.0)
     work = job_run.work(run_times)
-    objective_ms = objective_seconds(queue, work.critical_path_ms) * 1000
+    objective_ms = objective_seconds(rules, work.critical_path_ms) * 1000
     latest_start_ms = job_run.latest_due_ms() + objective_ms - work.remaining_path_ms
     useless_from_ms = latest_start_ms + (USELESS_MULTIPLE - 1.0) * objective_ms
     has_begun = job_run.has_begun()
@@ -102,7 +102,7 @@
         group = _EXCESS_GROUPS.get(group, group)
     return (
         float(group),
-        float(queue.priority),
+        float(rules.priority),
         standing,
         rank,
         urgency,
--- a/packages/baobablane/baobablane/scheduling/_waits.py
+++ b/packages/baobablane/baobablane/scheduling/_waits.py
@@ -155,8 +155,7 @@
     """Return what the upstream that is closest to taking a task lacks."""
     pool = state.pool_of(state.jobs[step_run.job.id])
     placed = step_run.placed_by_upstream()
-    queue = state.configuration.queues_by_name.get(step_run.job.queue)
-    needs_advice = queue is not None and queue.needs_advice
+    needs_advice = state.needs_advice(step_run)
     closest = 0
     for upstream in state.upstreams.values():
         if upstream.entry.pool != pool:
