Eject no upstream for failures from before its ejection

During an ejection only the result of a probe counts.

A test in test_bounded_waits.py made a long ejection of failures at one moment, which now loops for ever; it lets probes fail one after the other, and checks what it did.

--- a/packages/baobablane/baobablane/routing/_ejection.py
+++ b/packages/baobablane/baobablane/routing/_ejection.py
@@ -98,8 +98,12 @@
         """Record a failure and return whether it ejects the upstream.
 
         `upstreams_in_pool` are the ids of all upstreams of its pool, its own included.
+        A failure during an ejection, unless of a probe, is of what was sent before.
+        That adds nothing to what the ejection is for.
         """
         health = self._by_id.setdefault(upstream, _UpstreamHealth())
+        if now < health.ejected_until and not health.is_probing:
+            return False
         self._apply_decay(health)
         health.failures += 1
         if health.is_probing:
--- /dev/null
+++ b/packages/baobablane/baobablane/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test routing."""
--- a/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_bounded_waits.py
@@ -84,8 +84,13 @@
             )
         fleet.advance(1.0)
         ejections = fleet.scheduler.state.ejections
+        # Each probe after an ejection has failed, so the latest one lasts for long.
+        failed_at = fleet.now - 60.0
         while not ejections.is_ejected("u4", fleet.now + 2 * MAX_WAIT_SECONDS):
-            ejections.record_failure("u4", list(fleet.upstreams), fleet.now)
+            ejections.record_sent("u4", failed_at)
+            ejections.record_failure("u4", list(fleet.upstreams), failed_at)
+            failed_at += 6.0
+        assert failed_at <= fleet.now
         add(fleet, make_job(make_step(is_lasting=True), name=JOB))
         (order,) = fleet.place()
         fleet.remove(order.upstream)
