Give a gang the ejected upstreams that it needs beside the healthy ones

An ejected upstream takes what no healthy one could run even without its short tasks. Room that long-running tasks take no longer counts as room that a healthy upstream will have again.

--- a/packages/baobablane/baobablane/scheduling/_lasting_room.py
+++ b/packages/baobablane/baobablane/scheduling/_lasting_room.py
@@ -7,7 +7,8 @@
 import math
 from collections.abc import Collection, Iterable
 
-from ..deployment import NO_RESOURCES, Resources
+from ..deployment import NO_RESOURCES
+from ._later_room import room_without_short_runs
 from ._placement import may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -86,12 +87,3 @@
                 room_by_id[chosen.id] = NO_RESOURCES
             elif not step.is_filler:
                 room_by_id[chosen.id] = room_by_id[chosen.id] - step.needs
-
-
-def room_without_short_runs(upstream: Upstream) -> Resources:
-    """Return the room that an upstream has once its short tasks have ended."""
-    room = upstream.entry.capacity
-    for run in upstream.runs.values():
-        if run.is_lasting and not run.is_filler:
-            room = room - run.needs
-    return room
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -186,6 +186,8 @@
     found = find_last_resort(state, pool, step_run, ejected, now)
     if not found:
         return []
+    if step_run.step.is_gang:
+        found = [*room.healthy.get(pool, ()), *found]
     candidates = state.advised(step_run, found, now)
     return _plan_step(state, step_run, others, candidates, room, now)
 
--- a/packages/baobablane/baobablane/scheduling/_room_wait.py
+++ b/packages/baobablane/baobablane/scheduling/_room_wait.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Collection, Mapping
 
-from ..deployment import NO_RESOURCES, Resources
 from ..jobs import Step
+from ._later_room import count_places, needed_room
 from ._placement import may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -53,7 +53,7 @@
         places = 0
         for upstream in permitted:
             most = step.most_per_upstream or step.count
-            places += _count_places(step, upstream.room(), most)
+            places += count_places(step, upstream.room(), most)
         return places < step.count
     return not any(takes_one_more(step, u, young_runs) for u in permitted)
 
@@ -64,21 +64,4 @@
     """Return whether an upstream has the room that a task needs, whatever it lacks."""
     if not step.is_gang and young_runs.get(upstream.id, 0) >= MAX_YOUNG_RUNS:
         return False
-    return _needed(step).fits_in(upstream.room())
-
-
-def _count_places(step: Step, room: Resources, most: int) -> int:
-    """Return how many tasks of a step fit into a room, `most` at most."""
-    needed, places = _needed(step), 0
-    if needed == NO_RESOURCES:
-        return most
-    while places < most and needed.fits_in(room):
-        room = room - needed
-        places += 1
-    return places
-
-
-def _needed(step: Step) -> Resources:
-    if step.is_filler:
-        return Resources(0, step.needs.memory_mb, step.needs.gpus)
-    return step.needs
+    return needed_room(step).fits_in(upstream.room())
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass
 
 from ._last_resort import find_last_resort
-from ._lasting_room import keep_upstreams, room_without_short_runs
+from ._lasting_room import keep_upstreams
+from ._later_room import room_without_short_runs
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run, without_own_run
 from ._round_room import RoundRoom
--- a/packages/baobablane/baobablane/scheduling/tests/test_last_resort.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_last_resort.py
@@ -4,6 +4,8 @@
 kept it closed, so other work with the label waited for as long, beside 28 free cores.
 """
 
+from dataclasses import replace
+
 import pytest
 
 from baobablane.deployment import Resources
@@ -116,6 +118,66 @@
         assert fleet.scheduler.state.ejections.is_ejected("u0", fleet.now)
 
 
+class TestGangs:
+    """Test gangs that no healthy upstream, or all of them, can hold."""
+
+    def make_fleet(self):
+        """Return ten upstreams with the label on three, of which two are ejected."""
+        fleet = make_fleet()
+        for name in ("u1", "u2"):
+            model = fleet.upstreams[name]
+            labels = model.entry.labels | {LABEL}
+            model.entry = replace(model.entry, labels=labels)
+            fleet.scheduler.upstream_listed(model.entry, fleet.now)
+        ejections = fleet.scheduler.state.ejections
+        for name in ("u1", "u2"):
+            while not ejections.is_ejected(name, fleet.now):
+                ejections.record_failure(name, list(fleet.upstreams), fleet.now)
+        # They are ejected for longer than the last resort waits.
+        wait(fleet, EJECTION_SECONDS)
+        for name in ("u1", "u2"):
+            ejections.record_sent(name, fleet.now)
+            ejections.record_failure(name, list(fleet.upstreams), fleet.now)
+        wait(fleet, EJECTION_SECONDS + 0.5)
+        return fleet
+
+    def make_gang(self, count):
+        """Return a gang of tasks of one core that need the label."""
+        step = make_step(count, is_gang=True, required_label=LABEL)
+        return make_job(step, name=SHORT)
+
+    def test_gang_that_the_healthy_one_can_not_hold_uses_all(self):
+        """Guards against a gang that waits on idle upstreams."""
+        fleet = self.make_fleet()
+        add(fleet, self.make_gang(14))
+        assert {order.upstream for order in fleet.place()} == {"u0", "u1", "u2"}
+
+    def test_gang_that_the_healthy_one_can_hold_uses_no_other(self):
+        fleet = self.make_fleet()
+        add(fleet, make_job(make_step(4, required_label=LABEL), name=LONG))
+        fleet.place()
+        add(fleet, self.make_gang(8))
+        assert fleet.place() == []
+        for position in range(4):
+            fleet.finish(TaskId(LONG, 0, 0, position))
+        fleet.renew_all()
+        assert {order.upstream for order in fleet.place()} == {"u0"}
+
+    def test_long_running_tasks_leave_no_room_that_a_gang_could_wait_for(self):
+        """Guards against a wait for room that is taken for hours."""
+        fleet = self.make_fleet()
+        lasting = make_step(4, required_label=LABEL, is_lasting=True)
+        add(fleet, make_job(lasting, name=LONG))
+        assert {order.upstream for order in fleet.place()} == {"u0"}
+        add(fleet, self.make_gang(8))
+        assert {"u1", "u2"} & {order.upstream for order in fleet.place()}
+
+    def test_gang_that_all_together_can_not_hold_starts_nowhere(self):
+        fleet = self.make_fleet()
+        add(fleet, self.make_gang(17))
+        assert fleet.place() == []
+
+
 class TestRepeatedEjections:
     """Test the wait for an upstream that was ejected several times, then got sound."""
 
