Reserve upstreams for a gang only if all of it can fit

The reservation of a trial asked for the room of one task. It asks for the whole candidate, and keeps all upstreams that a gang needs.

--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -17,7 +17,7 @@
 
 from ._last_resort import find_last_resort
 from ._lasting_room import keep_upstreams
-from ._later_room import room_without_short_runs
+from ._later_room import count_later_places
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run, without_own_run
 from ._round_room import RoundRoom
@@ -347,26 +347,32 @@
         self._room.take(self._pool, upstream)
 
     def _reserve(self, candidate: Candidate, upstreams: list[Upstream]) -> None:
-        """Keep an upstream free of other starts until its runs have settled."""
-        fitting = [
-            upstream
-            for upstream in upstreams
-            if may_run(
-                candidate.step_run.step, upstream, room_without_short_runs(upstream)
-            )
-        ]
-        if not fitting:
-            return
+        """Keep upstreams free of other starts until their runs have settled.
+
+        None is kept unless all tasks of the candidate fit once short tasks have ended.
+        """
         reserved = self._room.reserved.get(self._pool, [])
-        chosen = min(
-            fitting,
+        preferred = sorted(
+            upstreams,
             key=lambda upstream: (
                 upstream not in reserved,
                 upstream.unsettled_count(),
                 upstream.used.cpu_millis,
             ),
         )
-        self._keep_free(chosen)
+        step_run, wanted = candidate.step_run, len(candidate.indexes)
+        placed = step_run.placed_by_upstream()
+        kept: list[Upstream] = []
+        for upstream in preferred:
+            places = count_later_places(step_run, upstream, placed)
+            if places:
+                kept.append(upstream)
+                wanted -= places
+            if wanted <= 0:
+                break
+        if wanted <= 0:
+            for upstream in kept:
+                self._keep_free(upstream)
 
 
 def _is_due(state: SchedulerState, step_run: StepRun, index: int, now: float) -> bool:
