Let others use an upstream beside the room that is kept on it

Trials of suspects closed executors in the same way.

One rule for all who keep room: what leaves the room that is waited for may start, and so may what ends before it can be there. Only tasks that ran when the room was first kept are waited for, so what is let in never puts the end off.

--- a/packages/baobablane/baobablane/scheduling/_lasting_room.py
+++ b/packages/baobablane/baobablane/scheduling/_lasting_room.py
@@ -1,4 +1,4 @@
-"""Keep an upstream free for a long-running task that finds no room.
+"""Keep room on an upstream for a long-running task that finds none.
 
 Load pattern: small tasks use up room as soon as it is freed, and a larger long-running
 task would never start.
@@ -8,7 +8,8 @@
 from collections.abc import Collection, Iterable
 
 from ..deployment import NO_RESOURCES
-from ._later_room import room_without_short_runs
+from ._kept_room import keep_room_on
+from ._later_room import needed_room, room_without_short_runs
 from ._placement import may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
@@ -21,12 +22,11 @@
 def reserve_upstream(
     state: SchedulerState,
     step_run: StepRun,
-    healthy: list[Upstream],
     usable: list[Upstream],
-) -> bool:
-    """Remove an upstream where a task fits once the short tasks there have ended.
+) -> Upstream | None:
+    """Keep room where a task fits once the short tasks there have ended.
 
-    Return whether there is one that the task may use.
+    Return the upstream, or None if there is none that the task may use.
     """
     placed = step_run.placed_by_upstream()
     most = step_run.step.most_per_upstream
@@ -38,12 +38,17 @@
         and not state.advice.is_rejected(step_run.key(), upstream.id)
     ]
     if not fitting:
-        return False
-    chosen = max(fitting, key=lambda upstream: upstream.room().cpu_millis)
-    usable.remove(chosen)
-    if chosen in healthy:
-        healthy.remove(chosen)
-    return True
+        return None
+    # To change the upstream would begin the wait anew.
+    chosen = max(
+        fitting,
+        key=lambda upstream: (
+            upstream.kept_before is not None,
+            upstream.room().cpu_millis,
+        ),
+    )
+    keep_room_on(chosen, needed_room(step_run.step), is_for_trial=False)
+    return chosen
 
 
 def keep_upstreams(
@@ -81,6 +86,7 @@
                 ),
             )
             chosen.is_reserved = True
+            keep_room_on(chosen, needed_room(step), is_for_trial=True)
             placed[chosen.id] = placed.get(chosen.id, 0) + 1
             if is_alone and most_alone > 0:
                 most_alone -= 1
--- a/packages/baobablane/baobablane/scheduling/_planning.py
+++ b/packages/baobablane/baobablane/scheduling/_planning.py
@@ -125,12 +125,16 @@
     if is_beyond:
         usable = room.without_held(pool, usable)
         healthy = room.without_held(pool, healthy)
-    if healthy:
+    # Room that is kept from this step may be open to smaller or shorter ones.
+    has_healthy, all_healthy = bool(healthy), healthy
+    usable = room.open_to(step_run.step, usable)
+    healthy = room.open_to(step_run.step, healthy)
+    if has_healthy:
         candidates = state.advised(step_run, healthy, now)
         orders += _plan_step(state, step_run, others, candidates, room, now)
         others = others & step_run.waiting
         if others and _is_under_cap(state, step_run):
-            full.record_unplaced(pool, step_run.step, healthy, room.young_runs)
+            full.record_unplaced(pool, step_run.step, all_healthy, room.young_runs)
             if waits_for_room(state, step_run, healthy, room.young_runs):
                 _keep_room(state, job_run, step_run, len(others), is_beyond, room)
     # Without a healthy upstream, an ejected one is better than none. A long-running
@@ -147,9 +151,11 @@
         is_stuck
         and waits_for_room(state, step_run, usable, room.young_runs)
         and pool not in room.lasting_pools
-        and reserve_upstream(state, step_run, healthy, usable)
     ):
-        room.lasting_pools.add(pool)
+        kept_on = reserve_upstream(state, step_run, usable)
+        if kept_on is not None:
+            room.lasting_pools.add(pool)
+            room.keep(kept_on, now)
     return orders
 
 
@@ -307,6 +313,7 @@
     placed = step_run.placed_by_upstream()
     chosen: list[tuple[int, Upstream]] = []
     for index in sorted(indexes):
+        candidates = room.open_to(step, candidates)
         if room.young_runs and not step.is_gang:
             candidates = _limit_young_runs(candidates, room)
         upstream = _place_task(state, step_run, index, candidates, placed, now)
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -4,9 +4,10 @@
 
 from ..jobs import Step
 from ._full_pools import FullPools, waits_for_room_only
+from ._kept_room import OpenRoom, find_open_room
 from ._lost_upstream import unstable_pools
 from ._state import SchedulerState
-from ._upstream import Upstream
+from ._upstream import KeptRoom, Upstream
 
 # Maximum part of a pool's upstreams that are kept free for the tasks of large jobs.
 RESERVABLE_PART = 0.25
@@ -35,13 +36,28 @@
     # and the upstreams that are kept free for them.
     unplaced: dict[str, int] = field(default_factory=dict)
     held: dict[str, set[str]] = field(default_factory=dict)
+    # Upstreams on which room is kept, and that others may use meanwhile.
+    open_by_id: dict[str, OpenRoom] = field(default_factory=dict)
     # Unsettled runs on each upstream of the unstable pools.
     young_runs: dict[str, int] = field(default_factory=dict)
 
     def for_trials(self, pool: str) -> list[Upstream]:
         """Return the upstreams that are left for trials."""
         others = self.healthy.get(pool) or self.usable.get(pool, [])
-        return [*self.reserved.get(pool, []), *others]
+        # One that is reserved may also take other work for as long as it can't be used.
+        by_id = {u.id: u for u in [*self.reserved.get(pool, []), *others]}
+        return list(by_id.values())
+
+    def open_to(self, step: Step, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams without those that keep their room from a step."""
+        if not self.open_by_id:
+            return upstreams
+        return [
+            upstream
+            for upstream in upstreams
+            if upstream.id not in self.open_by_id
+            or self.open_by_id[upstream.id].admits(step)
+        ]
 
     def reserve(
         self, pool: str, step: Step, count: int, permitted: list[Upstream]
@@ -92,6 +108,22 @@
             held = self.held[pool] = {upstream.id for upstream in by_room[:unplaced]}
         return [upstream for upstream in upstreams if upstream.id not in held]
 
+    def keep(self, upstream: Upstream, now: float) -> None:
+        """Let others use an upstream only beside the room that is kept on it."""
+        if upstream.kept is not None:
+            open_room = find_open_room(upstream, upstream.kept, now)
+            self.open_by_id[upstream.id] = open_room
+
+    def reopen(self, upstream: Upstream, kept: KeptRoom | None, now: float) -> bool:
+        """Return whether others may use a reserved upstream until its room is there."""
+        if kept is None:
+            return False
+        open_room = find_open_room(upstream, kept, now)
+        if open_room.is_closing():
+            return False
+        self.open_by_id[upstream.id] = open_room
+        return True
+
     def take(self, pool: str, upstream: Upstream) -> None:
         """Remove an upstream, so that nothing else is placed there in this round."""
         for upstreams_by_pool in (
@@ -113,6 +145,7 @@
     unstable = unstable_pools(state.lost_upstreams.values(), now)
     for upstream in state.upstreams.values():
         was_reserved, upstream.is_reserved = upstream.is_reserved, False
+        upstream.kept_before, upstream.kept = upstream.kept, None
         upstream.is_limited = False
         if not was_reserved:
             upstream.trial_wanted_at = None
@@ -126,7 +159,8 @@
         )
         if was_reserved:
             room.reserved.setdefault(pool, []).append(upstream)
-            continue
+            if not room.reopen(upstream, upstream.kept_before, now):
+                continue
         room.usable.setdefault(pool, []).append(upstream)
         if pool in unstable:
             room.young_runs[upstream.id] = upstream.unsettled_count()
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -15,9 +15,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from ._kept_room import keep_room_on
 from ._last_resort import find_last_resort
 from ._lasting_room import keep_upstreams
-from ._later_room import count_later_places
+from ._later_room import count_later_places, needed_room
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run, without_own_run
 from ._round_room import RoundRoom
@@ -119,6 +120,9 @@
             if upstream.is_reserved and upstream.accepts(now):
                 room.take(pool, upstream)
                 room.reserved.setdefault(pool, []).append(upstream)
+                if room.reopen(upstream, upstream.kept, now):
+                    room.usable.setdefault(pool, []).append(upstream)
+                    room.healthy.setdefault(pool, []).append(upstream)
 
 
 def _find_waiting(state: SchedulerState, now: float) -> dict[str, list[Candidate]]:
@@ -362,17 +366,18 @@
         )
         step_run, wanted = candidate.step_run, len(candidate.indexes)
         placed = step_run.placed_by_upstream()
-        kept: list[Upstream] = []
+        kept: list[tuple[Upstream, int]] = []
         for upstream in preferred:
-            places = count_later_places(step_run, upstream, placed)
+            places = min(wanted, count_later_places(step_run, upstream, placed))
             if places:
-                kept.append(upstream)
+                kept.append((upstream, places))
                 wanted -= places
-            if wanted <= 0:
-                break
-        if wanted <= 0:
-            for upstream in kept:
-                self._keep_free(upstream)
+        if wanted:
+            return
+        for upstream, places in kept:
+            needs = needed_room(step_run.step).times(places)
+            keep_room_on(upstream, needs, is_for_trial=True)
+            self._keep_free(upstream)
 
 
 def _is_due(state: SchedulerState, step_run: StepRun, index: int, now: float) -> bool:
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -76,6 +76,17 @@
     is_of_earlier_incarnation: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class KeptRoom:
+    """Hold what room is kept on an upstream for tasks that wait."""
+
+    needs: Resources
+    # Short tasks that ran there when the room was first kept, whose ends it waits for.
+    blockers: frozenset[TaskId]
+    # Nothing may start there just before and beside a trial.
+    is_for_trial: bool
+
+
 @dataclass(slots=True)
 class Upstream:
     """Track an upstream's resources and runs, and whether it can take new work."""
@@ -121,6 +132,9 @@
     has_order: bool = False
     # It gets no starts but a trial, as soon as its runs have settled.
     is_reserved: bool = False
+    # Room that is kept on it in this round, and in the round before.
+    kept: KeptRoom | None = None
+    kept_before: KeptRoom | None = None
     # When it was chosen for a trial, which begins once it has responded after that.
     trial_wanted_at: float | None = None
     # It gets more starts as soon as its runs have settled.
--- a/packages/baobablane/baobablane/scheduling/tests/test_kept_room.py
+++ b/packages/baobablane/baobablane/scheduling/tests/test_kept_room.py
@@ -1,7 +1,7 @@
 """Test upstreams that are kept for tasks that wait, and what else may use them.
 
 An upstream was closed to all other work for a gang that could not fit beside its
-long-running tasks.
+long-running tasks, and for a long-running task until a task of a minute had ended.
 """
 
 import pytest
@@ -10,7 +10,7 @@
 
 from .fleet_model import CORE, ModelFleet, add, make_job, make_step
 
-LASTING, SUSPECT, SMALL, OTHER = (digit * 16 for digit in "1345")
+LASTING, LONG, SUSPECT, SMALL, OTHER = (digit * 16 for digit in "12345")
 # A job has something running this long after there is room for it.
 MAX_WAIT_SECONDS = 3.0
 LONG_SECONDS = 60.0
@@ -79,3 +79,61 @@
             play(fleet, 0.3)
         assert play(fleet, 2.0).count(SUSPECT) in (0, 2)
         assert fleet.runs_of(TaskId(SUSPECT, 0, 0, 0)) == 1
+
+
+class TestBackfill:
+    """Test small tasks beside a long one whose end a larger task waits for."""
+
+    def start_long(self, fleet):
+        """Start a short task that takes a minute and five of eight cores."""
+        add(fleet, make_job(make_long_step(5 * CORE), name=LONG))
+        play(fleet, 1.0)
+
+    def wait_with(self, fleet, kind):
+        """Add a task that waits until the long one has ended."""
+        if kind == "lasting":
+            step = make_step(cpu=4 * CORE, is_lasting=True)
+            add(fleet, make_job(step, name=LASTING))
+        elif kind == "suspect":
+            add_suspect(fleet, make_step(cpu=4 * CORE))
+        else:
+            add_suspect(fleet, make_step(cpu=4 * CORE, is_lasting=True))
+        play(fleet, 4.0)
+
+    @pytest.mark.parametrize("kind", ["lasting", "suspect", "lasting suspect"])
+    def test_small_task_runs_in_the_room_that_is_free(self, fleet, kind):
+        """Guards against free cores that are closed until a long task has ended."""
+        self.start_long(fleet)
+        self.wait_with(fleet, kind)
+        add(fleet, make_job(make_step(), name=SMALL))
+        assert SMALL in play(fleet, MAX_WAIT_SECONDS)
+
+    @pytest.mark.parametrize("kind", ["lasting", "suspect", "lasting suspect"])
+    def test_long_tasks_leave_the_room_that_is_waited_for(self, fleet, kind):
+        """Guards against a task that waits for one long task after the other."""
+        self.start_long(fleet)
+        self.wait_with(fleet, kind)
+        for number in range(6):
+            add(fleet, make_job(make_long_step(CORE), name=f"{number + 6:016x}"))
+            play(fleet, 1.0)
+        fleet.finish(TaskId(LONG, 0, 0, 0))
+        job = LASTING if kind == "lasting" else SUSPECT
+        assert job in play(fleet, 3.0)
+
+    def test_tasks_of_wrong_declared_times_delay_it_once_at_most(self, fleet):
+        """Guards against a task that each further one puts off."""
+        self.start_long(fleet)
+        add(fleet, make_job(make_step(cpu=8 * CORE, is_lasting=True), name=LASTING))
+        play(fleet, 1.0)
+        names = [f"{number + 6:016x}" for number in range(12)]
+        for name in names:
+            # Declared half a second, and never end by themselves.
+            add(fleet, make_job(make_step(), name=name))
+            play(fleet, 1.0)
+        fleet.finish(TaskId(LONG, 0, 0, 0))
+        fleet.renew_all()
+        begun = {n for n in names if fleet.runs_of(TaskId(n, 0, 0, 0))}
+        assert play(fleet, 1.0) == []
+        for name in begun:
+            fleet.finish(TaskId(name, 0, 0, 0))
+        assert LASTING in play(fleet, 1.0)
