--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_actions.py
@@ -150,9 +150,7 @@
             return
         reason = self._find_store_fault()
         if reason:
-            # Nothing is sent to the store, so the job certainly will not run.
-            self._log_decision("job-refused", job, queue.name, reason)
-            raise RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
+            raise self._make_store_rejection(job, queue, reason)
         await self._load_rejection.check(job, queue)
         if self._is_known(job, queue):
             return
@@ -166,10 +164,7 @@
             with self._log.metrics.accept_seconds.time():
                 await self._write(record, wait)
         except StoreRejectedError as error:
-            self._log_decision("job-refused", job, queue.name, str(error))
-            raise RejectedError(
-                ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS
-            ) from error
+            raise self._make_store_rejection(job, queue, str(error)) from error
         except (StoreError, TimeoutError) as error:
             self._load_rejection.add_unsure(job.id)
             self._log_decision("job-unsure", job, queue.name, repr(error))
@@ -193,6 +188,20 @@
             raise RejectedError(ResultCode.CANCELLED, detail)
         return False
 
+    def _make_store_rejection(
+        self, job: Job, queue: Queue, reason: str
+    ) -> RejectedError:
+        """Log that a job was not stored now; return the error for its caller.
+
+        An earlier append of the job that was given up may still be carried out. Then
+        nobody can say that it will not run.
+        """
+        if self._load_rejection.may_be_stored(job.id):
+            self._log_decision("job-unsure", job, queue.name, reason)
+            return RejectedError(ResultCode.ACCEPTANCE_UNKNOWN)
+        self._log_decision("job-refused", job, queue.name, reason)
+        return RejectedError(ResultCode.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
+
     def _store_silence(self) -> float:
         """Return the seconds since a followed topic last brought data, the longest.
 
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/_load_rejection.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/_load_rejection.py
@@ -45,7 +45,7 @@
         Nothing is sent to the store for a rejected job. A job that may already be
         stored is never rejected.
         """
-        if self._decide_rejection(job, queue) is None or self._may_be_stored(job.id):
+        if self._decide_rejection(job, queue) is None or self.may_be_stored(job.id):
             return
         try:
             # A caller that got no answer may send its job again to this instance before
@@ -56,7 +56,7 @@
             self._log.info("rejection-skipped", request=job.id, reason=repr(error))
             return
         rejection = self._decide_rejection(job, queue)
-        if rejection is None or self._may_be_stored(job.id):
+        if rejection is None or self.may_be_stored(job.id):
             return
         self._audit.add(rejection, boot_seconds())
         self._log.metrics.rejected_jobs.labels(rejection.pool).inc()
@@ -94,7 +94,11 @@
         age = load.age_seconds(boot_seconds(), unix_ms())
         return decide_rejection(describe_demand(job, queue), load.summary, age)
 
-    def _may_be_stored(self, job_id: str) -> bool:
+    def may_be_stored(self, job_id: str) -> bool:
+        """Return whether a job is stored, or an append of it may still be carried out.
+
+        Only the appends of this process are known.
+        """
         return (
             job_id in self._views.job_table.jobs_by_id
             or job_id in self._unsure_ids
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_actions.py
@@ -43,7 +43,7 @@
 def make_actions(views, log=None):
     """Return the actions of an instance whose writer can't write."""
     settings = SimpleNamespace(limits=PlatformLimits(), memory_mb=300.0)
-    writer = SimpleNamespace(forecast=AppendForecast())
+    writer = SimpleNamespace(forecast=AppendForecast(), is_writing=lambda key: False)
     return JobActions(
         settings, views, writer, log or DecisionLog("entry-0", io.BytesIO())
     )
--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_submission_bounds.py
@@ -102,6 +102,59 @@
         run_in_virtual_time(scenario())
 
 
+class TestSubmissionAfterUnknownOutcome:
+    """Test a job that is sent again after its append was given up.
+
+    The store may still carry the append out, so 503 would say what nobody knows.
+    """
+
+    GIVEN_UP_SECONDS = 10.0
+
+    async def give_up(self, caller):
+        """Let the append of a job have no response, for as long as it is tried."""
+        caller.store.append_fault = hang
+        code, _ = await submit(caller)
+        assert code is ResultCode.ACCEPTANCE_UNKNOWN
+        await asyncio.sleep(self.GIVEN_UP_SECONDS)
+        assert not caller.job_writer.is_writing(JOB.id)
+
+    def test_append_that_the_store_rejects_leaves_it_unknown(self):
+        """Guards against a job that is rejected and runs."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                await self.give_up(caller)
+                rejection = StoreRejectedError("the store returned status 503")
+                caller.store.append_fault = fail_with(rejection)
+                code, _ = await submit(caller)
+                assert code is ResultCode.ACCEPTANCE_UNKNOWN
+
+        run_in_virtual_time(scenario())
+
+    def test_lost_store_leaves_it_unknown(self):
+        """Guards against the same without an attempt to store the job."""
+
+        async def scenario():
+            async with run_instance() as caller:
+                await self.give_up(caller)
+                caller.store.hang_all()
+                await asyncio.sleep(3.0)
+                code, seconds = await submit(caller)
+                assert (code, seconds) == (ResultCode.ACCEPTANCE_UNKNOWN, 0.0)
+
+        run_in_virtual_time(scenario())
+
+    def test_other_jobs_are_rejected(self):
+        async def scenario():
+            async with run_instance() as caller:
+                caller.store.hang_all()
+                await asyncio.sleep(3.0)
+                code, _ = await submit(caller)
+                assert code is ResultCode.LOG_UNAVAILABLE
+
+        run_in_virtual_time(scenario())
+
+
 class TestBody:
     """Test bodies of new jobs that arrive slowly, or only in part."""
 
