--- a/packages/baobablane/baobablane/scheduling/_lasting_room.py
+++ b/packages/baobablane/baobablane/scheduling/_lasting_room.py
@@ -8,8 +8,8 @@
 from collections.abc import Collection, Iterable
 
 from ..deployment import NO_RESOURCES
-from ._kept_room import keep_room_on
 from ._later_room import needed_room, room_without_short_runs
+from ._open_room import keep_room_on
 from ._placement import may_run
 from ._state import SchedulerState
 from ._step_run import StepRun
--- a/packages/baobablane/baobablane/scheduling/_round_room.py
+++ b/packages/baobablane/baobablane/scheduling/_round_room.py
@@ -4,10 +4,11 @@
 
 from ..jobs import Step
 from ._full_pools import FullPools, waits_for_room_only
-from ._kept_room import OpenRoom, find_open_room
+from ._kept_room import KeptRoom
 from ._lost_upstream import unstable_pools
+from ._open_room import OpenRoom, find_open_room
 from ._state import SchedulerState
-from ._upstream import KeptRoom, Upstream
+from ._upstream import Upstream
 
 # Maximum part of a pool's upstreams that are kept free for the tasks of large jobs.
 RESERVABLE_PART = 0.25
--- a/packages/baobablane/baobablane/scheduling/_trials.py
+++ b/packages/baobablane/baobablane/scheduling/_trials.py
@@ -15,10 +15,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ._kept_room import keep_room_on
 from ._last_resort import find_last_resort
 from ._lasting_room import keep_upstreams
 from ._later_room import count_later_places, needed_room
+from ._open_room import keep_room_on
 from ._orders import StartOrder
 from ._placement import choose_upstream, may_run, without_own_run
 from ._round_room import RoundRoom
--- a/packages/baobablane/baobablane/scheduling/_upstream.py
+++ b/packages/baobablane/baobablane/scheduling/_upstream.py
@@ -6,6 +6,7 @@
 from ..errors import DuplicateRunError
 from ..jobs import TaskId
 from ._inherited_lease import InheritedLease
+from ._kept_room import KeptRoom
 from ._lease_tracker import LeaseTracker
 from ._policy import SchedulingPolicy
 
@@ -76,17 +77,6 @@
     is_of_earlier_incarnation: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class KeptRoom:
-    """Hold what room is kept on an upstream for tasks that wait."""
-
-    needs: Resources
-    # Short tasks that ran there when the room was first kept, whose ends it waits for.
-    blockers: frozenset[TaskId]
-    # Nothing may start there just before and beside a trial.
-    is_for_trial: bool
-
-
 @dataclass(slots=True)
 class Upstream:
     """Track an upstream's resources and runs, and whether it can take new work."""
