--- a/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_starts.py
+++ b/packages/baobablane-daemon/baobablane_daemon/jobs/tests/test_starts.py
@@ -19,6 +19,7 @@
     register_state_reader,
 )
 
+from .._store_health import find_store_fault
 from .caller import Caller, put_deployment
 from .scripted_link import CALL_SECONDS, LinkedStore
 from .scripted_store import ScriptedStore, hang
@@ -119,7 +120,8 @@
                 assert store.append_count == 0
                 store.recover()
                 await wait_until(lambda: caller.views.state_readers)
-                assert caller.actions._find_store_fault() == ""
+                forecast = caller.job_writer.forecast
+                assert find_store_fault(caller.views, forecast) == ""
 
         run_in_virtual_time(scenario())
 
