--- a/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_early_cancellations.py
+++ b/packages/baobablane-daemon/baobablane_daemon/owner/tests/test_early_cancellations.py
@@ -37,7 +37,7 @@
 class TestLateJob:
     """Test a job whose append is carried out after its cancellation was stored.
 
-    The append of a submission had no response, and the client cancelled elsewhere.
+    Its append had no response, and the client cancelled at another instance.
     """
 
     def test_it_ends_as_cancelled_without_a_start(self):
